Set down the shape: core types, closed lists, checked settings

Cause: the project is new. The users ask that the shape of the code stands first: vertical slices, small Copy keys into arenas, closed sets as enums. Ruled out: one module per layer (types, services, handlers), which spreads a duty over the tree. Change: identifiers, the closed list of refusals with its table, the clock as a value, counters, and settings that report every fault at once. Conclusion: the slices that follow build on these types.

--- /dev/null
+++ b/src/bytes.rs
@@ -0,0 +1,89 @@
+//! The form of byte strings in messages.
+//!
+//! Written by hand because derived code would write a list of numbers: binary
+//! codecs get a byte string, text codecs get hexadecimal digits.
+
+use std::fmt;
+
+use serde::de::{Error, Visitor};
+use serde::{Deserializer, Serializer};
+
+const DIGITS: &[u8; 16] = b"0123456789abcdef";
+
+/// Writes bytes.
+///
+/// # Errors
+///
+/// Fails as the serializer fails.
+pub fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+    if serializer.is_human_readable() {
+        return serializer.serialize_str(&to_hex(bytes));
+    }
+    serializer.serialize_bytes(bytes)
+}
+
+/// Reads bytes.
+///
+/// # Errors
+///
+/// Fails on any other form.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+    if deserializer.is_human_readable() {
+        return deserializer.deserialize_str(BytesVisitor);
+    }
+    deserializer.deserialize_byte_buf(BytesVisitor)
+}
+
+struct BytesVisitor;
+
+impl Visitor<'_> for BytesVisitor {
+    type Value = Vec<u8>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a byte string or hexadecimal digits")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Vec<u8>, E> {
+        from_hex(text).ok_or_else(|| E::custom("odd or bad hexadecimal digits"))
+    }
+
+    fn visit_bytes<E: Error>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+        Ok(bytes.to_vec())
+    }
+
+    fn visit_byte_buf<E: Error>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
+        Ok(bytes)
+    }
+}
+
+/// Two hexadecimal digits for each byte.
+///
+/// ```
+/// assert_eq!(lycheelock::bytes::to_hex(&[1, 0xab]), "01ab");
+/// ```
+pub fn to_hex(bytes: &[u8]) -> String {
+    let digits = bytes.iter().flat_map(|byte| {
+        [
+            DIGITS[usize::from(byte >> 4)],
+            DIGITS[usize::from(byte & 15)],
+        ]
+    });
+    digits.map(char::from).collect()
+}
+
+/// The bytes of hexadecimal digits.
+///
+/// ```
+/// assert_eq!(lycheelock::bytes::from_hex("01ab"), Some(vec![1, 0xab]));
+/// assert_eq!(lycheelock::bytes::from_hex("0"), None);
+/// ```
+pub fn from_hex(text: &str) -> Option<Vec<u8>> {
+    let digit = |byte: &u8| (*byte as char).to_digit(16);
+    let pairs = text.as_bytes().chunks(2);
+    pairs
+        .map(|pair| match pair {
+            [high, low] => Some((digit(high)? * 16 + digit(low)?) as u8),
+            _ => None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,36 @@
+//! A scheduler for hosts shared by latency-critical services and batch jobs.
+//!
+//! Each folder is one duty with its own state, messages and tests. Decisions
+//! take an event and the time and return what is to be done; the folders
+//! `front`, `workers`, `platform` and `peers` carry it out over the network.
+
+pub mod admission;
+pub mod bytes;
+pub mod configuration;
+pub mod counters;
+#[cfg(feature = "standins")]
+pub mod demo;
+pub mod dispatch;
+pub mod entry;
+pub mod error;
+pub mod front;
+pub mod ids;
+pub mod jobs;
+pub mod kind;
+#[cfg(feature = "standins")]
+pub mod load;
+pub mod logs;
+pub mod moment;
+pub mod operator;
+pub mod ownership;
+pub mod peers;
+pub mod placement;
+pub mod platform;
+pub mod server;
+pub mod settings;
+#[cfg(feature = "standins")]
+pub mod standins;
+pub mod table;
+pub mod workers;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/src/settings/entry.rs
@@ -0,0 +1,231 @@
+//! The settings of an entry daemon.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use super::{Section, Source, form};
+use crate::Result;
+
+/// The settings of an entry daemon.
+///
+/// ```
+/// use lycheelock::settings::EntrySettings;
+///
+/// let settings = EntrySettings { zone: "ie-a".to_owned(), ..EntrySettings::default() };
+/// assert_eq!(settings.limits.body, 8 << 20);
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct EntrySettings {
+    /// The host's name in status pages and logs.
+    pub name: String,
+    /// The availability zone.
+    pub zone: String,
+    /// Where callers and operators connect.
+    pub address: SocketAddr,
+    /// Where other entry hosts connect.
+    pub peers: SocketAddr,
+    /// The platform's service.
+    pub platform: SocketAddr,
+    /// The token of operators' calls.
+    pub token: String,
+    /// The key that peers prove to each other.
+    pub key: String,
+    /// The log file; standard error if none.
+    pub log: Option<PathBuf>,
+    /// A statsd server.
+    pub statsd: Option<SocketAddr>,
+    /// Limits on what callers and workers send.
+    pub limits: Limits,
+    /// Spans of time.
+    pub timing: Timing,
+}
+
+/// Limits on what callers and workers send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// The body of a request, in bytes.
+    pub body: u64,
+    /// The body of a worker's answer, in bytes.
+    pub answer: u64,
+    /// One header, name and value, in bytes.
+    pub header: u64,
+    /// The answer of a keyed request that is kept for repeats, in bytes.
+    pub kept: u64,
+}
+
+/// Spans of time of an entry daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Timing {
+    /// How long a session at the store lasts without renewal.
+    pub session: Duration,
+    /// How long a promise to another entry host lasts.
+    pub promise: Duration,
+    /// Subtracted from every lease for the clocks' different rates.
+    pub margin: Duration,
+    /// Between heartbeats to entry hosts of the zone.
+    pub heartbeat: Duration,
+    /// A connection without an answer for this long is replaced.
+    pub silence: Duration,
+    /// How long a task runs without a renewal by the owner.
+    pub task: Duration,
+    /// The longest deadline of an interactive request.
+    pub deadline: Duration,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Self {
+            name: "entry".to_owned(),
+            zone: "zone-a".to_owned(),
+            address: local(8080),
+            peers: local(8081),
+            platform: local(7000),
+            token: String::new(),
+            key: String::new(),
+            log: None,
+            statsd: None,
+            limits: Limits::default(),
+            timing: Timing::default(),
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body: 8 << 20,
+            answer: 16 << 20,
+            header: 8 << 10,
+            kept: 32 << 10,
+        }
+    }
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            session: Duration::from_secs(6),
+            promise: Duration::from_secs(3),
+            margin: Duration::from_millis(300),
+            heartbeat: Duration::from_millis(500),
+            silence: Duration::from_secs(2),
+            task: Duration::from_secs(10),
+            deadline: Duration::from_secs(30),
+        }
+    }
+}
+
+impl EntrySettings {
+    /// Reads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, and with every fault in it.
+    pub fn read(path: &Path) -> Result<Self> {
+        Self::check(Source::read(path)?)
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault of the source.
+    ///
+    /// ```
+    /// use lycheelock::settings::{EntrySettings, Source};
+    ///
+    /// let text = "[entry]\nname = a1\nzone = gt-a\naddress = 127.0.0.1:1\npeers = 127.0.0.1:2\n\
+    ///             platform = 127.0.0.1:3\ntoken = t\nkey = k\n";
+    /// let settings = EntrySettings::check(Source::parse("a.ini", text).unwrap()).unwrap();
+    /// assert_eq!(settings.name, "a1");
+    /// ```
+    pub fn check(mut source: Source) -> Result<Self> {
+        let mut settings = Self::default();
+        if let Some(section) = source.required("entry") {
+            settings.read_entry(section);
+        }
+        if let Some(section) = source.section("limits") {
+            settings.limits = Limits::read(section);
+        }
+        if let Some(section) = source.section("timing") {
+            settings.timing = Timing::read(section);
+        }
+        source.finish()?;
+        Ok(settings)
+    }
+
+    fn read_entry(&mut self, mut section: Section<'_>) {
+        let mut text = |key, to: &mut String, form| {
+            if let Some(value) = section.required(key, form) {
+                *to = value;
+            }
+        };
+        text("name", &mut self.name, &form::NAME);
+        text("zone", &mut self.zone, &form::NAME);
+        text("token", &mut self.token, &form::TEXT);
+        text("key", &mut self.key, &form::TEXT);
+        let mut address = |key, to: &mut SocketAddr| {
+            if let Some(value) = section.required(key, &form::ADDRESS) {
+                *to = value;
+            }
+        };
+        address("address", &mut self.address);
+        address("peers", &mut self.peers);
+        address("platform", &mut self.platform);
+        self.log = section.optional("log", &form::TEXT).map(PathBuf::from);
+        self.statsd = section.optional("statsd", &form::ADDRESS);
+        section.finish();
+    }
+}
+
+impl Limits {
+    fn read(mut section: Section<'_>) -> Self {
+        let default = Self::default();
+        let limits = Self {
+            body: section.value("body", &form::SIZE, default.body),
+            answer: section.value("answer", &form::SIZE, default.answer),
+            header: section.value("header", &form::SIZE, default.header),
+            kept: section.value("kept", &form::SIZE, default.kept),
+        };
+        section.finish();
+        limits
+    }
+}
+
+impl Timing {
+    fn read(mut section: Section<'_>) -> Self {
+        let default = Self::default();
+        let timing = Self {
+            session: section.value("session", &form::DURATION, default.session),
+            promise: section.value("promise", &form::DURATION, default.promise),
+            margin: section.value("margin", &form::DURATION, default.margin),
+            heartbeat: section.value("heartbeat", &form::DURATION, default.heartbeat),
+            silence: section.value("silence", &form::DURATION, default.silence),
+            task: section.value("task", &form::DURATION, default.task),
+            deadline: section.value("deadline", &form::DURATION, default.deadline),
+        };
+        timing.check(&mut section);
+        section.finish();
+        timing
+    }
+
+    fn check(&self, section: &mut Section<'_>) {
+        if self.margin * 4 > self.session {
+            section.fault("margin", "must be at most a quarter of session");
+        }
+        if self.margin * 4 > self.promise {
+            section.fault("margin", "must be at most a quarter of promise");
+        }
+        if self.heartbeat * 3 > self.promise {
+            section.fault("heartbeat", "must be at most a third of promise");
+        }
+        if self.silence < self.heartbeat * 2 {
+            section.fault("silence", "must be at least twice heartbeat");
+        }
+        if self.task < self.heartbeat * 6 {
+            section.fault("task", "must be at least six times heartbeat");
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/form.rs
@@ -0,0 +1,123 @@
+//! The forms that a value of a settings file may have.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A parser of one kind of value, with the sentence that says what it accepts.
+pub struct Form<T> {
+    /// What the parser accepts, for error messages.
+    pub expected: &'static str,
+    /// Returns nothing for a value that is not accepted.
+    pub parse: fn(&str) -> Option<T>,
+}
+
+impl<T> fmt::Debug for Form<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Form")
+            .field("expected", &self.expected)
+            .finish()
+    }
+}
+
+/// Any text that is not empty.
+pub const TEXT: Form<String> = Form {
+    expected: "a text that is not empty",
+    parse: |text| (!text.is_empty()).then(|| text.to_owned()),
+};
+
+/// A name of letters, digits, `-` and `_`.
+pub const NAME: Form<String> = Form {
+    expected: "a name of letters, digits, - and _",
+    parse: |text| is_name(text).then(|| text.to_owned()),
+};
+
+/// Names separated by commas.
+pub const NAMES: Form<Vec<String>> = Form {
+    expected: "names of letters, digits, - and _, separated by commas",
+    parse: parse_names,
+};
+
+/// Texts separated by commas.
+pub const TEXTS: Form<Vec<String>> = Form {
+    expected: "texts separated by commas",
+    parse: |text| {
+        let parts = text.split(',').map(|part| part.trim().to_owned());
+        Some(parts.filter(|part| !part.is_empty()).collect())
+    },
+};
+
+/// An IP address with a port.
+pub const ADDRESS: Form<SocketAddr> = Form {
+    expected: "an IP address and port such as 127.0.0.1:7000",
+    parse: |text| text.parse().ok(),
+};
+
+/// A span of time with its unit.
+pub const DURATION: Form<Duration> = Form {
+    expected: "a span of time above zero with its unit, such as 250ms, 2s or 9h",
+    parse: |text| {
+        humantime::parse_duration(text)
+            .ok()
+            .filter(|span| !span.is_zero())
+    },
+};
+
+/// A whole number above zero.
+pub const COUNT: Form<u32> = Form {
+    expected: "a whole number above 0",
+    parse: |text| text.parse().ok().filter(|count| *count > 0),
+};
+
+/// A whole number, zero included.
+pub const NUMBER: Form<u32> = Form {
+    expected: "a whole number, 0 or more",
+    parse: |text| text.parse().ok(),
+};
+
+/// A size in bytes, with an optional KB, MB or GB.
+pub const SIZE: Form<u64> = Form {
+    expected: "a size such as 512KB, 16MB or 2GB",
+    parse: parse_size,
+};
+
+/// `yes` or `no`.
+pub const YES_NO: Form<bool> = Form {
+    expected: "yes or no",
+    parse: |text| match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    },
+};
+
+/// Processor cores with up to three decimals, in thousandths of a core.
+pub const CORES: Form<u32> = Form {
+    expected: "processor cores such as 2 or 0.5",
+    parse: |text| {
+        let cores: f64 = text.parse().ok()?;
+        let accepted = cores > 0.0 && cores < 10_000.0;
+        accepted.then_some((cores * 1000.0).round() as u32)
+    },
+};
+
+fn is_name(text: &str) -> bool {
+    let accepted = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    !text.is_empty() && text.chars().all(accepted)
+}
+
+fn parse_names(text: &str) -> Option<Vec<String>> {
+    let names: Vec<&str> = text.split(',').map(str::trim).collect();
+    let accepted = names.iter().all(|name| is_name(name));
+    accepted.then(|| names.into_iter().map(str::to_owned).collect())
+}
+
+fn parse_size(text: &str) -> Option<u64> {
+    const UNITS: [(&str, u64); 3] = [("KB", 1 << 10), ("MB", 1 << 20), ("GB", 1 << 30)];
+    let found = UNITS
+        .iter()
+        .find_map(|(unit, factor)| Some((text.strip_suffix(unit)?, *factor)));
+    let (digits, factor) = found.unwrap_or((text, 1));
+    let count: u64 = digits.trim().parse().ok()?;
+    count.checked_mul(factor).filter(|size| *size > 0)
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,14 @@
+//! Settings files: one INI file for each process, checked as a whole.
+
+mod entry;
+mod fault;
+pub mod form;
+mod source;
+mod standin;
+#[cfg(test)]
+mod tests;
+
+pub use entry::{EntrySettings, Limits, Timing};
+pub use fault::Fault;
+pub use source::{Section, Source};
+pub use standin::{PlatformSettings, WorkerSettings};
--- /dev/null
+++ b/src/settings/standin.rs
@@ -0,0 +1,148 @@
+//! The settings of the stand-ins.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use super::{Source, form};
+use crate::Result;
+
+/// The settings of the platform's stand-in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 7000)),
+        }
+    }
+}
+
+impl PlatformSettings {
+    /// Reads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, and with every fault in it.
+    pub fn read(path: &Path) -> Result<Self> {
+        let mut source = Source::read(path)?;
+        let mut settings = Self::default();
+        if let Some(mut section) = source.required("platform") {
+            if let Some(address) = section.required("address", &form::ADDRESS) {
+                settings.address = address;
+            }
+            section.finish();
+        }
+        source.finish()?;
+        Ok(settings)
+    }
+}
+
+/// The settings of a worker's stand-in.
+///
+/// ```
+/// use lycheelock::settings::WorkerSettings;
+///
+/// let settings = WorkerSettings { slots: 2, ..WorkerSettings::default() };
+/// assert_eq!(settings.connections, 64);
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkerSettings {
+    /// The worker's name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its rack.
+    pub rack: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The platform, whose host list it joins.
+    pub platform: SocketAddr,
+    /// Thousandths of a core.
+    pub cores: u32,
+    /// Memory in megabytes.
+    pub memory: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+    /// Interactive requests that run at once.
+    pub slots: u32,
+    /// Connections for interactive requests.
+    pub connections: u32,
+    /// How long an interactive request takes when the worker is idle.
+    pub latency: Duration,
+    /// How much of declared run times batch tasks take, in percent.
+    pub pace: u32,
+    /// How much a full load of batch work slows interactive requests, in percent.
+    pub interference: u32,
+}
+
+impl Default for WorkerSettings {
+    fn default() -> Self {
+        Self {
+            name: "worker".to_owned(),
+            zone: "zone-a".to_owned(),
+            rack: "rack-1".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+            platform: SocketAddr::from(([127, 0, 0, 1], 7000)),
+            cores: 32_000,
+            memory: 125_000,
+            accelerators: 0,
+            slots: 8,
+            connections: 64,
+            latency: Duration::from_millis(2),
+            pace: 100,
+            interference: 100,
+        }
+    }
+}
+
+impl WorkerSettings {
+    /// Reads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, and with every fault in it.
+    pub fn read(path: &Path) -> Result<Self> {
+        let mut source = Source::read(path)?;
+        let mut settings = Self::default();
+        if let Some(mut section) = source.required("worker") {
+            let default = Self::default();
+            settings = Self {
+                name: section
+                    .required("name", &form::NAME)
+                    .unwrap_or(default.name),
+                zone: section
+                    .required("zone", &form::NAME)
+                    .unwrap_or(default.zone),
+                rack: section
+                    .required("rack", &form::NAME)
+                    .unwrap_or(default.rack),
+                address: section
+                    .required("address", &form::ADDRESS)
+                    .unwrap_or(default.address),
+                platform: section
+                    .required("platform", &form::ADDRESS)
+                    .unwrap_or(default.platform),
+                cores: section.value("cores", &form::CORES, default.cores),
+                memory: section.value("memory_mb", &form::COUNT, default.memory),
+                accelerators: section.value("accelerators", &form::NUMBER, default.accelerators),
+                slots: section.value("slots", &form::COUNT, default.slots),
+                connections: section.value("connections", &form::COUNT, default.connections),
+                latency: section.value("latency", &form::DURATION, default.latency),
+                pace: section.value("pace_percent", &form::COUNT, default.pace),
+                interference: section.value(
+                    "interference_percent",
+                    &form::NUMBER,
+                    default.interference,
+                ),
+            };
+            section.finish();
+        }
+        source.finish()?;
+        Ok(settings)
+    }
+}
