--- /dev/null
+++ b/src/admission/quota.rs
@@ -0,0 +1,48 @@
+//! The requests that each team has in progress.
+
+use std::collections::HashMap;
+
+use crate::configuration::Team;
+use crate::kind::{ErrorKind, Refusal};
+
+/// The requests in progress at one entry host.
+#[derive(Debug, Default)]
+pub struct Quotas {
+    teams: HashMap<String, u32>,
+}
+
+impl Quotas {
+    /// Counts a request of a team.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the team has as many in progress as its quota allows.
+    ///
+    /// ```
+    /// use lycheelock::admission::Quotas;
+    /// use lycheelock::configuration::Team;
+    ///
+    /// let team = Team { name: "a".into(), token: "t".into(), requests: 1, tasks: 1 };
+    /// let mut quotas = Quotas::default();
+    /// assert!(quotas.enter(&team).is_ok());
+    /// assert!(quotas.enter(&team).is_err());
+    /// quotas.leave("a");
+    /// assert!(quotas.enter(&team).is_ok());
+    /// ```
+    pub fn enter(&mut self, team: &Team) -> Result<(), Refusal> {
+        let count = self.teams.entry(team.name.clone()).or_default();
+        if *count >= team.requests {
+            let message = format!("team {:?} has {count} requests in progress", team.name);
+            return Err(Refusal::new(ErrorKind::QuotaExceeded, message));
+        }
+        *count += 1;
+        Ok(())
+    }
+
+    /// Drops a request of a team.
+    pub fn leave(&mut self, team: &str) {
+        if let Some(count) = self.teams.get_mut(team) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/lycheelock/app.rs
@@ -0,0 +1,253 @@
+//! Turns the command line into settings, and runs the command.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use log::LevelFilter;
+use lycheelock::entry::Node;
+use lycheelock::jobs::JobSpec;
+use lycheelock::operator::{self, Target};
+use lycheelock::placement::Policy;
+use lycheelock::settings::{EntrySettings, form};
+use lycheelock::{Error, Result, logs};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[cfg(feature = "standins")]
+use lycheelock::demo::{self, DemoSettings};
+#[cfg(feature = "standins")]
+use lycheelock::settings::{PlatformSettings, WorkerSettings};
+
+/// A command with its settings.
+pub struct App {
+    command: Command,
+}
+
+enum Command {
+    Entry(PathBuf, Policy),
+    Check(PathBuf, bool),
+    Apply(Apply),
+    Status(Target),
+    Submit(JobSpec, Option<String>, Target),
+    Job(String, Target),
+    Cancel(String, Target),
+    Account(Target),
+    Drain(Duration, Target),
+    #[cfg(feature = "standins")]
+    Demo(DemoSettings),
+    #[cfg(feature = "standins")]
+    Platform(PathBuf),
+    #[cfg(feature = "standins")]
+    Worker(PathBuf),
+}
+
+struct Apply {
+    path: PathBuf,
+    author: String,
+    wait: Duration,
+    target: Target,
+}
+
+impl App {
+    /// Reads the command line.
+    pub fn new(matches: &ArgMatches) -> Result<Self> {
+        let (name, sub) = matches.subcommand().expect("a subcommand is required");
+        let command = match name {
+            "entry" => Command::Entry(path(sub, "config"), policy(sub)?),
+            "check" => Command::Check(path(sub, "questionnaire"), sub.get_flag("json")),
+            "apply" => Command::Apply(Apply {
+                path: path(sub, "questionnaire"),
+                author: text(sub, "author"),
+                wait: span(sub, "wait")?,
+                target: target(sub),
+            }),
+            "status" => Command::Status(target(sub)),
+            "submit" => Command::Submit(spec(sub)?, optional(sub, "key"), target(sub)),
+            "job" => Command::Job(text(sub, "id"), target(sub)),
+            "cancel" => Command::Cancel(text(sub, "id"), target(sub)),
+            "account" => Command::Account(target(sub)),
+            "drain" => Command::Drain(span(sub, "wait")?, target(sub)),
+            #[cfg(feature = "standins")]
+            "demo" => Command::Demo(demo_settings(sub)),
+            #[cfg(feature = "standins")]
+            "standin" => standin(sub),
+            other => unreachable!("the command line knows no {other:?}"),
+        };
+        Ok(Self { command })
+    }
+
+    /// Runs the command.
+    pub fn run(self) -> Result<bool> {
+        let runtime = Runtime::new()?;
+        runtime.block_on(self.run_command())
+    }
+
+    async fn run_command(self) -> Result<bool> {
+        match self.command {
+            Command::Entry(path, policy) => entry(&EntrySettings::read(&path)?, policy).await,
+            Command::Check(path, json) => operator::check(&path, json),
+            Command::Apply(apply) => {
+                operator::apply(&apply.path, &apply.author, apply.wait, &apply.target).await
+            }
+            Command::Status(target) => operator::status(&target).await,
+            Command::Submit(spec, key, target) => {
+                operator::submit(&spec, key.as_deref(), &target).await
+            }
+            Command::Job(id, target) => operator::job(&id, &target).await,
+            Command::Cancel(id, target) => operator::cancel(&id, &target).await,
+            Command::Account(target) => operator::account(&target).await,
+            Command::Drain(wait, target) => operator::drain(wait, &target).await,
+            #[cfg(feature = "standins")]
+            Command::Demo(settings) => demo::run(&settings).await,
+            #[cfg(feature = "standins")]
+            Command::Platform(path) => platform(&PlatformSettings::read(&path)?).await,
+            #[cfg(feature = "standins")]
+            Command::Worker(path) => worker(WorkerSettings::read(&path)?).await,
+        }
+    }
+}
+
+fn path(matches: &ArgMatches, name: &str) -> PathBuf {
+    PathBuf::from(text(matches, name))
+}
+
+fn text(matches: &ArgMatches, name: &str) -> String {
+    optional(matches, name).unwrap_or_default()
+}
+
+fn optional(matches: &ArgMatches, name: &str) -> Option<String> {
+    matches.get_one::<String>(name).cloned()
+}
+
+fn span(matches: &ArgMatches, name: &str) -> Result<Duration> {
+    parse_span(name, &text(matches, name))
+}
+
+fn parse_span(name: &str, value: &str) -> Result<Duration> {
+    (form::DURATION.parse)(value).ok_or_else(|| Error::Argument {
+        name: format!("--{name} {value:?}"),
+        message: format!("give {}", form::DURATION.expected),
+    })
+}
+
+fn policy(matches: &ArgMatches) -> Result<Policy> {
+    text(matches, "policy")
+        .parse()
+        .map_err(|message| Error::Argument {
+            name: "--policy".to_owned(),
+            message,
+        })
+}
+
+fn target(matches: &ArgMatches) -> Target {
+    let team = matches.try_get_one::<String>("team").ok().flatten();
+    Target {
+        entry: text(matches, "entry"),
+        token: text(matches, "token"),
+        team: team.cloned(),
+        json: matches.get_flag("json"),
+    }
+}
+
+fn spec(matches: &ArgMatches) -> Result<JobSpec> {
+    let deadline = match optional(matches, "deadline") {
+        Some(value) => Some(parse_span("deadline", &value)?.as_millis() as u64),
+        None => None,
+    };
+    Ok(JobSpec {
+        class: text(matches, "class"),
+        tasks: matches.get_one::<u32>("tasks").copied().unwrap_or(1),
+        payload: text(matches, "payload"),
+        deadline_ms: deadline,
+        size: None,
+        duration_ms: None,
+    })
+}
+
+/// Runs the daemon until a signal. The first signal begins a planned stop, the
+/// second ends the process at once.
+async fn entry(settings: &EntrySettings, policy: Policy) -> Result<bool> {
+    logs::init(settings.log.as_deref(), LevelFilter::Info)?;
+    let started = Node::start(settings.clone(), policy).await?;
+    let node = started.node.clone();
+    let signals = async {
+        wait_for_signal().await;
+        let draining = node.clone();
+        tokio::spawn(async move { draining.drain().await });
+        wait_for_signal().await;
+    };
+    let watched = started.node.clone();
+    tokio::select! {
+        () = started.run_to_end() => Ok(true),
+        () = signals => {
+            let cut = watched.in_progress();
+            log::error!("stopped at once by a second signal; {cut} requests cut off");
+            eprintln!("lycheelock: stopped at once; {cut} requests cut off");
+            Ok(false)
+        }
+    }
+}
+
+async fn wait_for_signal() {
+    let (Ok(mut interrupt), Ok(mut terminate)) = (
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::terminate()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
+
+#[cfg(feature = "standins")]
+fn demo_settings(matches: &ArgMatches) -> DemoSettings {
+    let default = DemoSettings::default();
+    DemoSettings {
+        questionnaire: path(matches, "questionnaire"),
+        requests: matches
+            .get_one("requests")
+            .copied()
+            .unwrap_or(default.requests),
+        jobs: matches.get_one("jobs").copied().unwrap_or(default.jobs),
+        seed: matches.get_one("seed").copied().unwrap_or(default.seed),
+        ..default
+    }
+}
+
+#[cfg(feature = "standins")]
+fn standin(matches: &ArgMatches) -> Command {
+    let (name, sub) = matches.subcommand().expect("a subcommand is required");
+    match name {
+        "platform" => Command::Platform(path(sub, "config")),
+        _ => Command::Worker(path(sub, "config")),
+    }
+}
+
+#[cfg(feature = "standins")]
+async fn platform(settings: &PlatformSettings) -> Result<bool> {
+    logs::init(None, LevelFilter::Info)?;
+    let standin = std::sync::Arc::new(lycheelock::standins::platform::Standin::default());
+    let running = standin.start(settings.address).await?;
+    log::info!("platform stand-in on {}", settings.address);
+    wait_for_signal().await;
+    running.stop().await;
+    Ok(true)
+}
+
+#[cfg(feature = "standins")]
+async fn worker(settings: WorkerSettings) -> Result<bool> {
+    use lycheelock::standins::worker::{Worker, join};
+
+    logs::init(None, LevelFilter::Info)?;
+    let platform = settings.platform;
+    let worker = Worker::new(settings);
+    let running = worker.start().await?;
+    join(platform, &worker.listed()).await?;
+    log::info!("worker stand-in {} started", worker.listed().name);
+    wait_for_signal().await;
+    running.stop().await;
+    Ok(true)
+}
--- /dev/null
+++ b/src/entry/batch.rs
@@ -0,0 +1,251 @@
+//! How an entry host carries out calls about jobs, and calls of its peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::core::{Home, LogResult, Token};
+use super::node::Node;
+use crate::ids::{HostId, JobId, ShardId, mix, stable_hash};
+use crate::jobs::{Account, JobRecord, JobSpec, JobView, Submission, Wall};
+use crate::kind::{ErrorKind, Refusal};
+use crate::ownership::PeerMessage;
+use crate::peers::{CallFailure, Handler, PeerAnswer, PeerCall, ServeCall};
+
+/// How long a submitter waits for the log.
+const LOG_WAIT: Duration = Duration::from_secs(10);
+/// How many shards an unkeyed submission is offered to.
+const SHARDS_TRIED: usize = 4;
+
+impl Node {
+    /// Accepts a job. With a key the submission can be repeated and is
+    /// accepted once; without one any shard with room may take it.
+    pub(crate) async fn submit(
+        self: &Arc<Self>,
+        team: &str,
+        key: Option<&str>,
+        spec: &JobSpec,
+    ) -> Result<JobId, Refusal> {
+        spec.check()?;
+        let random: u64 = rand::random();
+        let hash = match key {
+            Some(key) => stable_hash(format!("{team}\n{key}").as_bytes()),
+            None => random,
+        };
+        let shards = self.candidates(hash, key.is_some())?;
+        let mut last = Refusal::new(ErrorKind::NotReady, "no shard is configured");
+        for shard in shards {
+            let id = JobId {
+                shard,
+                number: hash,
+            };
+            let record = self.record(id, team, spec)?;
+            match self.submit_record(record).await {
+                Err(refusal) if may_try_next(refusal.kind) => last = refusal,
+                done => return done,
+            }
+        }
+        Err(last)
+    }
+
+    fn record(&self, id: JobId, team: &str, spec: &JobSpec) -> Result<JobRecord, Refusal> {
+        self.look(|core, _| {
+            let configuration = core.configuration()?;
+            let class = configuration.class(&spec.class).ok_or_else(|| {
+                let message = format!("class = {:?} is not configured", spec.class);
+                Refusal::new(ErrorKind::UnknownClass, message)
+            })?;
+            Ok(spec.record(id, team, class, Wall::now()))
+        })
+    }
+
+    /// The shards that a submission is offered to, own ones first.
+    fn candidates(&self, hash: u64, keyed: bool) -> Result<Vec<ShardId>, Refusal> {
+        self.look(|core, now| {
+            let configuration = core.configuration()?;
+            if keyed {
+                return Ok(configuration.home_shard(hash).into_iter().collect());
+            }
+            let mut shards: Vec<ShardId> = (0..configuration.total_shards()).map(ShardId).collect();
+            let near = configuration.shards(&self.settings.zone);
+            shards.sort_by_key(|shard| {
+                let reachable = core.home(*shard, now) != Home::Nowhere;
+                let order = mix(hash ^ u64::from(shard.0));
+                (!reachable, !near.contains(shard), order)
+            });
+            shards.truncate(SHARDS_TRIED);
+            Ok(shards)
+        })
+    }
+
+    async fn submit_record(self: &Arc<Self>, record: JobRecord) -> Result<JobId, Refusal> {
+        let shard = record.id.shard;
+        match self.look(|core, now| core.home(shard, now)) {
+            Home::Here => self.submit_here(record).await,
+            Home::Peer(host) => {
+                let call = PeerCall::Submit(record);
+                match self.links.call(host, call, LOG_WAIT).await {
+                    Ok(PeerAnswer::Accepted(id)) => Ok(id),
+                    Ok(PeerAnswer::Refused(refusal)) => Err(refusal),
+                    Ok(_) | Err(CallFailure::Lost) => Err(CallFailure::Lost.refusal()),
+                    Err(CallFailure::NotSent) => Err(CallFailure::NotSent.refusal()),
+                }
+            }
+            Home::Nowhere => Err(nowhere(shard)),
+        }
+    }
+
+    async fn submit_here(&self, record: JobRecord) -> Result<JobId, Refusal> {
+        let id = record.id;
+        let token = Token::Job(id);
+        let (submission, logged) = self.decide(|core, now| {
+            let logged = self.expect_logged(token);
+            (core.submit(record, now, Wall::now()), logged)
+        });
+        match submission {
+            Submission::Known => return Ok(id),
+            Submission::Refused(refusal) => return Err(refusal),
+            Submission::Log(_) | Submission::Pending => {}
+        }
+        self.wait_logged(logged).await?;
+        Ok(id)
+    }
+
+    async fn wait_logged(
+        &self,
+        logged: tokio::sync::oneshot::Receiver<LogResult>,
+    ) -> Result<(), Refusal> {
+        match timeout(LOG_WAIT, logged).await {
+            Ok(Ok(LogResult::Logged)) => Ok(()),
+            Ok(Ok(LogResult::NotLogged)) => Err(Refusal::new(
+                ErrorKind::OwnerUnavailable,
+                "the shard changed hands before the job was logged",
+            )),
+            Ok(Ok(LogResult::Unknown) | Err(_)) | Err(_) => Err(Refusal::new(
+                ErrorKind::AnswerLost,
+                "the log did not confirm the change; look the job up or repeat it with its key",
+            )),
+        }
+    }
+
+    /// Cancels a job, wherever it is.
+    pub(crate) async fn cancel(self: &Arc<Self>, job: JobId) -> Result<(), Refusal> {
+        match self.look(|core, now| core.home(job.shard, now)) {
+            Home::Here => self.cancel_here(job).await,
+            Home::Peer(host) => {
+                match self.links.call(host, PeerCall::Cancel(job), LOG_WAIT).await {
+                    Ok(PeerAnswer::Cancelled) => Ok(()),
+                    Ok(PeerAnswer::Refused(refusal)) => Err(refusal),
+                    Ok(_) | Err(CallFailure::Lost) => Err(CallFailure::Lost.refusal()),
+                    Err(CallFailure::NotSent) => Err(CallFailure::NotSent.refusal()),
+                }
+            }
+            Home::Nowhere => Err(nowhere(job.shard)),
+        }
+    }
+
+    async fn cancel_here(&self, job: JobId) -> Result<(), Refusal> {
+        let (begun, logged) = self.decide(|core, now| {
+            let logged = self.expect_logged(Token::Cancel(job));
+            (core.cancel(job, now), logged)
+        });
+        begun?;
+        self.wait_logged(logged).await
+    }
+
+    /// Looks up a job, wherever it is.
+    pub(crate) async fn job(&self, job: JobId) -> Result<JobView, Refusal> {
+        match self.look(|core, now| core.home(job.shard, now)) {
+            Home::Here => self.job_here(job),
+            Home::Peer(host) => {
+                let patience = self.settings.timing.silence;
+                match self.links.call(host, PeerCall::Job(job), patience).await {
+                    Ok(PeerAnswer::Job(view)) => Ok(view),
+                    Ok(PeerAnswer::Refused(refusal)) => Err(refusal),
+                    Ok(_) | Err(_) => Err(nowhere(job.shard)),
+                }
+            }
+            Home::Nowhere => Err(nowhere(job.shard)),
+        }
+    }
+
+    fn job_here(&self, job: JobId) -> Result<JobView, Refusal> {
+        self.look(|core, now| core.job(job, now, Wall::now()))
+    }
+
+    /// The account of all shards that can be reached.
+    pub(crate) async fn account(&self) -> Account {
+        let mut account = self.look(|core, now| core.account(now, Wall::now()));
+        let patience = self.settings.timing.silence;
+        for host in self.links.connected() {
+            let answer = self.links.call(host, PeerCall::Account, patience).await;
+            if let Ok(PeerAnswer::Account(part)) = answer {
+                account.merge(part);
+            }
+        }
+        account
+    }
+
+    async fn answer_peer(self: Arc<Self>, call: PeerCall) -> PeerAnswer {
+        match call {
+            PeerCall::Serve(call) => self.serve_peer(call).await,
+            PeerCall::Submit(record) => match self.submit_here(record).await {
+                Ok(id) => PeerAnswer::Accepted(id),
+                Err(refusal) => PeerAnswer::Refused(refusal),
+            },
+            PeerCall::Cancel(job) => match self.cancel_here(job).await {
+                Ok(()) => PeerAnswer::Cancelled,
+                Err(refusal) => PeerAnswer::Refused(refusal),
+            },
+            PeerCall::Job(job) => match self.job_here(job) {
+                Ok(view) => PeerAnswer::Job(view),
+                Err(refusal) => PeerAnswer::Refused(refusal),
+            },
+            PeerCall::Account => {
+                PeerAnswer::Account(self.look(|core, now| core.account(now, Wall::now())))
+            }
+            PeerCall::Configuration => match self.look(|core, _| core.configuration().cloned()) {
+                Ok(configuration) => PeerAnswer::Configuration(Box::new(configuration)),
+                Err(refusal) => PeerAnswer::Refused(refusal),
+            },
+        }
+    }
+
+    async fn serve_peer(self: &Arc<Self>, call: ServeCall) -> PeerAnswer {
+        match self.serve(call).await {
+            Ok(answer) => PeerAnswer::Served(answer),
+            Err(refusal) => PeerAnswer::Refused(refusal),
+        }
+    }
+}
+
+impl Handler for Node {
+    fn on_connected(&self, host: HostId, zone: &str) {
+        self.decide(|core, now| core.ownership.on_connected(host, zone, now));
+    }
+
+    fn on_message(&self, from: HostId, message: PeerMessage) {
+        self.decide(|core, now| core.on_peer(from, message, now));
+    }
+
+    async fn on_call(self: Arc<Self>, _from: HostId, call: PeerCall) -> PeerAnswer {
+        self.answer_peer(call).await
+    }
+}
+
+/// Whether another shard may take a job that this one refused.
+const fn may_try_next(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::FitsNoWorker
+            | ErrorKind::OwnerUnavailable
+            | ErrorKind::DeadlineTooShort
+            | ErrorKind::NoWorker
+    )
+}
+
+fn nowhere(shard: ShardId) -> Refusal {
+    let message = format!("no entry host that owns shard {shard} can be reached");
+    Refusal::new(ErrorKind::OwnerUnavailable, message)
+}
--- /dev/null
+++ b/src/entry/core.rs
@@ -0,0 +1,725 @@
+//! The decisions of one entry host, all slices together.
+//!
+//! [`Core`] holds no socket, clock or codec. Tests drive it in virtual time;
+//! [`Node`](super::Node) drives it in a running daemon.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use crate::admission::Quotas;
+use crate::configuration::{Configuration, Current};
+use crate::dispatch::{Arrival, Dispatch, End, Ground, Step};
+use crate::ids::{AttemptKey, Epoch, HostId, JobId, RequestId, ShardId, WorkerKey};
+use crate::jobs::{
+    Account, Change, JobRecord, JobView, KeyOutcome, KeyStep, Ledger, LedgerSettings, Submission,
+    Wall,
+};
+use crate::kind::{ErrorKind, Refusal, RetryReason};
+use crate::moment::Moment;
+use crate::ownership::{
+    Action, Announcement, CallId, Gained, Ownership, OwnershipSettings, PeerMessage,
+};
+use crate::placement::{Placement, Policy};
+use crate::platform::{ListedHost, StoreOp, StoreReply};
+use crate::workers::{Fate, SyncReply, SyncRequest, Ticket};
+
+/// The settings of the decisions.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct CoreSettings {
+    /// Ownership.
+    pub ownership: OwnershipSettings,
+    /// The ledgers.
+    pub ledger: LedgerSettings,
+    /// How workers and tasks are chosen.
+    pub policy: Policy,
+}
+
+/// What is waited for until the log holds a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Token {
+    /// The acceptance of a job.
+    Job(JobId),
+    /// The cancellation of a job.
+    Cancel(JobId),
+    /// The intent of a keyed request.
+    Key(ShardId, u64),
+}
+
+/// What became of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogResult {
+    /// It stands in the log.
+    Logged,
+    /// It may stand in the log.
+    Unknown,
+    /// It certainly does not.
+    NotLogged,
+}
+
+/// What is to be done outside.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Call the store and bring the answer to [`Core::on_store`].
+    Store {
+        /// The call.
+        call: CallId,
+        /// The operation.
+        op: StoreOp,
+    },
+    /// Send a message to an entry host.
+    Send {
+        /// The host.
+        to: HostId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Wake a waiting request.
+    Wake(AttemptKey),
+    /// Tell who waits for a change.
+    Logged(Token, LogResult),
+    /// Tell who waits for the fate of a request.
+    Settled(RequestId, Fate),
+    /// Call this worker without delay.
+    Call(WorkerKey),
+    /// A shard was claimed.
+    Claimed {
+        /// The shard.
+        shard: ShardId,
+        /// Whether its former owner had not released it.
+        takeover: bool,
+    },
+}
+
+/// A call of `sync` to a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SyncCall {
+    /// The worker's address.
+    pub address: String,
+    /// The request.
+    pub request: SyncRequest,
+}
+
+#[derive(Debug, Default)]
+struct Contact {
+    epoch: Epoch,
+    number: u64,
+    ticket: Option<Ticket>,
+}
+
+/// The state of one entry host.
+#[derive(Debug)]
+pub struct Core {
+    settings: CoreSettings,
+    /// The configuration in force.
+    pub current: Current,
+    /// Which shards this host owns.
+    pub ownership: Ownership,
+    /// The workers.
+    pub placement: Placement,
+    /// The interactive requests.
+    pub dispatch: Dispatch,
+    /// The quotas of the teams.
+    pub quotas: Quotas,
+    ledgers: BTreeMap<ShardId, Ledger>,
+    contacts: SecondaryMap<WorkerKey, Contact>,
+    effects: VecDeque<Effect>,
+    retries: Vec<RetryReason>,
+    listed: Vec<ListedHost>,
+    next_request: u64,
+    next_maintenance: Moment,
+}
+
+const MAINTENANCE_GAP: Duration = Duration::from_millis(200);
+
+impl Core {
+    /// The state of a process that has just started.
+    pub fn new(me: HostId, settings: CoreSettings) -> Self {
+        let mut placement = Placement::default();
+        placement.policy = settings.policy;
+        Self {
+            ownership: Ownership::new(me, settings.ownership.clone()),
+            settings,
+            current: Current::default(),
+            placement,
+            dispatch: Dispatch::default(),
+            quotas: Quotas::default(),
+            ledgers: BTreeMap::new(),
+            contacts: SecondaryMap::new(),
+            effects: VecDeque::new(),
+            retries: Vec::new(),
+            listed: Vec::new(),
+            next_request: 0,
+            next_maintenance: Moment::default(),
+        }
+    }
+
+    /// Takes the next thing to do outside.
+    pub fn next_effect(&mut self) -> Option<Effect> {
+        self.effects.pop_front()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Moment, wall: Wall) {
+        let shards = self.acting(now);
+        let free = self.placement.free_slots(&shards, now);
+        self.ownership.set_summary(self.current.revision(), free);
+        self.ownership.tick(now);
+        self.run_actions(now);
+        if now >= self.next_maintenance {
+            self.next_maintenance = now + MAINTENANCE_GAP;
+            self.maintain(&shards, now, wall);
+        }
+        self.plan(&shards, now, wall);
+        self.wake(now);
+        self.flush(now);
+    }
+
+    /// The shards that this host may act for now.
+    pub fn acting(&self, now: Moment) -> Vec<ShardId> {
+        let owned = self.ledgers.keys().copied();
+        owned
+            .filter(|shard| self.ownership.may_act(*shard, now))
+            .collect()
+    }
+
+    fn maintain(&mut self, shards: &[ShardId], now: Moment, wall: Wall) {
+        for shard in shards {
+            if let Some(ledger) = self.ledgers.get_mut(shard) {
+                ledger.maintain(&mut self.placement, now, wall);
+            }
+        }
+    }
+
+    fn plan(&mut self, shards: &[ShardId], now: Moment, wall: Wall) {
+        let Some(configuration) = self.current.get() else {
+            return;
+        };
+        for shard in shards {
+            let Some(ledger) = self.ledgers.get_mut(shard) else {
+                continue;
+            };
+            ledger.plan(&mut self.placement, configuration, now, wall);
+            for key in self.placement.of_shard(*shard) {
+                if ledger.has_commands(*key) {
+                    self.effects.push_back(Effect::Call(*key));
+                }
+            }
+        }
+    }
+
+    /// Hands the ledgers' changes to the logs.
+    fn flush(&mut self, now: Moment) {
+        for (shard, ledger) in &mut self.ledgers {
+            self.retries.extend(ledger.take_retries());
+            let changes = ledger.take_changes();
+            if !changes.is_empty() {
+                self.ownership.append(*shard, changes);
+            }
+        }
+        self.ownership.tick(now);
+        self.run_actions(now);
+    }
+
+    fn run_actions(&mut self, now: Moment) {
+        while let Some(action) = self.ownership.next_action() {
+            match action {
+                Action::Store { call, op } => self.effects.push_back(Effect::Store { call, op }),
+                Action::Send { to, message } => {
+                    self.effects.push_back(Effect::Send { to, message });
+                }
+                Action::Gained(gained) => self.on_gained(gained, now),
+                Action::Committed { shard, changes } => self.on_committed(shard, &changes),
+                Action::Lost {
+                    shard,
+                    doubtful,
+                    dropped,
+                } => self.on_lost(shard, &doubtful, &dropped),
+                Action::TakeSnapshot { shard } => {
+                    let ledger = self.ledgers.get(&shard);
+                    let changes = ledger.map(Ledger::snapshot).unwrap_or_default();
+                    self.ownership.snapshot(shard, changes);
+                }
+            }
+        }
+    }
+
+    fn on_gained(&mut self, gained: Gained, now: Moment) {
+        let shard = gained.shard;
+        self.placement.reset_shard(shard);
+        let settings = self.settings.ledger.clone();
+        let ledger = Ledger::replay(shard, gained.epoch, &gained.changes, settings, now);
+        for worker in ledger.roster() {
+            if self.placement.find(&worker.name).is_none() {
+                self.placement.add(&worker.name, &worker.address, shard);
+            }
+        }
+        self.ledgers.insert(shard, ledger);
+        for key in self.placement.of_shard(shard) {
+            self.effects.push_back(Effect::Call(*key));
+        }
+        self.effects.push_back(Effect::Claimed {
+            shard,
+            takeover: gained.takeover,
+        });
+    }
+
+    fn on_committed(&mut self, shard: ShardId, changes: &[Change]) {
+        if let Some(ledger) = self.ledgers.get_mut(&shard) {
+            ledger.commit(changes);
+        }
+        self.tell(shard, changes, LogResult::Logged);
+    }
+
+    fn on_lost(&mut self, shard: ShardId, doubtful: &[Change], dropped: &[Change]) {
+        self.tell(shard, doubtful, LogResult::Unknown);
+        self.tell(shard, dropped, LogResult::NotLogged);
+        if let Some(mut ledger) = self.ledgers.remove(&shard) {
+            let unsent = ledger.take_changes();
+            self.tell(shard, &unsent, LogResult::NotLogged);
+        }
+        self.placement.reset_shard(shard);
+    }
+
+    fn tell(&mut self, shard: ShardId, changes: &[Change], result: LogResult) {
+        for change in changes {
+            let token = match change {
+                Change::Accepted(record) => Token::Job(record.id),
+                Change::Cancelled { job } => Token::Cancel(*job),
+                Change::KeyIntent { key, .. } => Token::Key(shard, *key),
+                _ => continue,
+            };
+            self.effects.push_back(Effect::Logged(token, result));
+        }
+    }
+
+    /// Takes an answer of the store; none if it is lost.
+    pub fn on_store(&mut self, call: CallId, reply: Option<StoreReply>, now: Moment) {
+        self.ownership.on_reply(call, reply, now);
+        self.run_actions(now);
+        self.ownership.tick(now);
+        self.run_actions(now);
+    }
+
+    /// Takes a message of another entry host.
+    pub fn on_peer(&mut self, from: HostId, message: PeerMessage, now: Moment) {
+        self.ownership.on_message(from, message, now);
+        self.run_actions(now);
+    }
+
+    /// Takes the announcements of all entry hosts.
+    pub fn on_announced(&mut self, all: &[Announcement], now: Moment) {
+        self.ownership.on_announced(all, now);
+    }
+
+    /// Takes a configuration if it is newer; tells whether it did.
+    pub fn on_configuration(&mut self, offered: Configuration, now: Moment) -> bool {
+        if !self.current.offer(offered) {
+            return false;
+        }
+        if let Some(configuration) = self.current.get() {
+            let shards = configuration.shards(&self.settings.ownership.zone);
+            self.placement.reserve = configuration.reserve();
+            self.ownership.set_summary(configuration.revision, 0);
+            self.ownership.hurry_heartbeats();
+            self.ownership.set_shards(&shards, now);
+        }
+        let listed = std::mem::take(&mut self.listed);
+        self.on_hosts(listed);
+        true
+    }
+
+    /// Takes the host list. Without a configuration it is kept for later,
+    /// because the shards of workers are not known yet.
+    pub fn on_hosts(&mut self, hosts: Vec<ListedHost>) {
+        if let Some(configuration) = self.current.get() {
+            let zone = &self.settings.ownership.zone;
+            let near: Vec<&ListedHost> = hosts.iter().filter(|host| host.zone == *zone).collect();
+            for host in &near {
+                if let Some(shard) = configuration.shard_of(zone, &host.rack) {
+                    self.placement.list(host, shard);
+                }
+            }
+            for key in self.placement.keys() {
+                let name = self.placement.get(key).map(|worker| worker.name.clone());
+                let name = name.unwrap_or_default();
+                if !near.iter().any(|host| host.name == name) {
+                    self.placement.unlist(&name);
+                }
+            }
+        }
+        self.listed = hosts;
+    }
+
+    /// The next call to a worker, if this host may act for its shard.
+    pub fn sync_call(&mut self, key: WorkerKey, now: Moment) -> Option<SyncCall> {
+        let worker = self.placement.get(key)?;
+        let shard = worker.shard;
+        let epoch = self.ownership.acting_epoch(shard, now)?;
+        let ledger = self.ledgers.get_mut(&shard)?;
+        let contact = self.contacts.entry(key)?.or_default();
+        if contact.epoch != epoch {
+            *contact = Contact {
+                epoch,
+                ..Contact::default()
+            };
+        }
+        contact.number += 1;
+        let commands = ledger.commands(key, contact.number);
+        let lease = self.settings.ledger.lease;
+        Some(SyncCall {
+            address: worker.address.clone(),
+            request: SyncRequest {
+                shard,
+                epoch,
+                number: contact.number,
+                ticket: contact.ticket,
+                lease_ms: lease.as_millis() as u64,
+                starts: commands.starts,
+                stops: commands.stops,
+                forget: commands.forget,
+                settle: worker.doubts(),
+                throttle: worker.throttle,
+            },
+        })
+    }
+
+    /// Takes a worker's answer; none if there was none in time.
+    pub fn on_sync(
+        &mut self,
+        key: WorkerKey,
+        request: &SyncRequest,
+        reply: Option<SyncReply>,
+        now: Moment,
+    ) {
+        let Some(SyncReply::Report(report)) = reply else {
+            self.placement.on_silence(key, now);
+            return;
+        };
+        let Some(contact) = self.contacts.get_mut(key) else {
+            return;
+        };
+        let same = contact.epoch == request.epoch && contact.number == request.number;
+        if !same || self.ownership.acting_epoch(request.shard, now) != Some(request.epoch) {
+            return;
+        }
+        contact.ticket = Some(report.ticket);
+        let me = self.ownership.me();
+        let settled = self.placement.on_report(key, &report, me, now);
+        for each in settled {
+            self.effects.push_back(Effect::Settled(each.id, each.fate));
+        }
+        if let Some(ledger) = self.ledgers.get_mut(&request.shard) {
+            ledger.on_report(key, request.number, &report, &mut self.placement, now);
+        }
+        self.wake(now);
+        self.flush(now);
+    }
+
+    fn wake(&mut self, now: Moment) {
+        if self.dispatch.waiting() == 0 {
+            return;
+        }
+        let shards = self.acting(now);
+        let free = self.placement.free_slots(&shards, now) as usize;
+        for key in self.dispatch.wake(free) {
+            self.effects.push_back(Effect::Wake(key));
+        }
+    }
+
+    /// Takes an interactive request and decides what happens first.
+    pub fn arrive(&mut self, arrival: Arrival, now: Moment) -> Arrived {
+        let key = self.dispatch.arrive(arrival);
+        let step = self.next_step(key, now);
+        Arrived { key, step }
+    }
+
+    /// Decides what happens to a request that was woken.
+    pub fn next_step(&mut self, key: AttemptKey, now: Moment) -> Step {
+        let shards = self.acting(now);
+        let peer = self.ownership.freest_peer(now);
+        let mut ground = Ground {
+            placement: &mut self.placement,
+            shards: &shards,
+            peer,
+        };
+        let step = self.dispatch.next(key, &mut ground, now);
+        self.note_pass(step)
+    }
+
+    /// Decides what follows an attempt without an answer.
+    pub fn ended(&mut self, key: AttemptKey, end: End, now: Moment) -> Step {
+        let shards = self.acting(now);
+        let peer = self.ownership.freest_peer(now);
+        let mut ground = Ground {
+            placement: &mut self.placement,
+            shards: &shards,
+            peer,
+        };
+        let step = self.dispatch.ended(key, end, &mut ground, now);
+        self.note_pass(step)
+    }
+
+    fn note_pass(&mut self, step: Step) -> Step {
+        if let Step::Pass(host) = step {
+            self.ownership.take_free(host);
+        }
+        step
+    }
+
+    /// Counts an attempt at a worker just before it is sent; none if this
+    /// host may not act for the worker's shard any more.
+    pub fn begin_attempt(&mut self, worker: WorkerKey, now: Moment) -> Option<Attempted> {
+        let found = self.placement.get(worker)?;
+        let shard = found.shard;
+        let address = found.address.clone();
+        let epoch = self.ownership.acting_epoch(shard, now)?;
+        self.next_request += 1;
+        let id = RequestId {
+            host: self.ownership.me(),
+            number: self.next_request,
+        };
+        self.placement.take_slot(worker, id);
+        Some(Attempted {
+            id,
+            shard,
+            epoch,
+            address,
+        })
+    }
+
+    /// Frees the slot of an attempt that has certainly ended.
+    pub fn free_attempt(&mut self, worker: WorkerKey, id: RequestId, now: Moment) {
+        if let Some(worker) = self.placement.get_mut(worker) {
+            worker.free_slot(id);
+        }
+        self.wake(now);
+    }
+
+    /// Keeps the slot of an attempt whose answer is lost.
+    pub fn doubt_attempt(&mut self, worker: WorkerKey, id: RequestId) {
+        if let Some(found) = self.placement.get_mut(worker) {
+            found.doubt(id);
+        }
+        self.effects.push_back(Effect::Call(worker));
+    }
+
+    /// The shard that holds a key or job, and the host that owns it.
+    pub fn home(&self, shard: ShardId, now: Moment) -> Home {
+        if self.ledgers.contains_key(&shard) {
+            return match self.ownership.may_act(shard, now) {
+                true => Home::Here,
+                false => Home::Nowhere,
+            };
+        }
+        match self.ownership.owner(shard, now) {
+            Some(host) if host != self.ownership.me() => Home::Peer(host),
+            _ => Home::Nowhere,
+        }
+    }
+
+    /// Decides on a submission to a shard that this host owns.
+    pub fn submit(&mut self, record: JobRecord, now: Moment, wall: Wall) -> Submission {
+        let shard = record.id.shard;
+        if let Some(refusal) = self.cannot_log(shard, now) {
+            return Submission::Refused(refusal);
+        }
+        let Some(ledger) = self.ledgers.get_mut(&shard) else {
+            return Submission::Refused(not_owner(shard));
+        };
+        let submission = ledger.submit(record, &self.placement, now, wall);
+        if let Submission::Log(change) = &submission {
+            self.ownership.append(shard, vec![change.clone()]);
+            self.flush(now);
+        }
+        submission
+    }
+
+    /// Cancels a job of a shard that this host owns.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an unknown job, and any while the log cannot be written.
+    pub fn cancel(&mut self, job: JobId, now: Moment) -> Result<(), Refusal> {
+        if let Some(refusal) = self.cannot_log(job.shard, now) {
+            return Err(refusal);
+        }
+        let ledger = self.ledgers.get_mut(&job.shard);
+        let known = ledger.is_some_and(|ledger| ledger.cancel(job));
+        if !known {
+            return Err(unknown_job(job));
+        }
+        self.flush(now);
+        Ok(())
+    }
+
+    /// Looks up a job of a shard that this host owns.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an unknown job.
+    pub fn job(&self, job: JobId, now: Moment, wall: Wall) -> Result<JobView, Refusal> {
+        let configuration = self.configuration()?;
+        let ledger = self.ledgers.get(&job.shard);
+        let view =
+            ledger.and_then(|ledger| ledger.job(job, &self.placement, configuration, now, wall));
+        view.ok_or_else(|| unknown_job(job))
+    }
+
+    /// The account of the shards that this host owns.
+    pub fn account(&self, now: Moment, wall: Wall) -> Account {
+        let mut account = Account::default();
+        if let Some(configuration) = self.current.get() {
+            for ledger in self.ledgers.values() {
+                account.merge(ledger.account(&self.placement, configuration, now, wall));
+            }
+        }
+        account
+    }
+
+    /// The configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Refuses before the first.
+    pub fn configuration(&self) -> Result<&Configuration, Refusal> {
+        self.current.get().ok_or_else(|| {
+            let message = "this entry host has no configuration yet";
+            Refusal::new(ErrorKind::NotReady, message)
+        })
+    }
+
+    /// Decides on a keyed request whose home shard this host owns.
+    pub fn begin_key(
+        &mut self,
+        shard: ShardId,
+        key: u64,
+        digest: u64,
+        now: Moment,
+        wall: Wall,
+    ) -> KeyStep {
+        if let Some(refusal) = self.cannot_log(shard, now) {
+            return KeyStep::Refuse(refusal);
+        }
+        let Some(ledger) = self.ledgers.get_mut(&shard) else {
+            return KeyStep::Refuse(not_owner(shard));
+        };
+        let step = ledger.keys.begin(key, digest, wall);
+        if let KeyStep::Log(change) = &step {
+            self.ownership.append(shard, vec![change.clone()]);
+            self.flush(now);
+        }
+        step
+    }
+
+    /// Notes the outcome of a keyed request.
+    pub fn end_key(&mut self, shard: ShardId, key: u64, outcome: &KeyOutcome, now: Moment) {
+        if let Some(ledger) = self.ledgers.get_mut(&shard) {
+            let change = ledger.keys.end(key, outcome);
+            self.ownership.append(shard, vec![change]);
+            self.flush(now);
+        }
+    }
+
+    /// Drops a key whose intent was not logged.
+    pub fn forget_key(&mut self, shard: ShardId, key: u64) {
+        if let Some(ledger) = self.ledgers.get_mut(&shard) {
+            ledger.keys.forget(key);
+        }
+    }
+
+    /// Why nothing can be logged for a shard now: it is not this host's, or
+    /// the store is out of reach.
+    fn cannot_log(&self, shard: ShardId, now: Moment) -> Option<Refusal> {
+        if !self.ownership.may_act(shard, now) {
+            return Some(not_owner(shard));
+        }
+        if !self.ownership.is_leased(now) {
+            let message = "the platform's store is out of reach; nothing was done";
+            return Some(Refusal::new(ErrorKind::StoreUnavailable, message));
+        }
+        None
+    }
+
+    /// Takes the retries since the last call, for counters.
+    pub fn take_retries(&mut self) -> Vec<RetryReason> {
+        let mut retries = std::mem::take(&mut self.retries);
+        retries.extend(self.dispatch.take_retries());
+        retries
+    }
+
+    /// The counts of all ledgers: started, finished and evicted tasks.
+    pub fn task_counts(&self) -> TaskCounts {
+        let mut counts = TaskCounts::default();
+        for ledger in self.ledgers.values() {
+            counts.started += ledger.started;
+            counts.finished += ledger.finished;
+            counts.evicted += ledger.evicted;
+        }
+        counts
+    }
+
+    /// The ledger of a shard that this host owns.
+    pub fn ledger(&self, shard: ShardId) -> Option<&Ledger> {
+        self.ledgers.get(&shard)
+    }
+
+    /// The ledger of a shard that this host owns, to change.
+    pub fn ledger_mut(&mut self, shard: ShardId) -> Option<&mut Ledger> {
+        self.ledgers.get_mut(&shard)
+    }
+}
+
+/// A request that was taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrived {
+    /// Its key.
+    pub key: AttemptKey,
+    /// What happens first.
+    pub step: Step,
+}
+
+/// An attempt that may be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Attempted {
+    /// Its id.
+    pub id: RequestId,
+    /// The shard.
+    pub shard: ShardId,
+    /// The owner's epoch.
+    pub epoch: Epoch,
+    /// The worker's address.
+    pub address: String,
+}
+
+/// Where a shard is served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Home {
+    /// By this host.
+    Here,
+    /// By another one.
+    Peer(HostId),
+    /// By none that can be reached.
+    Nowhere,
+}
+
+/// Counts of batch tasks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TaskCounts {
+    /// Tasks given to a worker.
+    pub started: u64,
+    /// Tasks that finished.
+    pub finished: u64,
+    /// Tasks that were evicted.
+    pub evicted: u64,
+}
+
+fn not_owner(shard: ShardId) -> Refusal {
+    let message = format!("no entry host that owns shard {shard} can be reached");
+    Refusal::new(ErrorKind::OwnerUnavailable, message)
+}
+
+fn unknown_job(job: JobId) -> Refusal {
+    Refusal::new(ErrorKind::UnknownJob, format!("job {job} is not known"))
+}
--- /dev/null
+++ b/src/front/services.rs
@@ -0,0 +1,189 @@
+//! Interactive requests: `/svc/SERVICE/PATH`, any method.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rocket::data::ToByteUnit;
+use rocket::http::HeaderMap;
+use rocket::response::Response;
+use rocket::route::{Handler, Outcome};
+use rocket::{Data, Request, Route};
+
+use super::answers::refuse;
+use crate::admission::{Admitted, CallHeaders, DEADLINE_HEADER, KEY_HEADER, TEAM_HEADER, admit};
+use crate::entry::Node;
+use crate::kind::{ErrorKind, Refusal};
+use crate::peers::ServeCall;
+use crate::server::{self, METHODS};
+use crate::workers::{HeaderLine, WorkerAnswer, passes};
+
+const LONGEST_KEY: usize = 256;
+
+pub(super) fn routes(node: &Arc<Node>) -> Vec<Route> {
+    let handler = Service(node.clone());
+    METHODS
+        .iter()
+        .map(|method| Route::new(*method, "/<service>/<path..>", handler.clone()))
+        .collect()
+}
+
+#[derive(Clone)]
+struct Service(Arc<Node>);
+
+#[rocket::async_trait]
+impl Handler for Service {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let response = match self.serve(request, data).await {
+            Ok(answer) => server::answer(answer.status, &answer.headers, answer.body),
+            Err(refusal) => self.refused(&refusal),
+        };
+        Outcome::Success(response)
+    }
+}
+
+impl Service {
+    fn refused(&self, refusal: &Refusal) -> Response<'static> {
+        self.0.counters.refused(refusal.kind);
+        refuse(refusal, None)
+    }
+
+    async fn serve(&self, request: &Request<'_>, data: Data<'_>) -> Result<WorkerAnswer, Refusal> {
+        let target = Target::read(request)?;
+        let headers = request.headers();
+        check_sizes(headers, self.0.settings.limits.header)?;
+        let admitted = self.admit(&target, headers)?;
+        let body = self.read_body(data).await?;
+        let call = ServeCall {
+            service: admitted.service.clone(),
+            method: target.method.clone(),
+            path: target.path.clone(),
+            headers: lines(headers),
+            body,
+            deadline_ms: admitted.deadline.as_millis() as u64,
+            once: admitted.once,
+            passed: false,
+            key: None,
+        };
+        let call = self.with_key(call, headers, &admitted.team)?;
+        self.enter(&admitted)?;
+        let served = self.0.serve(call).await;
+        self.0.decide(|core, _| core.quotas.leave(&admitted.team));
+        served
+    }
+
+    fn admit(&self, target: &Target, headers: &HeaderMap<'_>) -> Result<Admitted, Refusal> {
+        let most: Duration = self.0.settings.timing.deadline;
+        let wanted = CallHeaders {
+            team: headers.get_one(TEAM_HEADER),
+            deadline: headers.get_one(DEADLINE_HEADER),
+            key: headers.get_one(KEY_HEADER),
+        };
+        let (service, method, path) = (&target.service, &target.method, &target.path);
+        self.0
+            .look(|core, _| admit(core.configuration()?, service, method, path, wanted, most))
+    }
+
+    fn enter(&self, admitted: &Admitted) -> Result<(), Refusal> {
+        self.0.decide(|core, _| {
+            let team = core.configuration()?.team(&admitted.team).cloned();
+            let unknown = || Refusal::new(ErrorKind::UnknownTeam, admitted.team.clone());
+            core.quotas.enter(&team.ok_or_else(unknown)?)
+        })
+    }
+
+    fn with_key(
+        &self,
+        call: ServeCall,
+        headers: &HeaderMap<'_>,
+        team: &str,
+    ) -> Result<ServeCall, Refusal> {
+        let Some(key) = headers.get_one(KEY_HEADER) else {
+            return Ok(call);
+        };
+        if key.is_empty() || key.len() > LONGEST_KEY {
+            let length = key.len();
+            let message = format!("header {KEY_HEADER} of {length} bytes: give 1 to {LONGEST_KEY}");
+            return Err(Refusal::new(ErrorKind::BadRequest, message));
+        }
+        let key = self.0.key_call(team, key, &call);
+        let not_ready = || Refusal::new(ErrorKind::NotReady, "no shard is configured");
+        Ok(ServeCall {
+            key: Some(key.ok_or_else(not_ready)?),
+            ..call
+        })
+    }
+
+    async fn read_body(&self, data: Data<'_>) -> Result<Vec<u8>, Refusal> {
+        let limit = self.0.settings.limits.body;
+        match data.open(limit.bytes()).into_bytes().await {
+            Ok(body) if body.is_complete() => Ok(body.into_inner()),
+            Ok(_) => {
+                let message = format!("the body is over the limit of {limit} bytes");
+                Err(Refusal::new(ErrorKind::TooLarge, message))
+            }
+            Err(error) => {
+                let message = format!("the body ended early: {error}");
+                Err(Refusal::new(ErrorKind::BadRequest, message))
+            }
+        }
+    }
+}
+
+/// What a request asks for.
+struct Target {
+    service: String,
+    method: String,
+    path: String,
+}
+
+impl Target {
+    fn read(request: &Request<'_>) -> Result<Self, Refusal> {
+        let uri = request.uri();
+        let full = uri.path().as_str();
+        let rest = full.strip_prefix("/svc/").unwrap_or_default();
+        let (service, path) = match rest.find('/') {
+            Some(at) => rest.split_at(at),
+            None => (rest, "/"),
+        };
+        if service.is_empty() {
+            let message = format!("path {full:?}: give /svc/SERVICE/PATH");
+            return Err(Refusal::new(ErrorKind::BadRequest, message));
+        }
+        let query = uri
+            .query()
+            .map(|query| format!("?{query}"))
+            .unwrap_or_default();
+        Ok(Self {
+            service: service.to_owned(),
+            method: request.method().as_str().to_owned(),
+            path: format!("{path}{query}"),
+        })
+    }
+}
+
+fn check_sizes(headers: &HeaderMap<'_>, limit: u64) -> Result<(), Refusal> {
+    let large = headers.iter().find(|header| {
+        let length = header.name().as_str().len() + header.value().len();
+        length as u64 > limit
+    });
+    match large {
+        None => Ok(()),
+        Some(header) => {
+            let name = header.name().as_str().to_owned();
+            let message = format!("header {name} is over the limit of {limit} bytes");
+            Err(Refusal::new(ErrorKind::TooLarge, message))
+        }
+    }
+}
+
+/// The headers to pass on: none of one connection, none of the system's own.
+fn lines(headers: &HeaderMap<'_>) -> Vec<HeaderLine> {
+    let kept = headers
+        .iter()
+        .filter(|header| passes(header.name().as_str()));
+    kept.map(|header| HeaderLine {
+        name: header.name().as_str().to_owned(),
+        value: header.value().to_owned(),
+    })
+    .collect()
+}
--- /dev/null
+++ b/src/jobs/submit.rs
@@ -0,0 +1,178 @@
+//! Taking jobs into the ledger.
+
+use serde::{Deserialize, Serialize};
+
+use super::Wall;
+use super::change::{Change, JobRecord};
+use super::ledger::Ledger;
+use crate::configuration::{Class, Size};
+use crate::ids::{JobId, stable_hash};
+use crate::kind::{ErrorKind, Refusal};
+use crate::moment::Moment;
+use crate::placement::Placement;
+
+/// The most tasks of one job.
+const MAX_TASKS: u32 = 100_000;
+/// The longest payload, in bytes.
+const MAX_PAYLOAD: usize = 4096;
+/// A job is refused when the work before it needs longer than this part of
+/// the time until its deadline, in percent.
+const FULL_PERCENT: u64 = 100;
+
+/// A job as it is submitted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSpec {
+    /// The job class.
+    pub class: String,
+    /// How many tasks it has.
+    #[serde(default = "one")]
+    pub tasks: u32,
+    /// What each task is given.
+    #[serde(default)]
+    pub payload: String,
+    /// Its deadline in milliseconds from now; the class's if none.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
+    /// What a task takes; the class's size if none.
+    #[serde(default)]
+    pub size: Option<Size>,
+    /// How long a task runs, in milliseconds; the class's duration if none.
+    #[serde(default)]
+    pub duration_ms: Option<u64>,
+}
+
+const fn one() -> u32 {
+    1
+}
+
+impl JobSpec {
+    /// Checks the bounds of the fields.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with the field and its value.
+    ///
+    /// ```
+    /// use lycheelock::jobs::JobSpec;
+    ///
+    /// let spec: JobSpec = serde_json::from_str(r#"{"class":"review","tasks":0}"#).unwrap();
+    /// assert!(spec.check().unwrap_err().message.contains("tasks"));
+    /// ```
+    pub fn check(&self) -> Result<(), Refusal> {
+        let fault = |message: String| Err(Refusal::new(ErrorKind::BadRequest, message));
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return fault(format!("tasks = {}: give 1 to {MAX_TASKS}", self.tasks));
+        }
+        if self.payload.len() > MAX_PAYLOAD {
+            let length = self.payload.len();
+            return fault(format!(
+                "payload of {length} bytes: give at most {MAX_PAYLOAD}"
+            ));
+        }
+        if self.deadline_ms == Some(0) {
+            return fault("deadline_ms = 0: give 1 or more".to_owned());
+        }
+        Ok(())
+    }
+
+    fn digest(&self, team: &str) -> u64 {
+        let text = serde_json::to_string(self).expect("plain values have a JSON form");
+        stable_hash(format!("{team}\n{text}").as_bytes())
+    }
+
+    /// The record of this job.
+    pub fn record(&self, id: JobId, team: &str, class: &Class, now: Wall) -> JobRecord {
+        let deadline = class.deadline.as_millis() as u64;
+        JobRecord {
+            id,
+            digest: self.digest(team),
+            team: team.to_owned(),
+            class: class.name.clone(),
+            tasks: self.tasks,
+            payload: self.payload.clone(),
+            submitted: now,
+            deadline: now.plus(self.deadline_ms.unwrap_or(deadline)),
+            duration: self
+                .duration_ms
+                .unwrap_or(class.duration.as_millis() as u64),
+            size: self.size.unwrap_or(class.size),
+            checkpoint: class.checkpoint,
+            idempotent: class.idempotent,
+            urgent: class.urgent,
+            overnight: class.overnight,
+            attempts: class.attempts,
+        }
+    }
+}
+
+/// What becomes of a submission.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Submission {
+    /// Log this change; the job is accepted when it stands in the log.
+    Log(Change),
+    /// It is a repeat of an accepted job.
+    Known,
+    /// Its first submission is being logged.
+    Pending,
+    /// It is refused.
+    Refused(Refusal),
+}
+
+impl Ledger {
+    /// Decides on a submission.
+    pub fn submit(
+        &mut self,
+        record: JobRecord,
+        placement: &Placement,
+        now: Moment,
+        wall: Wall,
+    ) -> Submission {
+        let refuse = |kind, message: String| Submission::Refused(Refusal::new(kind, message));
+        if let Some(digest) = self.submitted(record.id) {
+            return match digest == record.digest {
+                true if self.is_pending(record.id) => Submission::Pending,
+                true => Submission::Known,
+                false => refuse(
+                    ErrorKind::KeyReused,
+                    "the idempotency key was used with another job".to_owned(),
+                ),
+            };
+        }
+        if !placement.could_hold(self.shard(), record.size) {
+            let size = record.size;
+            let message = format!(
+                "no worker of shard {} holds a task of {} thousandths of a core, {} MB and {} accelerators",
+                self.shard(),
+                size.cores,
+                size.memory,
+                size.accelerators
+            );
+            return refuse(ErrorKind::FitsNoWorker, message);
+        }
+        if let Some(wait) = self.too_late(&record, placement, now, wall) {
+            let message = format!("the work before it needs {wait} ms, longer than its deadline");
+            return refuse(ErrorKind::DeadlineTooShort, message);
+        }
+        self.note_pending(&record);
+        Submission::Log(Change::Accepted(Box::new(record)))
+    }
+
+    /// How long the work before this job needs, if that is too long.
+    fn too_late(
+        &self,
+        record: &JobRecord,
+        placement: &Placement,
+        now: Moment,
+        wall: Wall,
+    ) -> Option<u64> {
+        let cores = placement.batch_cores(self.shard(), now);
+        if cores == 0 {
+            return None;
+        }
+        let own = u64::from(record.tasks) * record.duration * u64::from(record.size.cores);
+        let wait = (self.backlog(record.deadline) + own) / cores;
+        let left = record.deadline.0.saturating_sub(wall.0);
+        (wait > left * FULL_PERCENT / 100).then_some(wait)
+    }
+}
--- /dev/null
+++ b/src/operator/commands.rs
@@ -0,0 +1,356 @@
+//! What each operator command does and prints.
+
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use super::client::EntryClient;
+use crate::configuration::{Checked, Configuration, Warning};
+use crate::front::EntryStatus;
+use crate::jobs::{Account, JobSpec, JobView};
+use crate::table;
+use crate::{Error, Result};
+
+const POLL: Duration = Duration::from_millis(200);
+
+/// Which entry host is called, and as whom.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Target {
+    /// Its address.
+    pub entry: String,
+    /// The token.
+    pub token: String,
+    /// The team, for submitters.
+    pub team: Option<String>,
+    /// Whether to print JSON lines.
+    pub json: bool,
+}
+
+impl Target {
+    fn client(&self) -> EntryClient {
+        EntryClient::new(&self.entry, &self.token, self.team.as_deref())
+    }
+
+    fn print<T: Serialize>(&self, value: &T, text: impl FnOnce() -> String) {
+        if self.json {
+            let line = serde_json::to_string(value).expect("plain values have a JSON form");
+            println!("{line}");
+        } else {
+            println!("{}", text());
+        }
+    }
+}
+
+fn warn(warnings: &[Warning]) {
+    for warning in warnings {
+        eprintln!("{warning}");
+    }
+}
+
+/// Checks a questionnaire and shows the configuration; publishes nothing.
+///
+/// # Errors
+///
+/// Fails with every fault of the questionnaire.
+pub fn check(path: &Path, json: bool) -> Result<bool> {
+    let checked = Checked::read(path)?;
+    warn(&checked.warnings);
+    let configuration = &checked.configuration;
+    let text = match json {
+        true => serde_json::to_string(configuration),
+        false => serde_json::to_string_pretty(configuration),
+    };
+    println!("{}", text.expect("plain values have a JSON form"));
+    Ok(true)
+}
+
+/// The end of an `apply`.
+#[derive(Debug, Serialize)]
+struct Applied {
+    revision: u64,
+    in_force: Vec<String>,
+    not_in_force: Vec<String>,
+}
+
+/// Publishes the configuration of a questionnaire and waits until it is in
+/// force on every entry host that can be reached.
+///
+/// # Errors
+///
+/// Fails with every fault of the questionnaire, and when it is refused.
+pub async fn apply(path: &Path, author: &str, wait: Duration, target: &Target) -> Result<bool> {
+    let checked = Checked::read(path)?;
+    warn(&checked.warnings);
+    let client = target.client();
+    let wanted = Configuration {
+        author: author.to_owned(),
+        ..checked.configuration
+    };
+    let revision = client.publish(&wanted).await?;
+    let until = Instant::now() + wait;
+    loop {
+        let status = client.status().await?;
+        let applied = compare(&status, revision);
+        let done = applied.not_in_force.is_empty();
+        if done || Instant::now() >= until {
+            target.print(&applied, || show_applied(&applied));
+            return Ok(done);
+        }
+        sleep(POLL).await;
+    }
+}
+
+fn compare(status: &EntryStatus, revision: u64) -> Applied {
+    let mut applied = Applied {
+        revision,
+        in_force: Vec::new(),
+        not_in_force: Vec::new(),
+    };
+    let mut note = |name: String, at: u64| match at >= revision {
+        true => applied.in_force.push(name),
+        false => applied.not_in_force.push(name),
+    };
+    note(status.name.clone(), status.revision);
+    for peer in &status.peers {
+        let name = match peer.reachable {
+            true => peer.name.clone(),
+            false => format!("{} (out of reach)", peer.name),
+        };
+        note(name, peer.revision);
+    }
+    applied
+}
+
+fn show_applied(applied: &Applied) -> String {
+    let mut text = format!(
+        "revision {} in force on {}",
+        applied.revision,
+        applied.in_force.join(", ")
+    );
+    if !applied.not_in_force.is_empty() {
+        text += &format!("\nnot yet in force on {}", applied.not_in_force.join(", "));
+    }
+    text
+}
+
+/// Shows the state of an entry host.
+///
+/// # Errors
+///
+/// Fails when the host does not answer or refuses.
+pub async fn status(target: &Target) -> Result<bool> {
+    let status = target.client().status().await?;
+    target.print(&status, || show_status(&status));
+    Ok(true)
+}
+
+fn show_status(status: &EntryStatus) -> String {
+    let shards: Vec<Vec<String>> = status
+        .shards
+        .iter()
+        .map(|shard| {
+            let owner = shard
+                .owner
+                .map_or("-".to_owned(), |owner| owner.to_string());
+            vec![shard.shard.to_string(), owner, shard.acting.to_string()]
+        })
+        .collect();
+    let workers: Vec<Vec<String>> = status
+        .workers
+        .iter()
+        .map(|worker| {
+            vec![
+                worker.name.clone(),
+                worker.shard.to_string(),
+                worker.state.clone(),
+                format!("{}/{}", worker.requests, worker.slots),
+                format!("{}/{}", worker.used.cores, worker.size.cores),
+            ]
+        })
+        .collect();
+    let peers: Vec<Vec<String>> = status
+        .peers
+        .iter()
+        .map(|peer| {
+            vec![
+                peer.name.clone(),
+                peer.zone.clone(),
+                peer.revision.to_string(),
+                peer.reachable.to_string(),
+            ]
+        })
+        .collect();
+    let counters: Vec<Vec<String>> = status
+        .counters
+        .iter()
+        .map(|counter| vec![counter.name.clone(), counter.value.to_string()])
+        .collect();
+    [
+        format!(
+            "{} in {} ({}), revision {}, store session {}, {} requests, {} waiting",
+            status.name,
+            status.zone,
+            status.host,
+            status.revision,
+            if status.leased {
+                "confirmed"
+            } else {
+                "not confirmed"
+            },
+            status.requests,
+            status.waiting
+        ),
+        table::render(&["shard", "owner", "acting here"], &shards),
+        table::render(
+            &["worker", "shard", "state", "slots", "batch cores/1000"],
+            &workers,
+        ),
+        table::render(&["peer", "zone", "revision", "reachable"], &peers),
+        table::render(&["counter", "value"], &counters),
+    ]
+    .join("\n\n")
+}
+
+#[derive(Serialize)]
+struct JobLine {
+    id: String,
+}
+
+/// Submits a job.
+///
+/// # Errors
+///
+/// Fails when the host does not answer or refuses.
+pub async fn submit(spec: &JobSpec, key: Option<&str>, target: &Target) -> Result<bool> {
+    let id = target.client().submit(spec, key).await?;
+    target.print(&JobLine { id: id.clone() }, || id);
+    Ok(true)
+}
+
+/// Cancels a job.
+///
+/// # Errors
+///
+/// Fails when the host does not answer or refuses.
+pub async fn cancel(id: &str, target: &Target) -> Result<bool> {
+    target.client().cancel(id).await?;
+    let line = JobLine { id: id.to_owned() };
+    target.print(&line, || format!("{id} cancelled"));
+    Ok(true)
+}
+
+/// Shows a job.
+///
+/// # Errors
+///
+/// Fails when the host does not answer or refuses.
+pub async fn job(id: &str, target: &Target) -> Result<bool> {
+    let view = target.client().job(id).await?;
+    target.print(&view, || show_jobs(std::slice::from_ref(&view)));
+    Ok(true)
+}
+
+fn show_jobs(jobs: &[JobView]) -> String {
+    let rows: Vec<Vec<String>> = jobs
+        .iter()
+        .map(|job| {
+            let ended: Vec<String> = job
+                .ended
+                .iter()
+                .map(|(outcome, count)| format!("{outcome} {count}"))
+                .collect();
+            vec![
+                job.id.clone(),
+                job.team.clone(),
+                job.class.clone(),
+                job.waiting.to_string(),
+                job.running.to_string(),
+                ended.join(", "),
+                if job.late { "late" } else { "in time" }.to_owned(),
+                job.reason.clone(),
+            ]
+        })
+        .collect();
+    let header = [
+        "job",
+        "team",
+        "class",
+        "waiting",
+        "running",
+        "ended",
+        "deadline",
+        "why it waits",
+    ];
+    table::render(&header, &rows)
+}
+
+/// Shows what ran, what did not, and why.
+///
+/// # Errors
+///
+/// Fails when the host does not answer or refuses.
+pub async fn account(target: &Target) -> Result<bool> {
+    let account = target.client().account().await?;
+    target.print(&account, || show_account(&account));
+    Ok(true)
+}
+
+fn show_account(account: &Account) -> String {
+    let rows: Vec<Vec<String>> = account
+        .teams
+        .iter()
+        .map(|(name, team)| {
+            let ended: Vec<String> = team
+                .ended
+                .iter()
+                .map(|(outcome, count)| format!("{outcome} {count}"))
+                .collect();
+            vec![
+                name.clone(),
+                team.jobs.to_string(),
+                team.tasks.to_string(),
+                team.waiting.to_string(),
+                team.running.to_string(),
+                team.late.to_string(),
+                ended.join(", "),
+            ]
+        })
+        .collect();
+    let header = [
+        "team",
+        "jobs",
+        "tasks",
+        "waiting",
+        "running",
+        "late jobs",
+        "ended",
+    ];
+    let mut text = table::render(&header, &rows);
+    if !account.jobs.is_empty() {
+        text += "\n\nJobs that are late or have tasks that did not finish:\n";
+        text += &show_jobs(&account.jobs);
+    }
+    text
+}
+
+/// Begins a planned stop of an entry host and waits until it is gone.
+///
+/// # Errors
+///
+/// Fails when the host does not answer or refuses the stop.
+pub async fn drain(wait: Duration, target: &Target) -> Result<bool> {
+    let client = target.client();
+    client.drain().await?;
+    let until = Instant::now() + wait;
+    while Instant::now() < until {
+        if let Err(Error::Unreachable { .. }) = client.status().await {
+            println!("{} has stopped", target.entry);
+            return Ok(true);
+        }
+        sleep(POLL).await;
+    }
+    println!("{} still finishes requests", target.entry);
+    Ok(false)
+}
--- /dev/null
+++ b/src/placement/interference.rs
@@ -0,0 +1,80 @@
+//! What batch work costs the interactive requests beside it.
+//!
+//! Each worker keeps the mean latency of its interactive requests at several
+//! levels of batch load. The difference to the level without load, bounded by
+//! its own uncertainty, is the cost. Reports of load lag, so a sample counts
+//! for the level that was reported last.
+
+use std::time::Duration;
+
+/// Levels of batch load: 0 to 19 percent, 20 to 39, and so on.
+const LEVELS: usize = 5;
+const LEVEL_PERCENT: u32 = 20;
+/// The weight of a new sample once a level has enough of them.
+const SMOOTHING: f64 = 0.05;
+/// A level counts once it has this many samples.
+const ENOUGH: u32 = 20;
+
+/// The mean latencies of one worker at each level of load.
+#[derive(Debug, Clone, Default)]
+pub struct Interference {
+    levels: [Level; LEVELS],
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Level {
+    samples: u32,
+    mean: f64,
+    deviation: f64,
+}
+
+impl Interference {
+    /// Adds the latency of one request at a load in percent.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lycheelock::placement::Interference;
+    ///
+    /// let mut interference = Interference::default();
+    /// for _ in 0..30 {
+    ///     interference.add(0, Duration::from_millis(2));
+    ///     interference.add(90, Duration::from_millis(6));
+    /// }
+    /// assert!(interference.slowdown(90) > 2.5);
+    /// assert_eq!(interference.slowdown(50), 1.0);
+    /// ```
+    pub fn add(&mut self, load: u32, latency: Duration) {
+        let level = &mut self.levels[index(load)];
+        level.samples = level.samples.saturating_add(1);
+        let sample = latency.as_secs_f64();
+        let weight = (1.0 / f64::from(level.samples)).max(SMOOTHING);
+        let error = sample - level.mean;
+        level.mean += weight * error;
+        level.deviation += weight * (error.abs() - level.deviation);
+    }
+
+    /// The mean latency at a load, none before enough samples.
+    pub fn latency(&self, load: u32) -> Option<Duration> {
+        let level = &self.levels[index(load)];
+        (level.samples >= ENOUGH).then(|| Duration::from_secs_f64(level.mean.max(0.0)))
+    }
+
+    /// How many times slower requests are at a load than without load, 1 as
+    /// long as the evidence does not exceed its uncertainty.
+    pub fn slowdown(&self, load: u32) -> f64 {
+        let (idle, busy) = (&self.levels[0], &self.levels[index(load)]);
+        if idle.samples < ENOUGH || busy.samples < ENOUGH {
+            return 1.0;
+        }
+        let difference = busy.mean - idle.mean;
+        let uncertainty = (busy.deviation + idle.deviation) / f64::from(ENOUGH).sqrt();
+        match difference > uncertainty {
+            true => busy.mean / idle.mean.max(f64::EPSILON),
+            false => 1.0,
+        }
+    }
+}
+
+fn index(load: u32) -> usize {
+    ((load / LEVEL_PERCENT) as usize).min(LEVELS - 1)
+}
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,185 @@
+//! Calls the platform by HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use reqwest::{Client, Method, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::messages::{Entry, GrantBody, Hosts, PutBody, Range, StoreOp, StoreReply, Version};
+
+/// Why there is no answer from the platform. A write may have taken effect.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("platform: {0}")]
+pub struct StoreFailure(pub String);
+
+impl From<reqwest::Error> for StoreFailure {
+    fn from(error: reqwest::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
+type Answer<T> = Result<T, StoreFailure>;
+
+/// A connection pool to the platform.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    client: Client,
+    base: String,
+}
+
+impl Platform {
+    /// A platform at `address`; calls without an answer fail after `silence`.
+    pub fn new(address: SocketAddr, silence: Duration) -> Self {
+        let client = Client::builder()
+            .timeout(silence)
+            .connect_timeout(silence)
+            .build()
+            .expect("a client without TLS needs nothing that can fail");
+        Self {
+            client,
+            base: format!("http://{address}/v1"),
+        }
+    }
+
+    /// Carries out one operation.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer came; a write may have taken effect all the same.
+    pub async fn call(&self, op: StoreOp) -> Answer<StoreReply> {
+        match op {
+            StoreOp::Get { key } => self.get(&key).await.map(StoreReply::Value),
+            StoreOp::Range { prefix } => {
+                let range: Range = self.fetch(&format!("range?prefix={prefix}")).await?;
+                Ok(StoreReply::Entries(range.entries))
+            }
+            StoreOp::Put {
+                key,
+                value,
+                expect,
+                lease,
+            } => {
+                let body = PutBody {
+                    value,
+                    expect,
+                    lease,
+                };
+                self.put(&key, &body).await
+            }
+            StoreOp::Delete { key } => {
+                self.send(Method::DELETE, &format!("kv/{key}"), None::<&()>)
+                    .await?;
+                Ok(StoreReply::Done)
+            }
+            StoreOp::Grant { ttl_ms } => self.grant(ttl_ms).await,
+            StoreOp::Renew { lease } => {
+                let path = format!("leases/{}", lease.0);
+                self.on_lease(Method::POST, &path).await
+            }
+            StoreOp::Revoke { lease } => {
+                let path = format!("leases/{}", lease.0);
+                self.on_lease(Method::DELETE, &path).await
+            }
+        }
+    }
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer came.
+    pub async fn get(&self, key: &str) -> Answer<Option<Entry>> {
+        let response = self
+            .send(Method::GET, &format!("kv/{key}"), None::<&()>)
+            .await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(accepted(response)?.json().await?))
+    }
+
+    /// Waits up to `wait` for changes under a prefix after a version.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer came.
+    pub async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Range> {
+        let wait_ms = wait.as_millis();
+        self.fetch(&format!(
+            "watch?prefix={prefix}&after={after}&wait_ms={wait_ms}"
+        ))
+        .await
+    }
+
+    /// Reads the host list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer came.
+    pub async fn hosts(&self) -> Answer<Hosts> {
+        self.fetch("hosts").await
+    }
+
+    async fn put(&self, key: &str, body: &PutBody) -> Answer<StoreReply> {
+        let response = self
+            .send(Method::POST, &format!("kv/{key}"), Some(body))
+            .await?;
+        match response.status() {
+            StatusCode::CONFLICT => Ok(StoreReply::Conflict),
+            StatusCode::GONE => Ok(StoreReply::LeaseGone),
+            _ => {
+                let written: Version = accepted(response)?.json().await?;
+                Ok(StoreReply::Written(written.version))
+            }
+        }
+    }
+
+    async fn grant(&self, ttl_ms: u64) -> Answer<StoreReply> {
+        let body = GrantBody {
+            ttl_ms,
+            lease: None,
+        };
+        let response = self.send(Method::POST, "leases", Some(&body)).await?;
+        let granted: GrantBody = accepted(response)?.json().await?;
+        granted
+            .lease
+            .map(StoreReply::Granted)
+            .ok_or_else(|| StoreFailure("a grant without a lease".to_owned()))
+    }
+
+    async fn on_lease(&self, method: Method, path: &str) -> Answer<StoreReply> {
+        let response = self.send(method, path, None::<&()>).await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(StoreReply::LeaseGone);
+        }
+        accepted(response)?;
+        Ok(StoreReply::Done)
+    }
+
+    async fn fetch<T: DeserializeOwned>(&self, path: &str) -> Answer<T> {
+        let response = self.send(Method::GET, path, None::<&()>).await?;
+        Ok(accepted(response)?.json().await?)
+    }
+
+    async fn send<T: Serialize>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&T>,
+    ) -> Answer<Response> {
+        let mut request = self.client.request(method, format!("{}/{path}", self.base));
+        if let Some(body) = body {
+            request = request.json(body);
+        }
+        Ok(request.send().await?)
+    }
+}
+
+fn accepted(response: Response) -> Answer<Response> {
+    if response.status().is_success() {
+        return Ok(response);
+    }
+    Err(StoreFailure(format!("status {}", response.status())))
+}
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,131 @@
+//! What every HTTP server of the program has in common.
+
+use std::io::Cursor;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rocket::config::{Config, Ident, LogLevel, Shutdown as ShutdownConfig};
+use rocket::data::Limits;
+use rocket::fairing::AdHoc;
+use rocket::http::{Header, Method, Status};
+use rocket::response::Response;
+use rocket::shield::Shield;
+use rocket::{Build, Rocket, Shutdown};
+use serde::Serialize;
+
+use crate::workers::HeaderLine;
+use crate::{Error, Result};
+
+/// The methods that a route for any method is mounted under.
+pub const METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Put,
+    Method::Post,
+    Method::Delete,
+    Method::Options,
+    Method::Head,
+    Method::Patch,
+];
+
+const KEEP_ALIVE_SECONDS: u32 = 60;
+const MERCY_SECONDS: u32 = 2;
+
+/// A server that ends only by its handle, and then waits up to `grace` for
+/// requests in progress. Rocket's own grace of two seconds would cut them off.
+pub fn build(address: SocketAddr, grace: Duration, body: u64) -> Rocket<Build> {
+    let mut shutdown = ShutdownConfig {
+        ctrlc: false,
+        grace: grace.as_secs().max(1) as u32,
+        mercy: MERCY_SECONDS,
+        ..ShutdownConfig::default()
+    };
+    shutdown.signals.clear();
+    let config = Config {
+        address: address.ip(),
+        port: address.port(),
+        ident: Ident::none(),
+        keep_alive: KEEP_ALIVE_SECONDS,
+        log_level: LogLevel::Off,
+        limits: Limits::default().limit("json", body.into()),
+        shutdown,
+        ..Config::default()
+    };
+    rocket::custom(config).attach(Shield::new())
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Running {
+    stop: Shutdown,
+    task: tokio::task::JoinHandle<Option<String>>,
+}
+
+impl Running {
+    /// Starts a server and returns once it is set up.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is taken or the routes collide.
+    pub async fn start(rocket: Rocket<Build>) -> Result<Self> {
+        let config: Config = rocket.figment().extract().unwrap_or_default();
+        let address = format!("{}:{}", config.address, config.port);
+        let failed = |reason: String| Error::Listen {
+            address: address.clone(),
+            reason,
+        };
+        let (ready, lifted) = tokio::sync::oneshot::channel();
+        let ready = std::sync::Mutex::new(Some(ready));
+        let rocket = rocket.attach(AdHoc::on_liftoff("ready", move |_| {
+            Box::pin(async move {
+                let sender = ready.lock().ok().and_then(|mut ready| ready.take());
+                sender.map(|sender| sender.send(()));
+            })
+        }));
+        let rocket = rocket
+            .ignite()
+            .await
+            .map_err(|error| failed(error.kind().to_string()))?;
+        let stop = rocket.shutdown();
+        let task = tokio::spawn(async move {
+            let end = rocket.launch().await;
+            end.err().map(|error| error.kind().to_string())
+        });
+        if lifted.await.is_err() {
+            let reason = task.await.ok().flatten().unwrap_or_default();
+            return Err(failed(reason));
+        }
+        Ok(Self { stop, task })
+    }
+
+    /// Stops taking connections, waits for requests in progress and ends.
+    pub async fn stop(self) {
+        self.stop.notify();
+        let _ = self.task.await;
+    }
+
+    /// Ends at once.
+    pub fn abort(self) {
+        self.task.abort();
+    }
+}
+
+/// An answer with a JSON body.
+pub fn json_answer<T: Serialize>(status: u16, value: &T) -> Response<'static> {
+    let body = serde_json::to_vec(value).expect("plain values have a JSON form");
+    let lines = [HeaderLine {
+        name: "content-type".to_owned(),
+        value: "application/json".to_owned(),
+    }];
+    answer(status, &lines, body)
+}
+
+/// An answer with these headers and this body.
+pub fn answer(status: u16, headers: &[HeaderLine], body: Vec<u8>) -> Response<'static> {
+    let mut response = Response::build();
+    response.status(Status::new(status));
+    for line in headers {
+        response.header_adjoin(Header::new(line.name.clone(), line.value.clone()));
+    }
+    response.sized_body(body.len(), Cursor::new(body));
+    response.finalize()
+}
