--- a/src/configuration/generated.rs
+++ b/src/configuration/generated.rs
@@ -165,6 +165,22 @@
             && self.accelerators <= room.accelerators
     }
 
+    /// What is left to batch work when a part of the cores, in percent, is kept free.
+    ///
+    /// ```
+    /// use lycheelock::configuration::Size;
+    ///
+    /// let size = Size { cores: 1000, ..Size::default() };
+    /// assert_eq!(size.without_reserve(40).cores, 600);
+    /// ```
+    pub const fn without_reserve(self, percent: u32) -> Self {
+        let kept = 100_u32.saturating_sub(percent);
+        Self {
+            cores: self.cores / 100 * kept,
+            ..self
+        }
+    }
+
     /// The sum of two sizes.
     pub const fn plus(self, other: Self) -> Self {
         Self {
--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -8,13 +8,15 @@
 use super::core::{Home, LogResult, Token};
 use super::node::Node;
 use crate::ids::{HostId, JobId, ShardId, mix, stable_hash};
-use crate::jobs::{Account, JobRecord, JobSpec, JobView, Submission, Wall};
+use crate::jobs::{Account, Change, JobRecord, JobSpec, JobView, Submission, Wall};
 use crate::kind::{ErrorKind, Refusal};
 use crate::ownership::PeerMessage;
 use crate::peers::{CallFailure, Handler, PeerAnswer, PeerCall, ServeCall};
 
 /// How long a submitter waits for the log.
 const LOG_WAIT: Duration = Duration::from_secs(10);
+/// How often a keyed submission follows a log to another shard.
+const MOST_REDIRECTS: usize = 4;
 /// How many shards an unkeyed submission is offered to.
 const SHARDS_TRIED: usize = 4;
 
@@ -28,22 +30,48 @@
         spec: &JobSpec,
     ) -> Result<JobId, Refusal> {
         spec.check()?;
-        let random: u64 = rand::random();
-        let hash = match key {
-            Some(key) => stable_hash(format!("{team}\n{key}").as_bytes()),
-            None => random,
-        };
-        let shards = self.candidates(hash, key.is_some())?;
-        let mut last = Refusal::new(ErrorKind::NotReady, "no shard is configured");
-        for shard in shards {
-            let id = JobId {
-                shard,
-                number: hash,
-            };
-            let record = self.record(id, team, spec)?;
+        match key {
+            Some(key) => self.submit_keyed(team, key, spec).await,
+            None => self.submit_anywhere(team, spec).await,
+        }
+    }
+
+    /// A repeat meets the same shard: the key's home, or the shard that the
+    /// home's log names.
+    async fn submit_keyed(
+        self: &Arc<Self>,
+        team: &str,
+        key: &str,
+        spec: &JobSpec,
+    ) -> Result<JobId, Refusal> {
+        let number = stable_hash(format!("{team}\n{key}").as_bytes());
+        let home = self.look(|core, _| Ok(core.configuration()?.home_shard(number)))?;
+        let mut shard = home.ok_or_else(no_shard)?;
+        for _ in 0..MOST_REDIRECTS {
+            let record = self.record(JobId { shard, number }, team, spec)?;
+            match self.submit_record(record).await? {
+                Taken::Here(id) => return Ok(id),
+                Taken::Elsewhere(to) => shard = to,
+            }
+        }
+        let message = "no shard keeps a worker that holds the job";
+        Err(Refusal::new(ErrorKind::FitsNoWorker, message))
+    }
+
+    async fn submit_anywhere(
+        self: &Arc<Self>,
+        team: &str,
+        spec: &JobSpec,
+    ) -> Result<JobId, Refusal> {
+        let number: u64 = rand::random();
+        let mut last = no_shard();
+        for shard in self.candidates(number, team, spec)? {
+            let record = self.record(JobId { shard, number }, team, spec)?;
             match self.submit_record(record).await {
+                Ok(Taken::Here(id)) => return Ok(id),
+                Ok(Taken::Elsewhere(_)) => {}
                 Err(refusal) if may_try_next(refusal.kind) => last = refusal,
-                done => return done,
+                Err(refusal) => return Err(refusal),
             }
         }
         Err(last)
@@ -60,14 +88,20 @@
         })
     }
 
-    /// The shards that a submission is offered to, own ones first.
-    fn candidates(&self, hash: u64, keyed: bool) -> Result<Vec<ShardId>, Refusal> {
+    /// The shards that a submission is offered to, those of this zone first.
+    fn candidates(&self, hash: u64, team: &str, spec: &JobSpec) -> Result<Vec<ShardId>, Refusal> {
+        let nowhere = JobId {
+            shard: ShardId(0),
+            number: hash,
+        };
+        let size = self.record(nowhere, team, spec)?.size;
         self.look(|core, now| {
             let configuration = core.configuration()?;
-            if keyed {
-                return Ok(configuration.home_shard(hash).into_iter().collect());
+            let mut shards = core.holders(size);
+            if shards.is_empty() {
+                let message = "no listed worker holds a task of this size";
+                return Err(Refusal::new(ErrorKind::FitsNoWorker, message));
             }
-            let mut shards: Vec<ShardId> = (0..configuration.total_shards()).map(ShardId).collect();
             let near = configuration.shards(&self.settings.zone);
             shards.sort_by_key(|shard| {
                 let reachable = core.home(*shard, now) != Home::Nowhere;
@@ -79,14 +113,15 @@
         })
     }
 
-    async fn submit_record(self: &Arc<Self>, record: JobRecord) -> Result<JobId, Refusal> {
+    async fn submit_record(self: &Arc<Self>, record: JobRecord) -> Result<Taken, Refusal> {
         let shard = record.id.shard;
         match self.look(|core, now| core.home(shard, now)) {
             Home::Here => self.submit_here(record).await,
             Home::Peer(host) => {
                 let call = PeerCall::Submit(record);
                 match self.links.call(host, call, LOG_WAIT).await {
-                    Ok(PeerAnswer::Accepted(id)) => Ok(id),
+                    Ok(PeerAnswer::Accepted(id)) => Ok(Taken::Here(id)),
+                    Ok(PeerAnswer::Redirected(to)) => Ok(Taken::Elsewhere(to)),
                     Ok(PeerAnswer::Refused(refusal)) => Err(refusal),
                     Ok(_) | Err(CallFailure::Lost) => Err(CallFailure::Lost.refusal()),
                     Err(CallFailure::NotSent) => Err(CallFailure::NotSent.refusal()),
@@ -96,20 +131,22 @@
         }
     }
 
-    async fn submit_here(&self, record: JobRecord) -> Result<JobId, Refusal> {
+    async fn submit_here(&self, record: JobRecord) -> Result<Taken, Refusal> {
         let id = record.id;
         let token = Token::Job(id);
         let (submission, logged) = self.decide(|core, now| {
             let logged = self.expect_logged(token);
             (core.submit(record, now, Wall::now()), logged)
         });
-        match submission {
-            Submission::Known => return Ok(id),
+        let taken = match submission {
+            Submission::Known => return Ok(Taken::Here(id)),
+            Submission::Redirected(to) => return Ok(Taken::Elsewhere(to)),
             Submission::Refused(refusal) => return Err(refusal),
-            Submission::Log(_) | Submission::Pending => {}
-        }
+            Submission::Log(Change::Redirected { to, .. }) => Taken::Elsewhere(to),
+            Submission::Log(_) | Submission::Pending => Taken::Here(id),
+        };
         self.wait_logged(logged).await?;
-        Ok(id)
+        Ok(taken)
     }
 
     async fn wait_logged(
@@ -191,7 +228,8 @@
         match call {
             PeerCall::Serve(call) => self.serve_peer(call).await,
             PeerCall::Submit(record) => match self.submit_here(record).await {
-                Ok(id) => PeerAnswer::Accepted(id),
+                Ok(Taken::Here(id)) => PeerAnswer::Accepted(id),
+                Ok(Taken::Elsewhere(to)) => PeerAnswer::Redirected(to),
                 Err(refusal) => PeerAnswer::Refused(refusal),
             },
             PeerCall::Cancel(job) => match self.cancel_here(job).await {
@@ -234,6 +272,17 @@
     }
 }
 
+/// Which shard took a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Taken {
+    Here(JobId),
+    Elsewhere(ShardId),
+}
+
+fn no_shard() -> Refusal {
+    Refusal::new(ErrorKind::NotReady, "no shard is configured")
+}
+
 /// Whether another shard may take a job that this one refused.
 const fn may_try_next(kind: ErrorKind) -> bool {
     matches!(
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -3,15 +3,15 @@
 //! [`Core`] holds no socket, clock or codec. Tests drive it in virtual time;
 //! [`Node`](super::Node) drives it in a running daemon.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use slotmap::SecondaryMap;
 
 use crate::admission::Quotas;
-use crate::configuration::{Configuration, Current};
+use crate::configuration::{Configuration, Current, Size};
 use crate::dispatch::{Arrival, Dispatch, End, Ground, Step};
-use crate::ids::{AttemptKey, Epoch, HostId, JobId, RequestId, ShardId, WorkerKey};
+use crate::ids::{AttemptKey, Epoch, HostId, JobId, RequestId, ShardId, WorkerKey, mix};
 use crate::jobs::{
     Account, Change, JobRecord, JobView, KeyOutcome, KeyStep, Ledger, LedgerSettings, Submission,
     Wall,
@@ -22,7 +22,7 @@
     Action, Announcement, CallId, Gained, Ownership, OwnershipSettings, PeerMessage,
 };
 use crate::placement::{Placement, Policy};
-use crate::platform::{ListedHost, StoreOp, StoreReply};
+use crate::platform::{HostState, ListedHost, StoreOp, StoreReply};
 use crate::workers::{Fate, SyncReply, SyncRequest, Ticket};
 
 /// The settings of the decisions.
@@ -286,6 +286,7 @@
         for change in changes {
             let token = match change {
                 Change::Accepted(record) => Token::Job(record.id),
+                Change::Redirected { job, .. } => Token::Job(*job),
                 Change::Cancelled { job } => Token::Cancel(*job),
                 Change::KeyIntent { key, .. } => Token::Key(shard, *key),
                 _ => continue,
@@ -525,10 +526,12 @@
         if let Some(refusal) = self.cannot_log(shard, now) {
             return Submission::Refused(refusal);
         }
+        let holders = self.holders(record.size);
+        let other = pick_holder(&holders, record.id.number);
         let Some(ledger) = self.ledgers.get_mut(&shard) else {
             return Submission::Refused(not_owner(shard));
         };
-        let submission = ledger.submit(record, &self.placement, now, wall);
+        let submission = ledger.submit(record, &self.placement, other, now, wall);
         if let Submission::Log(change) = &submission {
             self.ownership.append(shard, vec![change.clone()]);
             self.flush(now);
@@ -536,6 +539,20 @@
         submission
     }
 
+    /// The shards of all zones with a worker that could hold a task, by the host list.
+    pub fn holders(&self, size: Size) -> Vec<ShardId> {
+        let Some(configuration) = self.current.get() else {
+            return Vec::new();
+        };
+        let reserve = configuration.reserve();
+        let fitting = self.listed.iter().filter(|host| {
+            let room = host.size.without_reserve(reserve);
+            host.state == HostState::Live && size.fits(room)
+        });
+        let shards = fitting.filter_map(|host| configuration.shard_of(&host.zone, &host.rack));
+        shards.collect::<BTreeSet<ShardId>>().into_iter().collect()
+    }
+
     /// Cancels a job of a shard that this host owns.
     ///
     /// # Errors
@@ -715,6 +732,12 @@
     pub evicted: u64,
 }
 
+/// The same holder for the same job, spread over all of them.
+fn pick_holder(holders: &[ShardId], number: u64) -> Option<ShardId> {
+    let count = holders.len() as u64;
+    (count > 0).then(|| holders[(mix(number) % count) as usize])
+}
+
 fn not_owner(shard: ShardId) -> Refusal {
     let message = format!("no entry host that owns shard {shard} can be reached");
     Refusal::new(ErrorKind::OwnerUnavailable, message)
--- a/src/jobs/change.rs
+++ b/src/jobs/change.rs
@@ -4,7 +4,7 @@
 
 use super::Wall;
 use crate::configuration::Size;
-use crate::ids::{Attempt, JobId, TaskId};
+use crate::ids::{Attempt, JobId, ShardId, TaskId};
 use crate::workers::HeaderLine;
 
 /// One change of a shard's ledger.
@@ -39,6 +39,15 @@
         /// The job.
         job: JobId,
     },
+    /// A job belongs to another shard, because no worker of this one holds it.
+    Redirected {
+        /// The job, as it was submitted here.
+        job: JobId,
+        /// The shard that takes it.
+        to: ShardId,
+        /// When.
+        at: Wall,
+    },
     /// An old job left the ledger.
     Dropped {
         /// The job.
--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -62,6 +62,14 @@
     pub ended_at: Option<Wall>,
 }
 
+/// A job that another shard took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Redirect {
+    pub job: JobId,
+    pub to: ShardId,
+    pub at: Wall,
+}
+
 /// The order in which waiting tasks are started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
@@ -92,6 +100,7 @@
     pub(super) tasks: SlotMap<TaskKey, Task>,
     pub(super) index: HashMap<JobId, JobKey>,
     pub(super) pending: HashMap<JobId, u64>,
+    pub(super) redirects: BTreeMap<u64, Redirect>,
     pub(super) waiting: BTreeSet<Rank>,
     pub(super) delayed: BTreeSet<DelayedTask>,
     pub(super) running: HashMap<String, u32>,
@@ -147,6 +156,7 @@
             tasks: SlotMap::with_key(),
             index: HashMap::new(),
             pending: HashMap::new(),
+            redirects: BTreeMap::new(),
             waiting: BTreeSet::new(),
             delayed: BTreeSet::new(),
             running: HashMap::new(),
@@ -232,6 +242,11 @@
             let tasks = job.tasks.iter().map(|key| &self.tasks[*key]);
             changes.extend(tasks.flat_map(task_changes));
         }
+        changes.extend(self.redirects.values().map(|redirect| Change::Redirected {
+            job: redirect.job,
+            to: redirect.to,
+            at: redirect.at,
+        }));
         changes.extend(self.keys.snapshot());
         changes
     }
@@ -247,7 +262,18 @@
             }
             Change::Ended { task, outcome } => self.on_ended(*task, *outcome),
             Change::Cancelled { job } => self.on_cancelled(*job),
-            Change::Dropped { job } => self.drop_job(*job),
+            Change::Redirected { job, to, at } => {
+                let redirect = Redirect {
+                    job: *job,
+                    to: *to,
+                    at: *at,
+                };
+                self.redirects.insert(job.number, redirect);
+            }
+            Change::Dropped { job } => {
+                self.redirects.remove(&job.number);
+                self.drop_job(*job);
+            }
             Change::KeyIntent { .. } | Change::KeyEnded { .. } | Change::KeyDropped { .. } => {
                 self.keys.apply(change, replayed);
             }
--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -724,6 +724,12 @@
                 job.ended_at = Some(wall);
             }
         }
+        for redirect in self.redirects.values_mut() {
+            if wall.0.saturating_sub(redirect.at.0) >= keep_jobs {
+                dropped.push(redirect.job);
+                redirect.at = wall;
+            }
+        }
         let drops = dropped.into_iter().map(|job| Change::Dropped { job });
         self.changes.extend(drops);
         let before = Wall(wall.0.saturating_sub(self.settings.keep_keys));
--- a/src/jobs/submit.rs
+++ b/src/jobs/submit.rs
@@ -6,7 +6,7 @@
 use super::change::{Change, JobRecord};
 use super::ledger::Ledger;
 use crate::configuration::{Class, Size};
-use crate::ids::{JobId, stable_hash};
+use crate::ids::{JobId, ShardId, stable_hash};
 use crate::kind::{ErrorKind, Refusal};
 use crate::moment::Moment;
 use crate::placement::Placement;
@@ -113,6 +113,8 @@
     Log(Change),
     /// It is a repeat of an accepted job.
     Known,
+    /// Another shard takes it.
+    Redirected(ShardId),
     /// Its first submission is being logged.
     Pending,
     /// It is refused.
@@ -120,11 +122,14 @@
 }
 
 impl Ledger {
-    /// Decides on a submission.
+    /// Decides on a submission. `other` is a shard that could hold the job if
+    /// this one could not; the choice is logged, so that a repeat of the
+    /// submission meets the same shard.
     pub fn submit(
         &mut self,
         record: JobRecord,
         placement: &Placement,
+        other: Option<ShardId>,
         now: Moment,
         wall: Wall,
     ) -> Submission {
@@ -139,7 +144,15 @@
                 ),
             };
         }
+        if let Some(redirect) = self.redirects.get(&record.id.number) {
+            return Submission::Redirected(redirect.to);
+        }
         if !placement.could_hold(self.shard(), record.size) {
+            if let Some(to) = other.filter(|to| *to != self.shard()) {
+                let job = record.id;
+                let at = wall;
+                return Submission::Log(Change::Redirected { job, to, at });
+            }
             let size = record.size;
             let message = format!(
                 "no worker of shard {} holds a task of {} thousandths of a core, {} MB and {} accelerators",
--- a/src/ownership/machine.rs
+++ b/src/ownership/machine.rs
@@ -7,13 +7,16 @@
 
 use super::log::{EntryBody, Flight, FlightStage, LogEntry, ReadBack, Writer, log_key};
 use super::messages::{Announcement, OwnedShard, PeerMessage};
+use super::pace::Pace;
 use super::promise::{Promises, View};
-use super::session::{Opening, OpeningStage, Session, SessionRecord, alive_key, record_key};
+use super::session::{
+    Opening, OpeningStage, Session, SessionRecord, alive_key, occupant_key, record_key,
+};
 use super::takeover::{Take, TakeStage};
 use crate::ids::{Epoch, HostId, SessionId, ShardId, mix};
 use crate::jobs::Change;
 use crate::moment::Moment;
-use crate::platform::{Expect, LeaseId, StoreOp, StoreReply};
+use crate::platform::{Entry, Expect, LeaseId, StoreOp, StoreReply};
 
 /// One call of the store, to match its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -44,6 +47,8 @@
     pub silence: Duration,
     /// The shortest time between two writes of one log.
     pub write_gap: Duration,
+    /// Log writes a second of all entry hosts together.
+    pub store_writes: u32,
     /// A log gets a snapshot after this many changes.
     pub snapshot_after: usize,
     /// The most changes in one entry.
@@ -63,7 +68,8 @@
             heartbeat: Duration::from_millis(500),
             distant: Duration::from_secs(5),
             silence: Duration::from_secs(2),
-            write_gap: Duration::from_millis(100),
+            write_gap: Duration::from_millis(10),
+            store_writes: 200,
             snapshot_after: 2000,
             entry_changes: 1000,
         }
@@ -146,6 +152,7 @@
     WriteView,
     ReadView,
     Take(ShardId),
+    Occupant(HostId),
     WriteLog(ShardId),
     ReadLog(ShardId),
     Ignore,
@@ -161,7 +168,6 @@
     pub free: u32,
     pub revision: u64,
     pub stopping: bool,
-    pub dead_since: Option<Moment>,
     pub next_heartbeat: Moment,
 }
 
@@ -204,6 +210,10 @@
     pub(super) calls: HashMap<CallId, Purpose>,
     pub(super) actions: VecDeque<Action>,
     pub(super) stopping: bool,
+    /// Processes that have ended for certain, and since when this is known.
+    pub(super) dead: BTreeMap<HostId, Moment>,
+    occupies: bool,
+    pub(super) pace: Pace,
     pub(super) last_release: Moment,
     pub(super) revision: u64,
     pub(super) free: u32,
@@ -227,6 +237,9 @@
             calls: HashMap::new(),
             actions: VecDeque::new(),
             stopping: false,
+            dead: BTreeMap::new(),
+            occupies: false,
+            pace: Pace::default(),
             last_release: Moment::default(),
             revision: 0,
             free: 0,
@@ -386,6 +399,11 @@
         self.stopping = true;
     }
 
+    /// Whether a planned stop has begun.
+    pub const fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
     /// Whether a planned stop has handed over every shard.
     pub fn is_handed_over(&self) -> bool {
         let mut slots = self.slots.values();
@@ -421,6 +439,7 @@
             Purpose::WriteView => self.on_view_written(reply),
             Purpose::ReadView => self.on_view_read(reply),
             Purpose::Take(shard) => self.on_take(shard, reply, now),
+            Purpose::Occupant(host) => self.on_occupant(host, reply, now),
             Purpose::WriteLog(shard) => self.on_log_written(shard, reply, now),
             Purpose::ReadLog(shard) => self.on_log_read(shard, reply, now),
             Purpose::Ignore => {}
@@ -483,9 +502,8 @@
 
     /// Notes that a process has ended for certain.
     pub fn on_dead(&mut self, host: HostId, zone: &str, now: Moment) {
-        let peer = self.learn(host, zone, now);
-        peer.heard = None;
-        peer.dead_since.get_or_insert(now);
+        self.learn(host, zone, now).heard = None;
+        self.dead.entry(host).or_insert(now);
     }
 
     fn learn(&mut self, host: HostId, zone: &str, now: Moment) -> &mut Peer {
@@ -497,7 +515,6 @@
             free: 0,
             revision: 0,
             stopping: false,
-            dead_since: None,
             next_heartbeat: now,
         })
     }
@@ -560,16 +577,42 @@
         let id = SessionId(self.next_random());
         self.opening = Some(Opening {
             id,
-            stage: OpeningStage::Granting,
+            stage: OpeningStage::Finding,
             sent: now,
             lease: None,
             view: self.wanted_view(now),
             version: 0,
         });
+        if self.occupies {
+            self.grant(now);
+            return;
+        }
+        let key = occupant_key(&self.settings.peers);
+        self.call(Purpose::Open, StoreOp::Get { key });
+    }
+
+    fn grant(&mut self, now: Moment) {
+        if let Some(opening) = &mut self.opening {
+            opening.stage = OpeningStage::Granting;
+            opening.sent = now;
+        }
         let ttl_ms = self.settings.session.as_millis() as u64;
         self.call(Purpose::Open, StoreOp::Grant { ttl_ms });
     }
 
+    /// Writes that this process has its address now. The version keeps a late
+    /// write of an earlier process from undoing it.
+    fn occupy(&mut self, found: Option<&Entry>) {
+        let expect = found.map_or(Expect::Absent, |found| Expect::Version(found.version));
+        let op = StoreOp::Put {
+            key: occupant_key(&self.settings.peers),
+            value: to_json(&self.me),
+            expect,
+            lease: None,
+        };
+        self.call(Purpose::Open, op);
+    }
+
     /// A lost answer while a session is opened costs nothing: the lease ends
     /// by itself, and a new session is opened.
     fn on_open(&mut self, reply: Option<StoreReply>, now: Moment) {
@@ -577,6 +620,16 @@
             return;
         };
         match (opening.stage, reply) {
+            (OpeningStage::Finding, Some(StoreReply::Value(found))) => {
+                opening.stage = OpeningStage::Moving;
+                self.occupy(found.as_ref());
+                self.opening = Some(opening);
+            }
+            (OpeningStage::Moving, Some(StoreReply::Written(_))) => {
+                self.occupies = true;
+                self.opening = Some(opening);
+                self.grant(now);
+            }
             (OpeningStage::Granting, Some(StoreReply::Granted(lease))) => {
                 opening.lease = Some(lease);
                 opening.stage = OpeningStage::Recording;
@@ -599,6 +652,7 @@
     fn write_record(&mut self, opening: &Opening) {
         let record = SessionRecord {
             host: self.me,
+            address: self.settings.peers.clone(),
             view: opening.view.clone(),
             sealed: false,
         };
@@ -690,19 +744,21 @@
 
     pub(super) fn wanted_view(&self, now: Moment) -> View {
         let near = self.peers.iter().filter(|(_, peer)| {
-            peer.zone == self.settings.zone
-                && !peer.stopping
-                && peer.dead_since.is_none()
-                && self.is_heard(peer, now)
+            peer.zone == self.settings.zone && !peer.stopping && self.is_heard(peer, now)
+        });
+        let members = near.filter_map(|(host, peer)| {
+            let announced = peer.announced.as_ref()?;
+            Some((*host, announced.peers.clone()))
         });
         View {
-            members: near.map(|(host, _)| *host).collect(),
+            members: members.collect(),
         }
     }
 
     fn tick_view(&mut self, now: Moment) {
         let wanted = self.wanted_view(now);
         let me = self.me;
+        let address = self.settings.peers.clone();
         let Some(session) = &mut self.current else {
             return;
         };
@@ -713,6 +769,7 @@
         session.proposed = Some(wanted.clone());
         let record = SessionRecord {
             host: me,
+            address,
             view: wanted,
             sealed: false,
         };
@@ -761,6 +818,7 @@
             };
             let value = to_json(&SessionRecord {
                 host: self.me,
+                address: self.settings.peers.clone(),
                 view,
                 sealed: false,
             });
@@ -785,7 +843,7 @@
         let due: Vec<HostId> = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.dead_since.is_none() && now >= peer.next_heartbeat)
+            .filter(|(host, peer)| !self.dead.contains_key(host) && now >= peer.next_heartbeat)
             .map(|(host, _)| *host)
             .collect();
         for host in due {
@@ -852,12 +910,29 @@
     }
 
     fn tick_writers(&mut self, now: Moment) {
-        let shards: Vec<ShardId> = self.slots.keys().copied().collect();
-        for shard in shards {
+        let hosts = 1 + self
+            .peers
+            .values()
+            .filter(|peer| peer.announced.is_some())
+            .count();
+        self.pace
+            .refill(f64::from(self.settings.store_writes) / hosts as f64, now);
+        for shard in self.writers() {
             self.tick_writer(shard, now);
         }
     }
 
+    /// The owned shards, the one that has not written for longest first.
+    fn writers(&self) -> Vec<ShardId> {
+        let owned = self.slots.iter().filter_map(|(shard, slot)| match slot {
+            Slot::Owned(owned) => Some((owned.writer.last_write, *shard)),
+            Slot::Free(_) => None,
+        });
+        let mut writers: Vec<(Moment, ShardId)> = owned.collect();
+        writers.sort_unstable();
+        writers.into_iter().map(|(_, shard)| shard).collect()
+    }
+
     fn tick_writer(&mut self, shard: ShardId, now: Moment) {
         let current = self.current.as_ref();
         let live = current.filter(|session| !session.lapsed && now < session.until);
@@ -897,7 +972,7 @@
         let writer = &mut owned.writer;
         if let Some(id) = live.filter(|id| *id != owned.session) {
             self.write(shard, EntryBody::Claim, Some(id), now);
-        } else if now - writer.last_write < gap {
+        } else if now - writer.last_write < gap || !self.pace.is_ready() {
             // Changes that arrive meanwhile go into the same entry.
         } else if let Some(changes) = owned.snapshot.take() {
             owned.asked_snapshot = false;
@@ -930,6 +1005,7 @@
             body,
         };
         owned.writer.last_write = now;
+        self.pace.spend();
         owned.writer.flight = Some(Flight {
             entry,
             stage: FlightStage::Writing,
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -12,6 +12,7 @@
 mod log;
 mod machine;
 mod messages;
+mod pace;
 mod promise;
 mod session;
 mod takeover;
--- a/src/ownership/promise.rs
+++ b/src/ownership/promise.rs
@@ -18,8 +18,8 @@
 /// The other entry hosts of a zone whose promises a session counts.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
-    /// The members, by process and not by address.
-    pub members: BTreeSet<HostId>,
+    /// The members, by process and not by address, with the address of each.
+    pub members: BTreeMap<HostId, String>,
 }
 
 impl View {
@@ -30,7 +30,7 @@
     /// use lycheelock::ownership::View;
     ///
     /// let view = |hosts: &[u64]| View {
-    ///     members: hosts.iter().copied().map(HostId).collect(),
+    ///     members: hosts.iter().map(|host| (HostId(*host), String::new())).collect(),
     /// };
     /// assert_eq!(view(&[1]).tolerance(), 0);
     /// assert_eq!(view(&[1, 2]).tolerance(), 1);
@@ -113,7 +113,7 @@
         if view.members.is_empty() {
             return false;
         }
-        let unexpired = view.members.iter().filter(|from| {
+        let unexpired = view.members.keys().filter(|from| {
             let held = Held {
                 session,
                 from: **from,
--- a/src/ownership/session.rs
+++ b/src/ownership/session.rs
@@ -12,6 +12,8 @@
 pub struct SessionRecord {
     /// The entry process.
     pub host: HostId,
+    /// Its address.
+    pub address: String,
     /// The hosts whose promises count.
     pub view: View,
     /// Set by a host that takes over; from then on the view cannot change.
@@ -28,6 +30,12 @@
     format!("alive/{zone}/{session}")
 }
 
+/// The key that names the newest process at an address. A process at an
+/// address proves that every earlier one there has ended.
+pub(super) fn occupant_key(address: &str) -> String {
+    format!("addresses/{address}")
+}
+
 /// An open session.
 #[derive(Debug, Clone)]
 pub(super) struct Session {
@@ -75,6 +83,10 @@
 /// How far the opening has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OpeningStage {
+    /// Reading which process had this host's address before.
+    Finding,
+    /// Writing that this process has the address now.
+    Moving,
     Granting,
     Recording,
     Announcing,
--- a/src/ownership/takeover.rs
+++ b/src/ownership/takeover.rs
@@ -12,7 +12,7 @@
 use super::machine::{Action, Gained, Owned, Ownership, Purpose, Slot, to_json};
 use super::messages::PeerMessage;
 use super::promise::View;
-use super::session::{SessionRecord, alive_key, record_key};
+use super::session::{SessionRecord, alive_key, occupant_key, record_key};
 use crate::ids::{Epoch, HostId, SessionId, ShardId};
 use crate::moment::Moment;
 use crate::platform::{Entry, Expect, StoreOp, StoreReply};
@@ -51,6 +51,9 @@
 pub(super) struct Gathering {
     plan: Plan,
     session: SessionId,
+    /// The former owner and the address of its process.
+    holder: HostId,
+    address: String,
     view: View,
     gave: BTreeSet<HostId>,
     asked: Moment,
@@ -119,7 +122,7 @@
                 self.on_record(shard, plan, &entry, now);
             }
             (TakeStage::Sealing(plan, record), Some(StoreReply::Written(_))) => {
-                self.gather(shard, plan, record.view, now);
+                self.gather(shard, plan, record, now);
             }
             (TakeStage::Sealing(plan, _), Some(StoreReply::Conflict)) => {
                 self.read_record(shard, plan);
@@ -173,7 +176,7 @@
             return;
         };
         if record.sealed {
-            self.gather(shard, plan, record.view, now);
+            self.gather(shard, plan, record, now);
             return;
         }
         let sealed = SessionRecord {
@@ -190,14 +193,16 @@
         self.call(Purpose::Take(shard), op);
     }
 
-    fn gather(&mut self, shard: ShardId, plan: Plan, view: View, now: Moment) {
+    fn gather(&mut self, shard: ShardId, plan: Plan, record: SessionRecord, now: Moment) {
         let Some(holder) = plan.holder else {
             return;
         };
         let gathering = Gathering {
             plan,
             session: holder.session,
-            view,
+            holder: record.host,
+            address: record.address,
+            view: record.view,
             gave: BTreeSet::new(),
             asked: Moment::default(),
             until: now + self.settings.promise * 3,
@@ -216,7 +221,8 @@
             return;
         };
         self.count_own_and_dead(&mut gathering, now);
-        if gathering.gave.len() >= gathering.view.needed_to_take() {
+        let ended = self.dead.contains_key(&gathering.holder);
+        if ended || gathering.gave.len() >= gathering.view.needed_to_take() {
             self.claim(shard, gathering.plan);
             return;
         }
@@ -232,10 +238,9 @@
 
     fn count_own_and_dead(&mut self, gathering: &mut Gathering, now: Moment) {
         let span = self.settings.promise;
-        for member in &gathering.view.members {
-            let peer = self.peers.get(member);
-            let dead_since = peer.and_then(|peer| peer.dead_since);
-            let long_dead = dead_since.is_some_and(|since| now - since > span);
+        for member in gathering.view.members.keys() {
+            let dead_since = self.dead.get(member);
+            let long_dead = dead_since.is_some_and(|since| now - *since > span);
             let own = *member == self.me && self.promises.give_up(gathering.session, now);
             if own || long_dead {
                 gathering.gave.insert(*member);
@@ -245,19 +250,42 @@
 
     fn ask_members(&mut self, gathering: &Gathering) {
         let session = gathering.session;
-        for member in &gathering.view.members {
+        self.ask_occupant(gathering.holder, &gathering.address);
+        for (member, address) in &gathering.view.members {
             if *member != self.me && !gathering.gave.contains(member) {
                 self.send(*member, PeerMessage::GiveUp { session });
+                self.ask_occupant(*member, address);
             }
         }
     }
 
+    /// Asks the store whether a later process has a host's address.
+    fn ask_occupant(&mut self, host: HostId, address: &str) {
+        if !self.dead.contains_key(&host) {
+            let key = occupant_key(address);
+            self.call(Purpose::Occupant(host), StoreOp::Get { key });
+        }
+    }
+
+    pub(super) fn on_occupant(&mut self, host: HostId, reply: Option<StoreReply>, now: Moment) {
+        let Some(StoreReply::Value(Some(entry))) = reply else {
+            return;
+        };
+        let occupant = entry
+            .value
+            .as_deref()
+            .and_then(|text| serde_json::from_str(text).ok());
+        if occupant.is_some_and(|occupant: HostId| occupant != host) {
+            self.dead.entry(host).or_insert(now);
+        }
+    }
+
     pub(super) fn note_given_up(&mut self, session: SessionId, from: HostId) {
         for slot in self.slots.values_mut() {
             if let Slot::Free(take) = slot
                 && let TakeStage::Gathering(gathering) = &mut take.stage
                 && gathering.session == session
-                && gathering.view.members.contains(&from)
+                && gathering.view.members.contains_key(&from)
             {
                 gathering.gave.insert(from);
             }
--- a/src/peers/frame.rs
+++ b/src/peers/frame.rs
@@ -68,6 +68,8 @@
     Served(WorkerAnswer),
     /// The job is in the log.
     Accepted(JobId),
+    /// Another shard takes the job.
+    Redirected(ShardId),
     /// The cancellation is in the log.
     Cancelled,
     /// A job.
--- a/src/placement/state.rs
+++ b/src/placement/state.rs
@@ -205,10 +205,7 @@
 
     /// The room for batch work of a worker: its size without the reserve.
     fn room(&self, worker: &Worker) -> Size {
-        Size {
-            cores: worker.size.cores / 100 * (100 - self.reserve),
-            ..worker.size
-        }
+        worker.size.without_reserve(self.reserve)
     }
 
     /// Whether a worker would have room once `freed` is free.
