Leaving workers are known by the freshest reading; a planned stop ends when its requests do

The demo showed a planned stop of 30.7 s: Rocket waits its whole grace for connections that never carried a request. Ruled out: a shorter grace, which cuts off slow answers; asking the worker, which may be silent. Change: heartbeats carry the leaving workers with the age of the reading, and the freshest counts; a ticket of a worker lasts 3 s in place of 5 s, so that a late call starts nothing after that. Answers keep their request in progress until the last byte is handed over, and the server ends when none is left.

--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use log::LevelFilter;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -13,6 +14,8 @@
 use crate::counters::Reading;
 use crate::jobs::{JobSpec, Outcome};
 use crate::load::{Callers, Cluster, ClusterSettings, Sent, Tally};
+use crate::logs;
+use crate::moment::Moment;
 use crate::standins::audit::{Told, audit};
 use crate::standins::worker::WorkerFaults;
 use crate::table;
@@ -54,7 +57,7 @@
 const FLOOD_AFTER: f64 = 0.25;
 
 fn say(text: &str) {
-    eprintln!("demo: {text}");
+    eprintln!("demo {}: {text}", Moment::now());
 }
 
 /// Runs the demo; tells whether it showed what it should.
@@ -63,6 +66,7 @@
 ///
 /// Fails when the cluster does not start.
 pub async fn run(settings: &DemoSettings) -> Result<bool> {
+    logs::init(None, LevelFilter::Warn)?;
     let checked = Checked::read(&settings.questionnaire)?;
     let configuration = Configuration {
         author: "demo".to_owned(),
--- /dev/null
+++ b/src/drain/leaving.rs
@@ -0,0 +1,73 @@
+//! Which workers leave, by the freshest reading of the host list.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::moment::Moment;
+
+/// The leaving workers as one host tells another.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingList {
+    /// How long ago the sender's reading was made, in milliseconds; none
+    /// before the first.
+    pub age_ms: Option<u64>,
+    /// The workers.
+    pub names: BTreeSet<String>,
+}
+
+/// What a host knows of leaving workers.
+#[derive(Debug, Default)]
+pub struct Drain {
+    read_at: Option<Moment>,
+    names: BTreeSet<String>,
+}
+
+impl Drain {
+    /// Takes the leaving workers of the host list, read at `now`.
+    pub fn on_list(&mut self, names: BTreeSet<String>, now: Moment) {
+        self.read_at = Some(now);
+        self.names = names;
+    }
+
+    /// Takes what a peer tells; returns whether it is fresher.
+    ///
+    /// ```
+    /// use lycheelock::drain::{Drain, LeavingList};
+    /// use lycheelock::moment::Moment;
+    ///
+    /// let mut drain = Drain::default();
+    /// let now = Moment::from_micros(5_000_000);
+    /// drain.on_list(Default::default(), Moment::from_micros(1_000_000));
+    /// let list = LeavingList { age_ms: Some(100), names: ["w1".to_owned()].into() };
+    /// assert!(drain.on_peer(&list, now));
+    /// assert!(drain.is_leaving("w1"));
+    /// ```
+    pub fn on_peer(&mut self, list: &LeavingList, now: Moment) -> bool {
+        let Some(age) = list.age_ms.map(Duration::from_millis) else {
+            return false;
+        };
+        let now_micros = now.as_micros();
+        let read_at = Moment::from_micros(now_micros.saturating_sub(age.as_micros() as u64));
+        let fresher = self.read_at.is_none_or(|own| own < read_at);
+        if fresher {
+            self.read_at = Some(read_at);
+            self.names.clone_from(&list.names);
+        }
+        fresher
+    }
+
+    /// Whether a worker leaves.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
+    /// What this host tells its peers.
+    pub fn list(&self, now: Moment) -> LeavingList {
+        LeavingList {
+            age_ms: self.read_at.map(|at| (now - at).as_millis() as u64),
+            names: self.names.clone(),
+        }
+    }
+}
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -11,6 +11,7 @@
 use crate::admission::Quotas;
 use crate::configuration::{Configuration, Current, Size};
 use crate::dispatch::{Arrival, Dispatch, End, Ground, Step};
+use crate::drain::Drain;
 use crate::ids::{AttemptKey, Epoch, HostId, JobId, RequestId, ShardId, WorkerKey, mix};
 use crate::jobs::{
     Account, Change, JobRecord, JobView, KeyOutcome, KeyStep, Ledger, LedgerSettings, Submission,
@@ -19,7 +20,7 @@
 use crate::kind::{ErrorKind, Refusal, RetryReason};
 use crate::moment::Moment;
 use crate::ownership::{
-    Action, Announcement, CallId, Gained, Ownership, OwnershipSettings, PeerMessage,
+    Action, Announcement, CallId, Gained, Ownership, OwnershipSettings, PeerMessage, Summary,
 };
 use crate::placement::{Placement, Policy};
 use crate::platform::{HostState, ListedHost, StoreOp, StoreReply};
@@ -120,6 +121,7 @@
     pub placement: Placement,
     /// The interactive requests.
     pub dispatch: Dispatch,
+    drain: Drain,
     /// The quotas of the teams.
     pub quotas: Quotas,
     ledgers: BTreeMap<ShardId, Ledger>,
@@ -144,6 +146,7 @@
             current: Current::default(),
             placement,
             dispatch: Dispatch::default(),
+            drain: Drain::default(),
             quotas: Quotas::default(),
             ledgers: BTreeMap::new(),
             contacts: SecondaryMap::new(),
@@ -164,7 +167,7 @@
     pub fn tick(&mut self, now: Moment, wall: Wall) {
         let shards = self.acting(now);
         let free = self.placement.free_slots(&shards, now);
-        self.ownership.set_summary(self.current.revision(), free);
+        self.summarize(free, now);
         self.ownership.tick(now);
         self.run_actions(now);
         if now >= self.next_maintenance {
@@ -176,6 +179,14 @@
         self.flush(now);
     }
 
+    fn summarize(&mut self, free: u32, now: Moment) {
+        self.ownership.set_summary(Summary {
+            revision: self.current.revision(),
+            leaving: self.drain.list(now),
+            free,
+        });
+    }
+
     /// The shards that this host may act for now.
     pub fn acting(&self, now: Moment) -> Vec<ShardId> {
         let owned = self.ledgers.keys().copied();
@@ -305,10 +316,23 @@
 
     /// Takes a message of another entry host.
     pub fn on_peer(&mut self, from: HostId, message: PeerMessage, now: Moment) {
+        if let PeerMessage::Heartbeat { leaving, .. } = &message
+            && self.drain.on_peer(leaving, now)
+        {
+            self.mark_leaving();
+        }
         self.ownership.on_message(from, message, now);
         self.run_actions(now);
     }
 
+    fn mark_leaving(&mut self) {
+        for key in self.placement.keys() {
+            if let Some(worker) = self.placement.get_mut(key) {
+                worker.leaving = !worker.listed || self.drain.is_leaving(&worker.name);
+            }
+        }
+    }
+
     /// Takes the announcements of all entry hosts.
     pub fn on_announced(&mut self, all: &[Announcement], now: Moment) {
         self.ownership.on_announced(all, now);
@@ -322,18 +346,27 @@
         if let Some(configuration) = self.current.get() {
             let shards = configuration.shards(&self.settings.ownership.zone);
             self.placement.reserve = configuration.reserve();
-            self.ownership.set_summary(configuration.revision, 0);
-            self.ownership.hurry_heartbeats();
             self.ownership.set_shards(&shards, now);
         }
-        let listed = std::mem::take(&mut self.listed);
-        self.on_hosts(listed);
+        self.summarize(0, now);
+        self.ownership.hurry_heartbeats();
+        self.place_hosts();
         true
     }
 
-    /// Takes the host list. Without a configuration it is kept for later,
-    /// because the shards of workers are not known yet.
-    pub fn on_hosts(&mut self, hosts: Vec<ListedHost>) {
+    /// Takes the host list, read at `now`.
+    pub fn on_hosts(&mut self, hosts: Vec<ListedHost>, now: Moment) {
+        let leaving = hosts.iter().filter(|host| host.state == HostState::Leaving);
+        let names = leaving.map(|host| host.name.clone()).collect();
+        self.drain.on_list(names, now);
+        self.listed = hosts;
+        self.place_hosts();
+    }
+
+    /// Brings the listed workers into the arena. Without a configuration they
+    /// are kept for later, because their shards are not known yet.
+    fn place_hosts(&mut self) {
+        let hosts = &self.listed;
         if let Some(configuration) = self.current.get() {
             let zone = &self.settings.ownership.zone;
             let near: Vec<&ListedHost> = hosts.iter().filter(|host| host.zone == *zone).collect();
@@ -350,7 +383,7 @@
                 }
             }
         }
-        self.listed = hosts;
+        self.mark_leaving();
     }
 
     /// The next call to a worker, if this host may act for its shard.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,6 +13,7 @@
 use super::core::{Core, CoreSettings, Effect, LogResult, Token};
 use super::tasks;
 use crate::counters::{Count, Counters};
+use crate::drain::InProgress;
 use crate::front;
 use crate::ids::{AttemptKey, HostId, RequestId, WorkerKey};
 use crate::jobs::LedgerSettings;
@@ -36,6 +37,8 @@
     pub(crate) http: reqwest::Client,
     pub(crate) links: Arc<Links>,
     pub(crate) stop: watch::Sender<bool>,
+    /// Interactive requests whose answer is not yet sent.
+    pub(crate) in_progress: InProgress,
     pub(super) core: Mutex<Core>,
     pub(super) store_calls: mpsc::UnboundedSender<StoreCall>,
     pub(super) worker_wakes: Mutex<SecondaryMap<WorkerKey, Arc<Notify>>>,
@@ -66,6 +69,8 @@
     server: Running,
 }
 
+/// How long the last answers have to leave the host.
+const LINGER: Duration = Duration::from_millis(300);
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// How long a planned stop waits for its shards to be handed over.
 const HAND_OVER: Duration = Duration::from_secs(5);
@@ -98,6 +103,7 @@
             http: http_client(&settings),
             links: Arc::default(),
             stop: watch::channel(false).0,
+            in_progress: InProgress::default(),
             core: Mutex::new(core),
             store_calls,
             worker_wakes: Mutex::default(),
@@ -233,7 +239,13 @@
 
     /// How many interactive requests are in progress.
     pub fn in_progress(&self) -> usize {
-        self.look(|core, _| core.dispatch.len())
+        self.in_progress
+            .len()
+            .max(self.look(|core, _| core.dispatch.len()))
+    }
+
+    fn is_idle(&self) -> bool {
+        self.in_progress() == 0
     }
 
     /// Begins a planned stop: hands over the shards, then signals the end.
@@ -264,13 +276,16 @@
     pub async fn run_to_end(self) {
         let mut stop = self.node.stop.subscribe();
         let _ = stop.wait_for(|stop| *stop).await;
-        self.server.stop().await;
+        self.server.close();
         let idle = async {
-            while !self.node.look(|core, _| core.dispatch.is_empty()) {
+            while !self.node.is_idle() {
                 sleep(STOP_POLL).await;
             }
         };
         let _ = timeout(self.node.settings.timing.deadline, idle).await;
+        // The last bytes are with the connections; give them time to leave.
+        sleep(LINGER).await;
+        self.server.abort();
         self.node.decide(|core, now| {
             core.ownership.close();
             core.tick(now, crate::jobs::Wall::now());
--- a/src/entry/tasks.rs
+++ b/src/entry/tasks.rs
@@ -194,7 +194,7 @@
     loop {
         node.counters.add(Count::StoreReads, 1);
         if let Ok(hosts) = node.platform.hosts().await {
-            node.decide(|core, _| core.on_hosts(hosts.hosts));
+            node.decide(|core, now| core.on_hosts(hosts.hosts, now));
         }
         follow_workers(&node);
         sleep(HOSTS_POLL).await;
--- a/src/front/services.rs
+++ b/src/front/services.rs
@@ -33,8 +33,11 @@
 #[rocket::async_trait]
 impl Handler for Service {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let progress = self.0.in_progress.begin();
         let response = match self.serve(request, data).await {
-            Ok(answer) => server::answer(answer.status, &answer.headers, answer.body),
+            Ok(answer) => {
+                server::counted_answer(answer.status, &answer.headers, answer.body, progress)
+            }
             Err(refusal) => self.refused(&refusal),
         };
         Outcome::Success(response)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 #[cfg(feature = "standins")]
 pub mod demo;
 pub mod dispatch;
+pub mod drain;
 pub mod entry;
 pub mod error;
 pub mod front;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -6,7 +6,7 @@
 use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::json::JsonEncoder;
 
 use crate::{Error, Result};
@@ -30,6 +30,8 @@
     };
     let config = Config::builder()
         .appender(Appender::builder().build("out", appender))
+        .logger(Logger::builder().build("rocket", LevelFilter::Warn))
+        .logger(Logger::builder().build("_", LevelFilter::Off))
         .build(Root::builder().appender("out").build(level))
         .map_err(|error| Error::Log(error.to_string()))?;
     log4rs::init_config(config).map_err(|error| Error::Log(error.to_string()))?;
--- a/src/ownership/machine.rs
+++ b/src/ownership/machine.rs
@@ -13,6 +13,7 @@
     Opening, OpeningStage, Session, SessionRecord, alive_key, occupant_key, record_key,
 };
 use super::takeover::{Take, TakeStage};
+use crate::drain::LeavingList;
 use crate::ids::{Epoch, HostId, SessionId, ShardId, mix};
 use crate::jobs::Change;
 use crate::moment::Moment;
@@ -144,6 +145,17 @@
     pub epoch: Option<Epoch>,
 }
 
+/// What heartbeats say besides ownership.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// The revision of the configuration in force.
+    pub revision: u64,
+    /// The workers that leave.
+    pub leaving: LeavingList,
+    /// The free interactive slots of this host's workers.
+    pub free: u32,
+}
+
 /// What a call of the store is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Purpose {
@@ -192,7 +204,7 @@
 #[derive(Debug)]
 pub(super) enum Slot {
     Owned(Box<Owned>),
-    Free(Take),
+    Free(Box<Take>),
 }
 
 /// The decisions of ownership at one entry host.
@@ -215,8 +227,7 @@
     occupies: bool,
     pub(super) pace: Pace,
     pub(super) last_release: Moment,
-    pub(super) revision: u64,
-    pub(super) free: u32,
+    summary: Summary,
     next_call: u64,
     random: u64,
 }
@@ -241,8 +252,7 @@
             occupies: false,
             pace: Pace::default(),
             last_release: Moment::default(),
-            revision: 0,
-            free: 0,
+            summary: Summary::default(),
             next_call: 0,
             random: mix(me.0),
         }
@@ -263,14 +273,13 @@
         for shard in shards {
             self.slots
                 .entry(*shard)
-                .or_insert_with(|| Slot::Free(Take::new(now)));
+                .or_insert_with(|| Slot::Free(Box::new(Take::new(now))));
         }
     }
 
     /// Sets what heartbeats say besides ownership.
-    pub const fn set_summary(&mut self, revision: u64, free: u32) {
-        self.revision = revision;
-        self.free = free;
+    pub fn set_summary(&mut self, summary: Summary) {
+        self.summary = summary;
     }
 
     /// Whether this host may send work to the shard's workers now.
@@ -454,6 +463,7 @@
                 sent,
                 owned,
                 revision,
+                leaving: _,
                 free,
                 stopping,
             } => {
@@ -866,8 +876,9 @@
             sessions: sessions.map(|session| session.id).collect(),
             sent: now.as_micros(),
             owned: self.owned(now),
-            revision: self.revision,
-            free: self.free,
+            revision: self.summary.revision,
+            leaving: self.summary.leaving.clone(),
+            free: self.summary.free,
             stopping: self.stopping,
         }
     }
@@ -1126,7 +1137,7 @@
     }
 
     pub(super) fn lose(&mut self, shard: ShardId, now: Moment) {
-        let slot = self.slots.insert(shard, Slot::Free(Take::new(now)));
+        let slot = self.slots.insert(shard, Slot::Free(Box::new(Take::new(now))));
         let Some(Slot::Owned(owned)) = slot else {
             return;
         };
--- a/src/ownership/messages.rs
+++ b/src/ownership/messages.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::drain::LeavingList;
 use crate::ids::{Epoch, HostId, SessionId, ShardId};
 use crate::moment::Moment;
 
@@ -27,6 +28,8 @@
         owned: Vec<OwnedShard>,
         /// The revision of the configuration in force at the sender.
         revision: u64,
+        /// The workers that leave, as the sender knows it.
+        leaving: LeavingList,
         /// The free interactive slots of the sender's workers.
         free: u32,
         /// Whether the sender is stopping.
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -20,7 +20,9 @@
 mod tests;
 
 pub use log::{EntryBody, LogEntry, log_key, log_prefix};
-pub use machine::{Action, CallId, Gained, HostRevision, Ownership, OwnershipSettings, ShardView};
+pub use machine::{
+    Action, CallId, Gained, HostRevision, Ownership, OwnershipSettings, ShardView, Summary,
+};
 pub use messages::{Announcement, OwnedShard, PeerMessage};
 pub use promise::{Promises, View};
 pub use session::SessionRecord;
--- a/src/server.rs
+++ b/src/server.rs
@@ -13,6 +13,7 @@
 use rocket::{Build, Rocket, Shutdown};
 use serde::Serialize;
 
+use crate::drain::{CountedBody, Progress};
 use crate::workers::HeaderLine;
 use crate::{Error, Result};
 
@@ -103,6 +104,11 @@
         let _ = self.task.await;
     }
 
+    /// Stops taking connections. Those that stand are served until the end.
+    pub fn close(&self) {
+        self.stop.clone().notify();
+    }
+
     /// Ends at once.
     pub fn abort(self) {
         self.task.abort();
@@ -121,11 +127,28 @@
 
 /// An answer with these headers and this body.
 pub fn answer(status: u16, headers: &[HeaderLine], body: Vec<u8>) -> Response<'static> {
-    let mut response = Response::build();
-    response.status(Status::new(status));
+    let mut response = head(status, headers);
+    response.set_sized_body(body.len(), Cursor::new(body));
+    response
+}
+
+/// An answer that keeps its request in progress until its body is sent.
+pub fn counted_answer(
+    status: u16,
+    headers: &[HeaderLine],
+    body: Vec<u8>,
+    progress: Progress,
+) -> Response<'static> {
+    let mut response = head(status, headers);
+    response.set_sized_body(body.len(), CountedBody::new(body, progress));
+    response
+}
+
+fn head(status: u16, headers: &[HeaderLine]) -> Response<'static> {
+    let mut response = Response::new();
+    response.set_status(Status::new(status));
     for line in headers {
-        response.header_adjoin(Header::new(line.name.clone(), line.value.clone()));
+        response.adjoin_header(Header::new(line.name.clone(), line.value.clone()));
     }
-    response.sized_body(body.len(), Cursor::new(body));
-    response.finalize()
+    response
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -23,4 +23,4 @@
 /// Says in an answer that the worker started nothing, and why.
 pub const NOT_RUN_HEADER: &str = "lycheelock-not-run";
 /// How long a worker takes a ticket after it issued it.
-pub const TICKET_LIFE: std::time::Duration = std::time::Duration::from_secs(5);
+pub const TICKET_LIFE: std::time::Duration = std::time::Duration::from_secs(3);
