--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -1,1 +1,40 @@
-//! Tests.
+//! What may enter, and what is refused with which words.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::{CallHeaders, admit};
+use crate::configuration::Checked;
+use crate::settings::Source;
+
+const TEXT: &str = "[deployment]\nname = d\nzones = a\n\n[team:t]\ntoken = x\n\n\
+                    [service:fit]\nlatency_target = 100ms\nnon_idempotent = POST /bookings\n";
+
+#[rstest]
+#[case("plain", "GET", "/", Some("t"), None, None)]
+#[case("booking", "POST", "/bookings/7", Some("t"), Some("900"), None)]
+#[case("keyed", "GET", "/", Some("t"), None, Some("k"))]
+#[case("long_deadline", "GET", "/", Some("t"), Some("999999999"), None)]
+#[case("no_team", "GET", "/", None, None, None)]
+#[case("unknown_team", "GET", "/", Some("u"), None, None)]
+#[case("bad_deadline", "GET", "/", Some("t"), Some("soon"), None)]
+#[case("zero_deadline", "GET", "/", Some("t"), Some("0"), None)]
+fn requests(
+    #[case] name: &str,
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] team: Option<&str>,
+    #[case] deadline: Option<&str>,
+    #[case] key: Option<&str>,
+) {
+    let checked = Checked::check(Source::parse("d.ini", TEXT).unwrap()).unwrap();
+    let headers = CallHeaders {
+        team,
+        deadline,
+        key,
+    };
+    let most = Duration::from_secs(30);
+    let admitted = admit(&checked.configuration, "fit", method, path, headers, most);
+    insta::assert_debug_snapshot!(name, admitted);
+}
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -71,6 +71,8 @@
     NotSent,
     /// The answer is lost.
     Lost,
+    /// The worker answered with a failure.
+    Failed,
     /// The answer was another request's.
     WrongAnswer,
     /// The worker proved that a lost request did not run.
@@ -84,7 +86,7 @@
     pub const fn is_not_run(self) -> bool {
         match self {
             Self::Refused | Self::NotSent | Self::ProvenNotRun | Self::PeerRefused => true,
-            Self::Lost | Self::WrongAnswer => false,
+            Self::Lost | Self::Failed | Self::WrongAnswer => false,
         }
     }
 
@@ -94,6 +96,7 @@
             Self::Refused => RetryReason::WorkerRefused,
             Self::NotSent => RetryReason::ConnectFailed,
             Self::Lost => RetryReason::AnswerLost,
+            Self::Failed => RetryReason::WorkerFailed,
             Self::WrongAnswer => RetryReason::WrongAnswer,
             Self::ProvenNotRun => RetryReason::SettledNotRun,
             Self::PeerRefused => RetryReason::PeerRefused,
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -1,1 +1,152 @@
-//! Tests.
+//! What happens to a request after each kind of end.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use super::{Arrival, Dispatch, End, Ground, Step};
+use crate::configuration::Size;
+use crate::ids::{HostId, RequestId, ShardId};
+use crate::kind::ErrorKind;
+use crate::moment::Moment;
+use crate::placement::{Contact, Placement};
+use crate::platform::{HostState, ListedHost};
+
+const SHARDS: [ShardId; 1] = [ShardId(0)];
+
+fn at(ms: u64) -> Moment {
+    Moment::from_micros(ms * 1000)
+}
+
+fn placement(workers: usize, slots: u32) -> Placement {
+    let mut placement = Placement::default();
+    for number in 0..workers {
+        let host = ListedHost {
+            name: format!("w{number}"),
+            zone: "a".to_owned(),
+            rack: "r".to_owned(),
+            address: "127.0.0.1:1".to_owned(),
+            state: HostState::Live,
+            size: Size::default(),
+            slots,
+            connections: 64,
+        };
+        let key = placement.list(&host, ShardId(0));
+        placement.get_mut(key).unwrap().contact = Contact::Good;
+    }
+    placement
+}
+
+fn ground(placement: &mut Placement) -> Ground<'_> {
+    Ground {
+        placement,
+        shards: &SHARDS,
+        peer: None,
+    }
+}
+
+fn arrival(once: bool) -> Arrival {
+    Arrival {
+        service: "fit".to_owned(),
+        deadline: at(1000),
+        once,
+        passed: false,
+    }
+}
+
+fn name(step: Step) -> String {
+    match step {
+        Step::Send { patience, .. } => format!("send, patience {patience:?}"),
+        other => format!("{other:?}"),
+    }
+}
+
+#[rstest]
+#[case(End::Refused)]
+#[case(End::NotSent)]
+#[case(End::Lost)]
+#[case(End::Failed)]
+#[case(End::WrongAnswer)]
+#[case(End::ProvenNotRun)]
+fn each_end_at_each_time(#[case] end: End) {
+    let mut lines = Vec::new();
+    for once in [false, true] {
+        for now in [at(100), at(2000)] {
+            let mut placement = placement(3, 2);
+            let mut dispatch = Dispatch::default();
+            let key = dispatch.arrive(arrival(once));
+            dispatch.next(key, &mut ground(&mut placement), at(0));
+            let step = dispatch.ended(key, end, &mut ground(&mut placement), now);
+            lines.push(format!("once {once}, at {now}: {}", name(step)));
+        }
+    }
+    insta::assert_snapshot!(format!("{end:?}"), lines.join("\n"));
+}
+
+#[test]
+fn a_refusal_after_a_lost_attempt_never_says_not_run() {
+    let mut placement = placement(1, 1);
+    let mut dispatch = Dispatch::default();
+    let key = dispatch.arrive(arrival(false));
+    dispatch.next(key, &mut ground(&mut placement), at(0));
+    let step = dispatch.ended(key, End::Lost, &mut ground(&mut placement), at(10));
+    assert!(matches!(step, Step::Send { .. }));
+    let step = dispatch.ended(key, End::NotSent, &mut ground(&mut placement), at(1000));
+    assert_eq!(step, Step::Refuse(ErrorKind::AnswerLost));
+}
+
+#[test]
+fn a_storm_of_failures_adds_at_most_a_tenth() {
+    let mut placement = placement(4, 8);
+    let mut dispatch = Dispatch::default();
+    let mut sends = 0;
+    const REQUESTS: u32 = 2000;
+    for _ in 0..REQUESTS {
+        let key = dispatch.arrive(arrival(false));
+        let mut step = dispatch.next(key, &mut ground(&mut placement), at(0));
+        while let Step::Send { .. } = step {
+            sends += 1;
+            step = dispatch.ended(key, End::Failed, &mut ground(&mut placement), at(1));
+        }
+        dispatch.finish(key);
+    }
+    assert!(sends <= REQUESTS + REQUESTS / 10 + 20, "{sends} sends");
+}
+
+#[test]
+fn a_request_waits_only_if_it_can_be_answered_in_time() {
+    let mut placement = placement(1, 1);
+    let worker = placement.find("w0").unwrap();
+    let id = RequestId {
+        host: HostId(1),
+        number: 1,
+    };
+    placement.take_slot(worker, id);
+    let mut dispatch = Dispatch::default();
+    for _ in 0..400 {
+        dispatch.answered(Duration::from_millis(300));
+    }
+    let mut steps = Vec::new();
+    for _ in 0..4 {
+        let key = dispatch.arrive(arrival(false));
+        steps.push(name(dispatch.next(key, &mut ground(&mut placement), at(0))));
+    }
+    insta::assert_snapshot!(steps.join("\n"));
+}
+
+#[test]
+fn a_full_host_passes_a_request_on_once() {
+    let mut placement = placement(0, 0);
+    let mut dispatch = Dispatch::default();
+    let key = dispatch.arrive(arrival(false));
+    let mut ground = Ground {
+        peer: Some(HostId(9)),
+        ..ground(&mut placement)
+    };
+    assert_eq!(
+        dispatch.next(key, &mut ground, at(0)),
+        Step::Pass(HostId(9))
+    );
+    let step = dispatch.ended(key, End::PeerRefused, &mut ground, at(10));
+    assert!(matches!(step, Step::Wait(_)));
+}
--- a/src/drain/tests.rs
+++ b/src/drain/tests.rs
@@ -1,1 +1,33 @@
-//! Tests.
+//! The freshest reading of the host list counts.
+
+use super::{Drain, LeavingList};
+use crate::moment::Moment;
+
+fn at(seconds: u64) -> Moment {
+    Moment::from_micros(seconds * 1_000_000)
+}
+
+fn list(age_ms: Option<u64>, names: &[&str]) -> LeavingList {
+    LeavingList {
+        age_ms,
+        names: names.iter().map(|name| (*name).to_owned()).collect(),
+    }
+}
+
+#[test]
+fn an_older_reading_of_a_peer_changes_nothing() {
+    let mut drain = Drain::default();
+    drain.on_list(["w1".to_owned()].into(), at(10));
+    assert!(!drain.on_peer(&list(Some(5000), &[]), at(12)));
+    assert!(!drain.on_peer(&list(None, &[]), at(12)));
+    assert!(drain.is_leaving("w1"));
+}
+
+#[test]
+fn a_fresher_reading_of_a_peer_also_brings_a_worker_back() {
+    let mut drain = Drain::default();
+    drain.on_list(["w1".to_owned()].into(), at(10));
+    assert!(drain.on_peer(&list(Some(500), &["w2"]), at(12)));
+    assert!(!drain.is_leaving("w1") && drain.is_leaving("w2"));
+    assert_eq!(drain.list(at(13)).age_ms, Some(1500));
+}
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -308,7 +308,7 @@
         ownership: OwnershipSettings {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
-            peers: settings.peers.to_string(),
+            peers: settings.announce.unwrap_or(settings.peers).to_string(),
             callers: settings.address.to_string(),
             session: timing.session,
             promise: timing.promise,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -16,6 +16,8 @@
 use crate::peers::{CallFailure, KeyCall, PeerAnswer, PeerCall, ServeCall};
 use crate::workers::{AttemptEnd, AttemptRequest, Fate, WorkerAnswer, WorkerClient};
 
+/// The lowest HTTP status that says that the worker failed.
+const FAILURE: u16 = 500;
 /// The longest wait for the fate of a request whose answer is lost.
 const SETTLE_WAIT: Duration = Duration::from_secs(1);
 /// Added to a call to a peer, so that the peer's own answer comes first.
@@ -152,9 +154,12 @@
         deadline: Moment,
     ) -> Served {
         let mut step = first;
+        let mut failure = None;
         loop {
             step = match step {
-                Step::Refuse(kind) => return Err(refusal(kind, &call.service)),
+                Step::Refuse(kind) => {
+                    return failure.ok_or_else(|| refusal(kind, &call.service));
+                }
                 Step::Wait(until) => {
                     self.wait_woken(key, until).await;
                     self.decide(|core, now| core.next_step(key, now))
@@ -166,6 +171,10 @@
                 Step::Send { worker, patience } => {
                     match self.attempt(worker, call, patience, deadline).await {
                         Tried::Served(served) => return served,
+                        Tried::Failed(answer) => {
+                            failure = Some(answer);
+                            self.decide(|core, now| core.ended(key, End::Failed, now))
+                        }
                         Tried::Ended(end) => self.decide(|core, now| core.ended(key, end, now)),
                     }
                 }
@@ -190,7 +199,10 @@
         match end {
             AttemptEnd::Answer(answer) => {
                 self.note_answer(worker, &attempted, &answer, begun);
-                Tried::Served(Ok(answer))
+                match answer.status >= FAILURE && !call.once {
+                    true => Tried::Failed(answer),
+                    false => Tried::Served(Ok(answer)),
+                }
             }
             AttemptEnd::TooLarge => {
                 self.doubt(worker, &attempted);
@@ -224,7 +236,7 @@
             core.dispatch.answered(latency);
             core.placement.note_latency(worker, latency);
             if let Some(found) = core.placement.get_mut(worker) {
-                match answer.status >= 500 {
+                match answer.status >= FAILURE {
                     true => found.note_failure(now),
                     false => found.note_success(),
                 }
@@ -314,6 +326,8 @@
 /// What an attempt at a worker came to.
 enum Tried {
     Served(Served),
+    /// A failure of the worker's own; it is the answer if no retry is left.
+    Failed(WorkerAnswer),
     Ended(End),
 }
 
--- a/src/kind.rs
+++ b/src/kind.rs
@@ -199,6 +199,8 @@
     WorkerRefused,
     /// The worker's answer was lost and the request is idempotent.
     AnswerLost,
+    /// The worker answered with a failure and the request is idempotent.
+    WorkerFailed,
     /// The answer named another request.
     WrongAnswer,
     /// The worker proved that a request in doubt never started.
@@ -215,10 +217,11 @@
 
 impl RetryReason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::ConnectFailed,
         Self::WorkerRefused,
         Self::AnswerLost,
+        Self::WorkerFailed,
         Self::WrongAnswer,
         Self::SettledNotRun,
         Self::PeerRefused,
@@ -239,6 +242,7 @@
             Self::ConnectFailed => "connect_failed",
             Self::WorkerRefused => "worker_refused",
             Self::AnswerLost => "answer_lost",
+            Self::WorkerFailed => "worker_failed",
             Self::WrongAnswer => "wrong_answer",
             Self::SettledNotRun => "settled_not_run",
             Self::PeerRefused => "peer_refused",
--- a/src/ownership/machine.rs
+++ b/src/ownership/machine.rs
@@ -1137,7 +1137,9 @@
     }
 
     pub(super) fn lose(&mut self, shard: ShardId, now: Moment) {
-        let slot = self.slots.insert(shard, Slot::Free(Box::new(Take::new(now))));
+        let slot = self
+            .slots
+            .insert(shard, Slot::Free(Box::new(Take::new(now))));
         let Some(Slot::Owned(owned)) = slot else {
             return;
         };
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -23,8 +23,10 @@
     pub zone: String,
     /// Where callers and operators connect.
     pub address: SocketAddr,
-    /// Where other entry hosts connect.
+    /// Where this host listens for other entry hosts.
     pub peers: SocketAddr,
+    /// Where other entry hosts connect, if that is another address.
+    pub announce: Option<SocketAddr>,
     /// The platform's service.
     pub platform: SocketAddr,
     /// The token of operators' calls.
@@ -81,6 +83,7 @@
             zone: "zone-a".to_owned(),
             address: local(8080),
             peers: local(8081),
+            announce: None,
             platform: local(7000),
             token: String::new(),
             key: String::new(),
@@ -175,6 +178,7 @@
         address("peers", &mut self.peers);
         address("platform", &mut self.platform);
         self.log = section.optional("log", &form::TEXT).map(PathBuf::from);
+        self.announce = section.optional("announce", &form::ADDRESS);
         self.statsd = section.optional("statsd", &form::ADDRESS);
         section.finish();
     }
