Tasks whose shard has no fitting worker left move to another shard

Cause: a job stayed in a shard whose only worker was leaving; with a rack lost it would have waited for the rack (tests/processes.rs, a_leaving_worker_gets_nothing_after_three_seconds). Ruled out: letting any owner start any shard's tasks, which would make asking the shard's own workers say less than the whole truth. Change: after 5 s without a worker that could hold them, waiting tasks are logged as moved to a job of another shard, with their checkpoints; the submission is repeated until that shard's log has it. A cancellation follows.

--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -8,7 +8,7 @@
 use super::core::{Home, LogResult, Token};
 use super::node::Node;
 use crate::ids::{HostId, JobId, ShardId, mix, stable_hash};
-use crate::jobs::{Account, Change, JobRecord, JobSpec, JobView, Submission, Wall};
+use crate::jobs::{Account, Change, JobRecord, JobSpec, JobView, PendingMove, Submission, Wall};
 use crate::kind::{ErrorKind, Refusal};
 use crate::ownership::PeerMessage;
 use crate::peers::{CallFailure, Handler, PeerAnswer, PeerCall, ServeCall};
@@ -131,6 +131,18 @@
         }
     }
 
+    /// Submits moved tasks to their new shard.
+    pub(super) async fn submit_move(self: &Arc<Self>, from: ShardId, pending: PendingMove) {
+        let to = pending.to;
+        match self.submit_record(pending.record).await {
+            Ok(Taken::Here(_)) => self.decide(|core, now| core.move_accepted(from, to, now)),
+            Ok(Taken::Elsewhere(shard)) => {
+                self.decide(|core, _| core.move_redirected(from, to, shard));
+            }
+            Err(refusal) => log::warn!("moved tasks {to} wait: {}", refusal.message),
+        }
+    }
+
     async fn submit_here(&self, record: JobRecord) -> Result<Taken, Refusal> {
         let id = record.id;
         let token = Token::Job(id);
@@ -166,8 +178,18 @@
         }
     }
 
-    /// Cancels a job, wherever it is.
+    /// Cancels a job, wherever it is, and the jobs that took tasks of it.
     pub(crate) async fn cancel(self: &Arc<Self>, job: JobId) -> Result<(), Refusal> {
+        let mut open = vec![job];
+        while let Some(next) = open.pop() {
+            self.cancel_one(next).await?;
+            let moved = self.job(next).await?.moved_to;
+            open.extend(moved.iter().filter_map(|id| id.parse::<JobId>().ok()));
+        }
+        Ok(())
+    }
+
+    async fn cancel_one(self: &Arc<Self>, job: JobId) -> Result<(), Refusal> {
         match self.look(|core, now| core.home(job.shard, now)) {
             Home::Here => self.cancel_here(job).await,
             Home::Peer(host) => {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -14,8 +14,8 @@
 use crate::drain::Drain;
 use crate::ids::{AttemptKey, Epoch, HostId, JobId, RequestId, ShardId, WorkerKey, mix};
 use crate::jobs::{
-    Account, Change, JobRecord, JobView, KeyOutcome, KeyStep, Ledger, LedgerSettings, Submission,
-    Wall,
+    Account, Change, JobRecord, JobView, KeyOutcome, KeyStep, Ledger, LedgerSettings, PendingMove,
+    Submission, Wall,
 };
 use crate::kind::{ErrorKind, Refusal, RetryReason};
 use crate::moment::Moment;
@@ -84,6 +84,13 @@
     Settled(RequestId, Fate),
     /// Call this worker without delay.
     Call(WorkerKey),
+    /// Submit moved tasks to their new shard.
+    Move {
+        /// The shard that they leave.
+        from: ShardId,
+        /// The submission.
+        pending: PendingMove,
+    },
     /// A shard was claimed.
     Claimed {
         /// The shard.
@@ -196,9 +203,17 @@
     }
 
     fn maintain(&mut self, shards: &[ShardId], now: Moment, wall: Wall) {
+        let (listed, current) = (&self.listed, &self.current);
+        let holder = |size, number| pick_holder(&holders(listed, current, size), number);
         for shard in shards {
-            if let Some(ledger) = self.ledgers.get_mut(shard) {
-                ledger.maintain(&mut self.placement, now, wall);
+            let Some(ledger) = self.ledgers.get_mut(shard) else {
+                continue;
+            };
+            ledger.maintain(&mut self.placement, now, wall);
+            ledger.move_homeless(&self.placement, holder, now);
+            for pending in ledger.pending_moves() {
+                let from = *shard;
+                self.effects.push_back(Effect::Move { from, pending });
             }
         }
     }
@@ -574,16 +589,22 @@
 
     /// The shards of all zones with a worker that could hold a task, by the host list.
     pub fn holders(&self, size: Size) -> Vec<ShardId> {
-        let Some(configuration) = self.current.get() else {
-            return Vec::new();
-        };
-        let reserve = configuration.reserve();
-        let fitting = self.listed.iter().filter(|host| {
-            let room = host.size.without_reserve(reserve);
-            host.state == HostState::Live && size.fits(room)
-        });
-        let shards = fitting.filter_map(|host| configuration.shard_of(&host.zone, &host.rack));
-        shards.collect::<BTreeSet<ShardId>>().into_iter().collect()
+        holders(&self.listed, &self.current, size)
+    }
+
+    /// Notes that another shard has accepted moved tasks.
+    pub fn move_accepted(&mut self, from: ShardId, to: JobId, now: Moment) {
+        if let Some(ledger) = self.ledgers.get_mut(&from) {
+            ledger.move_accepted(to);
+        }
+        self.flush(now);
+    }
+
+    /// Notes that moved tasks go on to yet another shard.
+    pub fn move_redirected(&mut self, from: ShardId, to: JobId, shard: ShardId) {
+        if let Some(ledger) = self.ledgers.get_mut(&from) {
+            ledger.move_redirected(to, shard);
+        }
     }
 
     /// Cancels a job of a shard that this host owns.
@@ -765,6 +786,19 @@
     pub evicted: u64,
 }
 
+fn holders(listed: &[ListedHost], current: &Current, size: Size) -> Vec<ShardId> {
+    let Some(configuration) = current.get() else {
+        return Vec::new();
+    };
+    let reserve = configuration.reserve();
+    let fitting = listed.iter().filter(|host| {
+        let room = host.size.without_reserve(reserve);
+        host.state == HostState::Live && size.fits(room)
+    });
+    let shards = fitting.filter_map(|host| configuration.shard_of(&host.zone, &host.rack));
+    shards.collect::<BTreeSet<ShardId>>().into_iter().collect()
+}
+
 /// The same holder for the same job, spread over all of them.
 fn pick_holder(holders: &[ShardId], number: u64) -> Option<ShardId> {
     let count = holders.len() as u64;
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -15,8 +15,8 @@
 use crate::counters::{Count, Counters};
 use crate::drain::InProgress;
 use crate::front;
-use crate::ids::{AttemptKey, HostId, RequestId, WorkerKey};
-use crate::jobs::LedgerSettings;
+use crate::ids::{AttemptKey, HostId, RequestId, ShardId, WorkerKey};
+use crate::jobs::{LedgerSettings, PendingMove};
 use crate::moment::Moment;
 use crate::ownership::{CallId, OwnershipSettings};
 use crate::peers::{Identity, Links, listen};
@@ -41,6 +41,7 @@
     pub(crate) in_progress: InProgress,
     pub(super) core: Mutex<Core>,
     pub(super) store_calls: mpsc::UnboundedSender<StoreCall>,
+    pub(super) moves: mpsc::UnboundedSender<MoveCall>,
     pub(super) worker_wakes: Mutex<SecondaryMap<WorkerKey, Arc<Notify>>>,
     waits: Mutex<Waits>,
     stopping: AtomicBool,
@@ -53,6 +54,13 @@
     pub op: StoreOp,
 }
 
+/// Moved tasks on their way to another shard.
+#[derive(Debug)]
+pub(super) struct MoveCall {
+    pub from: ShardId,
+    pub pending: PendingMove,
+}
+
 /// Those who wait for something to happen in the core.
 #[derive(Debug, Default)]
 struct Waits {
@@ -95,6 +103,7 @@
         };
         let me = HostId(rand::random());
         let (store_calls, store_queue) = mpsc::unbounded_channel();
+        let (moves, move_queue) = mpsc::unbounded_channel();
         let core = Core::new(me, core_settings(&settings, policy));
         let node = Arc::new(Self {
             me,
@@ -106,6 +115,7 @@
             in_progress: InProgress::default(),
             core: Mutex::new(core),
             store_calls,
+            moves,
             worker_wakes: Mutex::default(),
             waits: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -119,7 +129,7 @@
             node.links.clone(),
             node.clone(),
         ));
-        tasks::spawn_all(&node, store_queue);
+        tasks::spawn_all(&node, store_queue, move_queue);
         let server = Running::start(front::build(&node)).await?;
         log::info!("entry host {} ({me}) started", node.settings.name);
         Ok(Started { node, server })
@@ -180,6 +190,9 @@
                 }
             }
             Effect::Call(worker) => self.wake_worker(worker),
+            Effect::Move { from, pending } => {
+                let _ = self.moves.send(MoveCall { from, pending });
+            }
             Effect::Claimed { shard, takeover } => {
                 log::info!("shard {shard} claimed, takeover: {takeover}");
                 self.counters.add(Count::Claims, 1);
--- a/src/entry/tasks.rs
+++ b/src/entry/tasks.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
-use super::node::{Node, StoreCall};
+use super::node::{MoveCall, Node, StoreCall};
 use crate::configuration::{CONFIGURATION_KEY, Configuration};
 use crate::counters::Count;
 use crate::ids::{HostId, WorkerKey};
@@ -29,7 +29,12 @@
 const FORGET_PEER: u32 = 200;
 
 /// Starts the tasks that live as long as the daemon.
-pub(super) fn spawn_all(node: &Arc<Node>, calls: mpsc::UnboundedReceiver<StoreCall>) {
+pub(super) fn spawn_all(
+    node: &Arc<Node>,
+    calls: mpsc::UnboundedReceiver<StoreCall>,
+    moves: mpsc::UnboundedReceiver<MoveCall>,
+) {
+    tokio::spawn(submit_moves(node.clone(), moves));
     tokio::spawn(tick(node.clone()));
     tokio::spawn(call_store(node.clone(), calls));
     tokio::spawn(watch_entries(node.clone()));
@@ -63,6 +68,24 @@
     }
 }
 
+/// Submits moved tasks, one submission at a time; those that fail come again.
+async fn submit_moves(node: Arc<Node>, mut moves: mpsc::UnboundedReceiver<MoveCall>) {
+    while let Some(first) = moves.recv().await {
+        let mut waiting = vec![first];
+        while let Ok(next) = moves.try_recv() {
+            let known = waiting
+                .iter()
+                .any(|each| each.pending.to == next.pending.to);
+            if !known {
+                waiting.push(next);
+            }
+        }
+        for MoveCall { from, pending } in waiting {
+            node.submit_move(from, pending).await;
+        }
+    }
+}
+
 /// Follows the announcements of entry hosts and starts a task for each peer.
 async fn watch_entries(node: Arc<Node>) {
     let mut dialled = HashSet::new();
--- a/src/jobs/account.rs
+++ b/src/jobs/account.rs
@@ -38,6 +38,8 @@
     pub late: bool,
     /// Why tasks wait; empty if none does.
     pub reason: String,
+    /// The jobs that took tasks of this one, because no worker of its shard holds them.
+    pub moved_to: Vec<String>,
 }
 
 impl JobView {
@@ -169,6 +171,7 @@
             cancelled: job.cancelled,
             late: false,
             reason: String::new(),
+            moved_to: job.moves.iter().map(|each| each.to.to_string()).collect(),
         };
         for key in &job.tasks {
             match self.tasks[*key].stage {
--- a/src/jobs/change.rs
+++ b/src/jobs/change.rs
@@ -48,6 +48,23 @@
         /// When.
         at: Wall,
     },
+    /// Waiting tasks of a job go to another shard, because no worker of this
+    /// one holds them any more.
+    Moved {
+        /// The job.
+        job: JobId,
+        /// The job that takes its tasks.
+        to: JobId,
+        /// The tasks, by index.
+        tasks: Vec<u32>,
+    },
+    /// The other shard has accepted the moved tasks.
+    MoveDone {
+        /// The job that was moved.
+        job: JobId,
+        /// The job that took its tasks.
+        to: JobId,
+    },
     /// An old job left the ledger.
     Dropped {
         /// The job.
@@ -103,6 +120,9 @@
     pub tasks: u32,
     /// What the submitter gave each task.
     pub payload: String,
+    /// The work that moved tasks have saved, in milliseconds; empty for none.
+    #[serde(default)]
+    pub saved: Vec<u64>,
     /// When it was accepted.
     pub submitted: Wall,
     /// Its deadline.
@@ -137,16 +157,19 @@
     Unknown,
     /// No worker could hold it before its deadline.
     NeverFit,
+    /// It went to a job of another shard.
+    Moved,
 }
 
 impl Outcome {
     /// Every outcome.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Finished,
         Self::Failed,
         Self::Cancelled,
         Self::Unknown,
         Self::NeverFit,
+        Self::Moved,
     ];
 
     /// The name in accounts.
@@ -161,6 +184,7 @@
             Self::Cancelled => "cancelled",
             Self::Unknown => "unknown",
             Self::NeverFit => "never_fit",
+            Self::Moved => "moved",
         }
     }
 }
--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -60,6 +60,17 @@
     pub cancelled: bool,
     pub open: u32,
     pub ended_at: Option<Wall>,
+    /// Since when no worker of the shard could hold a task.
+    pub homeless: Option<Moment>,
+    /// The jobs that took tasks of it.
+    pub moves: Vec<JobMove>,
+}
+
+/// Tasks that went to a job of another shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct JobMove {
+    pub to: JobId,
+    pub tasks: Vec<u32>,
 }
 
 /// A job that another shard took.
@@ -101,6 +112,9 @@
     pub(super) index: HashMap<JobId, JobKey>,
     pub(super) pending: HashMap<JobId, u64>,
     pub(super) redirects: BTreeMap<u64, Redirect>,
+    /// Moved tasks that the other shard has not accepted yet, by the job that
+    /// the log names.
+    pub(super) moves: BTreeMap<JobId, JobRecord>,
     pub(super) waiting: BTreeSet<Rank>,
     pub(super) delayed: BTreeSet<DelayedTask>,
     pub(super) running: HashMap<String, u32>,
@@ -157,6 +171,7 @@
             index: HashMap::new(),
             pending: HashMap::new(),
             redirects: BTreeMap::new(),
+            moves: BTreeMap::new(),
             waiting: BTreeSet::new(),
             delayed: BTreeSet::new(),
             running: HashMap::new(),
@@ -241,6 +256,7 @@
             }
             let tasks = job.tasks.iter().map(|key| &self.tasks[*key]);
             changes.extend(tasks.flat_map(task_changes));
+            changes.extend(self.move_changes(job));
         }
         changes.extend(self.redirects.values().map(|redirect| Change::Redirected {
             job: redirect.job,
@@ -262,6 +278,10 @@
             }
             Change::Ended { task, outcome } => self.on_ended(*task, *outcome),
             Change::Cancelled { job } => self.on_cancelled(*job),
+            Change::Moved { job, to, tasks } => self.on_moved(*job, *to, tasks),
+            Change::MoveDone { to, .. } => {
+                self.moves.remove(to);
+            }
             Change::Redirected { job, to, at } => {
                 let redirect = Redirect {
                     job: *job,
@@ -302,6 +322,8 @@
             cancelled: false,
             open: record.tasks,
             ended_at: None,
+            homeless: None,
+            moves: Vec::new(),
         });
         self.index.insert(record.id, job);
         for index in 0..record.tasks {
@@ -309,7 +331,11 @@
                 job: record.id,
                 index,
             };
-            let key = self.tasks.insert(Task::new(id, job));
+            let saved = record.saved.get(index as usize).copied().unwrap_or(0);
+            let key = self.tasks.insert(Task {
+                checkpoint: saved,
+                ..Task::new(id, job)
+            });
             self.jobs[job].tasks.push(key);
             self.enqueue(key);
         }
@@ -339,7 +365,7 @@
         }
     }
 
-    fn on_ended(&mut self, task: TaskId, outcome: Outcome) {
+    pub(super) fn on_ended(&mut self, task: TaskId, outcome: Outcome) {
         let Some(key) = self.task_key(task) else {
             return;
         };
--- a/src/jobs/submit.rs
+++ b/src/jobs/submit.rs
@@ -91,6 +91,7 @@
             class: class.name.clone(),
             tasks: self.tasks,
             payload: self.payload.clone(),
+            saved: Vec::new(),
             submitted: now,
             deadline: now.plus(self.deadline_ms.unwrap_or(deadline)),
             duration: self
@@ -163,7 +164,10 @@
             );
             return refuse(ErrorKind::FitsNoWorker, message);
         }
-        if let Some(wait) = self.too_late(&record, placement, now, wall) {
+        let moved = !record.saved.is_empty();
+        if let Some(wait) = self.too_late(&record, placement, now, wall)
+            && !moved
+        {
             let message = format!("the work before it needs {wait} ms, longer than its deadline");
             return refuse(ErrorKind::DeadlineTooShort, message);
         }
--- a/src/operator/commands.rs
+++ b/src/operator/commands.rs
@@ -269,7 +269,10 @@
                 job.running.to_string(),
                 ended.join(", "),
                 if job.late { "late" } else { "in time" }.to_owned(),
-                job.reason.clone(),
+                match job.moved_to.is_empty() {
+                    true => job.reason.clone(),
+                    false => format!("moved to {}", job.moved_to.join(", ")),
+                },
             ]
         })
         .collect();
--- a/src/placement/state.rs
+++ b/src/placement/state.rs
@@ -221,7 +221,7 @@
         let mut keys = self.of_shard(shard).iter();
         keys.any(|key| {
             let worker = &self.workers[*key];
-            worker.listed && size.fits(self.room(worker))
+            worker.listed && !worker.leaving && size.fits(self.room(worker))
         })
     }
 
