--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -1,1 +1,451 @@
-//! Tests.
+//! The ledger: takeover, completion, eviction, loss, moves, snapshots.
+
+use rstest::rstest;
+
+use super::change::{Change, JobRecord, KeyOutcome, Outcome};
+use super::keys::{KeyStep, Keys};
+use super::ledger::{Ledger, LedgerSettings};
+use super::submit::Submission;
+use super::{JobSpec, Wall};
+use crate::configuration::{Checked, Configuration, Size};
+use crate::ids::{Attempt, Epoch, JobId, ShardId, TaskId, WorkerKey};
+use crate::moment::Moment;
+use crate::placement::{Contact, Placement};
+use crate::platform::{HostState, ListedHost};
+use crate::settings::Source;
+use crate::workers::{BootId, Report, RunningTask, TaskState, Ticket};
+
+const SHARD: ShardId = ShardId(0);
+const TEXT: &str = "[deployment]\nname = d\nzones = a\nshards = 2\n\n[team:t]\ntoken = x\ntasks = 3\n\n\
+    [class:plain]\ndeadline = 1h\nduration = 1s\ncores = 1\nmemory_mb = 10\ncheckpointable = yes\nattempts = 2\n\n\
+    [class:once]\ndeadline = 1h\nduration = 1s\ncores = 1\nmemory_mb = 10\nidempotent = no\n";
+
+fn at(ms: u64) -> Moment {
+    Moment::from_micros(ms * 1000)
+}
+
+/// A ledger with two workers.
+struct Bench {
+    ledger: Ledger,
+    placement: Placement,
+    configuration: Configuration,
+    workers: Vec<WorkerKey>,
+    number: u64,
+}
+
+impl Bench {
+    fn new(changes: &[Change]) -> Self {
+        let source = Source::parse("d.ini", TEXT).unwrap();
+        let mut placement = Placement::default();
+        let workers = (0..2).map(|number| {
+            let host = ListedHost {
+                name: format!("w{number}"),
+                zone: "a".to_owned(),
+                rack: "r".to_owned(),
+                address: "127.0.0.1:1".to_owned(),
+                state: HostState::Live,
+                size: Size {
+                    cores: 2000,
+                    memory: 100,
+                    accelerators: 0,
+                },
+                slots: 2,
+                connections: 4,
+            };
+            let key = placement.list(&host, SHARD);
+            placement.get_mut(key).unwrap().contact = Contact::Good;
+            key
+        });
+        let workers = workers.collect();
+        let settings = LedgerSettings::default();
+        let mut bench = Self {
+            ledger: Ledger::replay(SHARD, Epoch(2), changes, settings, at(0)),
+            configuration: Checked::check(source).unwrap().configuration,
+            placement,
+            workers,
+            number: 0,
+        };
+        bench.maintain(0);
+        bench
+    }
+
+    fn maintain(&mut self, ms: u64) -> Vec<Change> {
+        self.ledger.maintain(&mut self.placement, at(ms), Wall(ms));
+        let changes = self.log();
+        self.ledger.maintain(&mut self.placement, at(ms), Wall(ms));
+        changes
+    }
+
+    /// Logs what waits to be logged.
+    fn log(&mut self) -> Vec<Change> {
+        let changes = self.ledger.take_changes();
+        self.ledger.commit(&changes);
+        changes
+    }
+
+    fn record(&self, number: u64, class: &str, tasks: u32) -> JobRecord {
+        let spec = JobSpec {
+            class: class.to_owned(),
+            tasks,
+            payload: String::new(),
+            deadline_ms: None,
+            size: None,
+            duration_ms: None,
+        };
+        let id = JobId {
+            shard: SHARD,
+            number,
+        };
+        spec.record(id, "t", self.configuration.class(class).unwrap(), Wall(0))
+    }
+
+    fn accept(&mut self, number: u64, class: &str, tasks: u32) {
+        let record = self.record(number, class, tasks);
+        self.ledger.commit(&[Change::Accepted(Box::new(record))]);
+    }
+
+    fn plan(&mut self, ms: u64) {
+        self.ledger
+            .plan(&mut self.placement, &self.configuration, at(ms), Wall(ms));
+    }
+
+    /// Calls a worker; returns the commands as lines.
+    fn call(&mut self, worker: usize) -> Vec<String> {
+        self.number += 1;
+        let commands = self.ledger.commands(self.workers[worker], self.number);
+        let attempt = |attempt: Attempt| format!("{}/{}", attempt.epoch, attempt.count);
+        let starts = commands.starts.iter().map(|each| {
+            let from = each.checkpoint;
+            format!(
+                "start {} attempt {} from {from}",
+                each.task,
+                attempt(each.attempt)
+            )
+        });
+        let stops = commands
+            .stops
+            .iter()
+            .map(|each| format!("stop {} attempt {}", each.task, attempt(each.attempt)));
+        let forget = commands
+            .forget
+            .iter()
+            .map(|each| format!("forget {} attempt {}", each.task, attempt(each.attempt)));
+        starts.chain(stops).chain(forget).collect()
+    }
+
+    fn report(&mut self, worker: usize, tasks: Vec<RunningTask>, ms: u64) {
+        let report = Report {
+            boot: BootId(1),
+            ticket: Ticket(1),
+            tasks,
+            requests: Vec::new(),
+            settled: Vec::new(),
+            load: 0,
+        };
+        let key = self.workers[worker];
+        let placement = &mut self.placement;
+        self.ledger
+            .on_report(key, self.number, &report, placement, at(ms));
+    }
+
+    fn ended(&self, number: u64) -> String {
+        let id = JobId {
+            shard: SHARD,
+            number,
+        };
+        let view = self
+            .ledger
+            .job(id, &self.placement, &self.configuration, at(0), Wall(0));
+        format!("{:?}", view.unwrap().ended)
+    }
+}
+
+fn task(number: u64, epoch: u32, count: u32, state: TaskState, checkpoint: u64) -> RunningTask {
+    RunningTask {
+        task: TaskId {
+            job: JobId {
+                shard: SHARD,
+                number,
+            },
+            index: 0,
+        },
+        attempt: Attempt {
+            epoch: Epoch(epoch),
+            count,
+        },
+        state,
+        checkpoint,
+        used: Size::default(),
+        ran_ms: 10,
+    }
+}
+
+fn joined(name: &str) -> Change {
+    Change::WorkerJoined {
+        name: name.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+    }
+}
+
+#[test]
+fn a_new_owner_starts_nothing_before_every_worker_was_asked() {
+    let before = Bench::new(&[]).record(7, "plain", 1);
+    let accepted = Change::Accepted(Box::new(before));
+    let mut bench = Bench::new(&[joined("w0"), joined("w1"), accepted]);
+    let mut lines = Vec::new();
+    bench.plan(10);
+    lines.push(format!("before any report: {:?}", bench.call(0)));
+    bench.report(0, Vec::new(), 20);
+    bench.plan(30);
+    lines.push(format!("after one report: {:?}", bench.call(0)));
+    bench.call(1);
+    bench.report(1, vec![task(7, 1, 4, TaskState::Running, 0)], 40);
+    bench.plan(50);
+    lines.push(format!(
+        "it runs on the other: {:?} {:?}",
+        bench.call(0),
+        bench.call(1)
+    ));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn a_new_owner_waits_for_the_horizon_of_a_silent_worker() {
+    let before = Bench::new(&[]).record(7, "plain", 1);
+    let accepted = Change::Accepted(Box::new(before));
+    let mut bench = Bench::new(&[joined("w0"), joined("w1"), accepted]);
+    bench.call(0);
+    bench.report(0, Vec::new(), 20);
+    let horizon = LedgerSettings::default().horizon().as_millis() as u64;
+    bench.plan(horizon - 1);
+    assert!(bench.call(0).is_empty() && bench.call(1).is_empty());
+    bench.plan(horizon);
+    assert_eq!(bench.call(0).len() + bench.call(1).len(), 1);
+}
+
+#[test]
+fn a_worker_forgets_a_task_only_after_its_end_is_logged() {
+    let mut bench = Bench::new(&[]);
+    bench.accept(1, "plain", 1);
+    bench.plan(10);
+    let first = usize::from(bench.call(0).is_empty());
+    bench.call(first);
+    let finished = || vec![task(1, 2, 1, TaskState::Finished, 0)];
+    bench.report(first, finished(), 20);
+    assert_eq!(bench.call(first), Vec::<String>::new());
+    bench.log();
+    bench.report(first, finished(), 30);
+    assert_eq!(bench.call(first).len(), 1);
+    assert_eq!(bench.ended(1), r#"{"finished": 1}"#);
+}
+
+#[test]
+fn evicted_work_resumes_once_from_its_checkpoint() {
+    let mut bench = Bench::new(&[]);
+    bench.accept(1, "plain", 1);
+    bench.plan(10);
+    let first = usize::from(bench.call(0).is_empty());
+    bench.call(first);
+    bench.report(first, vec![task(1, 2, 1, TaskState::Running, 0)], 20);
+    bench.placement.unlist(&format!("w{first}"));
+    bench.maintain(30);
+    let mut lines = bench.call(first);
+    bench.report(first, vec![task(1, 2, 1, TaskState::Stopped, 300)], 40);
+    bench.log();
+    bench.plan(50);
+    lines.extend(bench.call(1 - first));
+    bench.report(first, vec![task(1, 2, 1, TaskState::Stopped, 300)], 60);
+    bench.plan(70);
+    lines.push(format!("the old worker again: {:?}", bench.call(first)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[rstest]
+#[case("plain", TaskState::Stopped)]
+#[case("once", TaskState::Stopped)]
+#[case("plain", TaskState::Failed)]
+#[case("once", TaskState::Failed)]
+#[case("once", TaskState::Refused)]
+fn ends_of_an_attempt(#[case] class: &str, #[case] state: TaskState) {
+    let mut bench = Bench::new(&[]);
+    bench.accept(1, class, 1);
+    bench.plan(10);
+    let logged = bench.log();
+    let first = usize::from(bench.call(0).is_empty());
+    bench.call(first);
+    bench.report(first, vec![task(1, 2, 1, state, 200)], 20);
+    let changes = bench.log();
+    bench.plan(10_000);
+    bench.log();
+    let next = [bench.call(0), bench.call(1)].concat();
+    let name = format!("{class}_{state:?}");
+    let text = format!("logged first: {logged:?}\nthen: {changes:?}\nnext: {next:?}");
+    insta::assert_snapshot!(name, text);
+}
+
+#[test]
+fn a_task_that_must_not_repeat_is_unknown_after_a_takeover() {
+    let record = Bench::new(&[]).record(1, "once", 1);
+    let id = TaskId {
+        job: record.id,
+        index: 0,
+    };
+    let intent = Change::Intent {
+        task: id,
+        attempt: Attempt::default(),
+    };
+    let mut bench = Bench::new(&[Change::Accepted(Box::new(record)), intent]);
+    bench.plan(10);
+    assert!(bench.call(0).is_empty() && bench.call(1).is_empty());
+    bench.log();
+    assert_eq!(bench.ended(1), r#"{"unknown": 1}"#);
+}
+
+#[test]
+fn the_quota_of_a_team_bounds_its_running_tasks() {
+    let mut bench = Bench::new(&[]);
+    bench.accept(1, "plain", 10);
+    bench.plan(10);
+    assert_eq!(bench.call(0).len() + bench.call(1).len(), 3);
+}
+
+#[test]
+fn ten_thousand_tasks_are_cancelled_at_once() {
+    let mut bench = Bench::new(&[]);
+    bench.accept(1, "plain", 10_000);
+    bench.plan(10);
+    let id = bench.record(1, "plain", 1).id;
+    assert!(bench.ledger.cancel(id));
+    bench.log();
+    bench.log();
+    assert_eq!(bench.ended(1), r#"{"cancelled": 9997}"#);
+    let stops = [bench.call(0), bench.call(1)].concat();
+    assert!(
+        stops.iter().all(|line| line.starts_with("stop")),
+        "{stops:?}"
+    );
+}
+
+#[test]
+fn homeless_tasks_move_with_their_checkpoints() {
+    let mut bench = Bench::new(&[]);
+    bench.accept(1, "plain", 2);
+    let saved = Change::Saved {
+        task: TaskId {
+            job: bench.record(1, "plain", 1).id,
+            index: 1,
+        },
+        checkpoint: 400,
+    };
+    bench.ledger.commit(&[saved]);
+    for name in ["w0", "w1"] {
+        bench.placement.unlist(name);
+    }
+    for ms in [0, 4000, 6000] {
+        let holder = |_: Size, _: u64| Some(ShardId(1));
+        bench.ledger.move_homeless(&bench.placement, holder, at(ms));
+        bench.log();
+    }
+    let moves = bench.ledger.pending_moves();
+    let record = &moves[0].record;
+    assert_eq!(
+        (moves.len(), record.tasks, &record.saved),
+        (1, 2, &vec![0, 400])
+    );
+    let replayed = Ledger::replay(
+        SHARD,
+        Epoch(3),
+        &bench.ledger.snapshot(),
+        LedgerSettings::default(),
+        at(7000),
+    );
+    assert_eq!(replayed.pending_moves(), moves);
+    bench.ledger.move_accepted(moves[0].to);
+    bench.log();
+    assert!(bench.ledger.pending_moves().is_empty());
+    assert_eq!(bench.ended(1), r#"{"moved": 2}"#);
+}
+
+#[test]
+fn a_snapshot_replays_to_itself() {
+    let mut bench = Bench::new(&[]);
+    bench.accept(1, "plain", 3);
+    bench.accept(2, "once", 2);
+    bench.plan(10);
+    bench.log();
+    bench.call(0);
+    bench.report(0, vec![task(1, 2, 1, TaskState::Finished, 0)], 20);
+    bench.ledger.cancel(bench.record(2, "once", 1).id);
+    bench.log();
+    bench.log();
+    let snapshot = bench.ledger.snapshot();
+    let settings = LedgerSettings::default();
+    let replayed = Ledger::replay(SHARD, Epoch(3), &snapshot, settings, at(30));
+    assert_eq!(replayed.snapshot(), snapshot);
+}
+
+#[test]
+fn a_repeated_submission_is_one_job() {
+    let mut bench = Bench::new(&[]);
+    let record = bench.record(1, "plain", 1);
+    let other = bench.record(1, "plain", 2);
+    let mut submit = |record: &JobRecord| {
+        let placement = &bench.placement;
+        let submission = bench
+            .ledger
+            .submit(record.clone(), placement, None, at(0), Wall(0));
+        match &submission {
+            Submission::Log(change) => {
+                bench.ledger.commit(std::slice::from_ref(change));
+                "log".to_owned()
+            }
+            other => format!("{other:?}"),
+        }
+    };
+    let lines = [submit(&record), submit(&record), submit(&other)];
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn a_key_at_each_stage() {
+    let mut keys = Keys::default();
+    let mut lines = Vec::new();
+    let mut note = |when: &str, step: KeyStep| lines.push(format!("{when}: {step:?}"));
+    note("first", keys.begin(1, 5, Wall(0)));
+    note("while it is logged", keys.begin(1, 5, Wall(0)));
+    let intent = Change::KeyIntent {
+        key: 1,
+        digest: 5,
+        at: Wall(0),
+    };
+    keys.apply(&intent, false);
+    note("while it runs", keys.begin(1, 5, Wall(0)));
+    note("another request", keys.begin(1, 6, Wall(0)));
+    keys.end(1, &KeyOutcome::TooLarge);
+    note("after a large answer", keys.begin(1, 5, Wall(0)));
+    let mut taken_over = Keys::default();
+    taken_over.apply(&intent, true);
+    note("after a takeover", taken_over.begin(1, 5, Wall(0)));
+    taken_over.end(1, &KeyOutcome::NotRun);
+    note("after it did not run", taken_over.begin(1, 5, Wall(0)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn a_job_that_cannot_meet_its_deadline_is_refused_early() {
+    let mut bench = Bench::new(&[]);
+    let record = JobRecord {
+        deadline: Wall(5000),
+        ..bench.record(1, "plain", 100)
+    };
+    let placement = &bench.placement;
+    let submission = bench.ledger.submit(record, placement, None, at(0), Wall(0));
+    insta::assert_snapshot!(format!("{submission:?}"));
+}
+
+#[test]
+fn outcomes_have_their_own_names() {
+    let names: std::collections::BTreeSet<&str> =
+        Outcome::ALL.iter().map(|outcome| outcome.name()).collect();
+    assert_eq!(names.len(), Outcome::ALL.len());
+}
--- a/tests/fuzz.rs
+++ b/tests/fuzz/main.rs
@@ -3,6 +3,7 @@
 //! `LYCHEELOCK_FUZZ_CASES` gives the number of cases, `LYCHEELOCK_FUZZ_SEED`
 //! another seed.
 
+mod found;
 mod world;
 
 use proptest::prelude::*;
