Load tool: phases, policies, comparison with the direct way, slopes

Cause: the four measures, the added time of an entry host and the cost at the two-year size have to come from runs. Ruled out: an outside load generator; it would know nothing of the audit. A request that was passed on gives its slot back when it ends: with one heartbeat's count of free slots a fast service ran dry between heartbeats and waited 2 s.

--- a/src/bin/lycheelock/app.rs
+++ b/src/bin/lycheelock/app.rs
@@ -17,6 +17,8 @@
 #[cfg(feature = "standins")]
 use lycheelock::demo::{self, DemoSettings};
 #[cfg(feature = "standins")]
+use lycheelock::load::{self, DirectSettings, LoadSettings};
+#[cfg(feature = "standins")]
 use lycheelock::settings::{PlatformSettings, WorkerSettings};
 
 /// A command with its settings.
@@ -37,6 +39,12 @@
     #[cfg(feature = "standins")]
     Demo(DemoSettings),
     #[cfg(feature = "standins")]
+    Load(LoadSettings),
+    #[cfg(feature = "standins")]
+    Direct(DirectSettings),
+    #[cfg(feature = "standins")]
+    Slopes(bool),
+    #[cfg(feature = "standins")]
     Platform(PathBuf),
     #[cfg(feature = "standins")]
     Worker(PathBuf),
@@ -71,6 +79,8 @@
             #[cfg(feature = "standins")]
             "demo" => Command::Demo(demo_settings(sub)),
             #[cfg(feature = "standins")]
+            "load" => load(sub)?,
+            #[cfg(feature = "standins")]
             "standin" => standin(sub),
             other => unreachable!("the command line knows no {other:?}"),
         };
@@ -101,6 +111,12 @@
             #[cfg(feature = "standins")]
             Command::Demo(settings) => demo::run(&settings).await,
             #[cfg(feature = "standins")]
+            Command::Load(settings) => load::run(&settings).await,
+            #[cfg(feature = "standins")]
+            Command::Direct(settings) => load::compare_direct(&settings).await,
+            #[cfg(feature = "standins")]
+            Command::Slopes(json) => load::measure_slopes(json),
+            #[cfg(feature = "standins")]
             Command::Platform(path) => platform(&PlatformSettings::read(&path)?).await,
             #[cfg(feature = "standins")]
             Command::Worker(path) => worker(WorkerSettings::read(&path)?).await,
@@ -217,6 +233,35 @@
     }
 }
 
+#[cfg(feature = "standins")]
+fn load(matches: &ArgMatches) -> Result<Command> {
+    let json = matches.get_flag("json");
+    if matches.get_flag("slopes") {
+        return Ok(Command::Slopes(json));
+    }
+    if matches.get_flag("compare-direct") {
+        return Ok(Command::Direct(DirectSettings {
+            json,
+            ..DirectSettings::default()
+        }));
+    }
+    let fault = |name: &str| {
+        let name = format!("--{name}");
+        move |message| Error::Argument { name, message }
+    };
+    let policies = text(matches, "policies");
+    let policies: std::result::Result<Vec<Policy>, String> =
+        policies.split(',').map(str::parse).collect();
+    Ok(Command::Load(LoadSettings {
+        profile: text(matches, "profile").parse().map_err(fault("profile"))?,
+        policies: policies.map_err(fault("policies"))?,
+        span: span(matches, "span")?,
+        seed: matches.get_one("seed").copied().unwrap_or(1),
+        json,
+        plot: optional(matches, "plot").map(PathBuf::from),
+    }))
+}
+
 #[cfg(feature = "standins")]
 fn standin(matches: &ArgMatches) -> Command {
     let (name, sub) = matches.subcommand().expect("a subcommand is required");
--- a/src/bin/lycheelock/clap_app.rs
+++ b/src/bin/lycheelock/clap_app.rs
@@ -213,7 +213,7 @@
 
 #[cfg(feature = "standins")]
 fn standins() -> Vec<Command> {
-    vec![demo(), standin()]
+    vec![demo(), load(), standin()]
 }
 
 #[cfg(not(feature = "standins"))]
@@ -259,6 +259,61 @@
         .after_help("Example: lycheelock demo --questionnaire examples/rothar.ini")
 }
 
+#[cfg(feature = "standins")]
+fn load() -> Command {
+    Command::new("load")
+        .about("Run experiments: floods, noisy waves, failures, with one policy or several")
+        .arg(
+            Arg::new("profile")
+                .long("profile")
+                .value_name("NAME")
+                .default_value("nombrario")
+                .help("nombrario or rothar"),
+        )
+        .arg(
+            Arg::new("policies")
+                .long("policies")
+                .value_name("NAMES")
+                .default_value("shipped,baseline-random,baseline-fifo")
+                .help("The policies to compare, separated by commas"),
+        )
+        .arg(
+            Arg::new("span")
+                .long("span")
+                .value_name("SPAN")
+                .default_value("10s")
+                .help("How long each phase lasts"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("The seed of all choices"),
+        )
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .help("Write a plot, SVG"),
+        )
+        .arg(
+            Arg::new("compare-direct")
+                .long("compare-direct")
+                .action(ArgAction::SetTrue)
+                .help("Compare requests through an entry host with requests straight to a worker"),
+        )
+        .arg(
+            Arg::new("slopes")
+                .long("slopes")
+                .action(ArgAction::SetTrue)
+                .help("Measure what the decisions cost by workers and tasks"),
+        )
+        .arg(json())
+        .after_help("Example: lycheelock load --profile rothar --span 20s --plot load.svg")
+}
+
 #[cfg(feature = "standins")]
 fn standin() -> Command {
     Command::new("standin")
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -471,8 +471,9 @@
             return;
         }
         let shards = self.acting(now);
-        let free = self.placement.free_slots(&shards, now) as usize;
-        for key in self.dispatch.wake(free) {
+        let near = self.placement.free_slots(&shards, now);
+        let free = near + self.ownership.peer_slots(now);
+        for key in self.dispatch.wake(free as usize) {
             self.effects.push_back(Effect::Wake(key));
         }
     }
@@ -510,6 +511,12 @@
         self.note_pass(step)
     }
 
+    /// Notes that a request that was passed on has ended.
+    pub fn pass_ended(&mut self, host: HostId, now: Moment) {
+        self.ownership.give_free(host);
+        self.wake(now);
+    }
+
     fn note_pass(&mut self, step: Step) -> Step {
         if let Step::Pass(host) = step {
             self.ownership.take_free(host);
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -164,10 +164,14 @@
                     self.wait_woken(key, until).await;
                     self.decide(|core, now| core.next_step(key, now))
                 }
-                Step::Pass(host) => match self.pass_on(host, call, deadline).await {
-                    Passed::Served(served) => return served,
-                    Passed::Ended(end) => self.decide(|core, now| core.ended(key, end, now)),
-                },
+                Step::Pass(host) => {
+                    let passed = self.pass_on(host, call, deadline).await;
+                    self.decide(|core, now| core.pass_ended(host, now));
+                    match passed {
+                        Passed::Served(served) => return served,
+                        Passed::Ended(end) => self.decide(|core, now| core.ended(key, end, now)),
+                    }
+                }
                 Step::Send { worker, patience } => {
                     match self.attempt(worker, call, patience, deadline).await {
                         Tried::Served(served) => return served,
--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -102,6 +102,7 @@
         let task = &self.tasks[key];
         let job = &self.jobs[task.job];
         let (size, urgent) = (job.record.size, job.record.urgent);
+        let job_submitted = job.record.submitted;
         let idempotent = job.record.idempotent;
         if job.cancelled {
             self.end_task(key, Outcome::Cancelled);
@@ -125,7 +126,8 @@
             self.end_task(key, Outcome::NeverFit);
             return true;
         }
-        if urgent {
+        let waited = wall.0.saturating_sub(job_submitted.0);
+        if urgent && waited >= patience_before_eviction(placement.policy) {
             self.make_room(size, placement, now);
         }
         false
@@ -738,6 +740,15 @@
     }
 }
 
+/// How long urgent work waits for a task to end by itself before one is
+/// evicted, in milliseconds. Urgent work has to start within 1.4 s.
+const fn patience_before_eviction(policy: Policy) -> u64 {
+    match policy {
+        Policy::Shipped => 600,
+        Policy::Random | Policy::Fifo => 0,
+    }
+}
+
 fn running_key(state: &RunningTask) -> RunningKey {
     RunningKey {
         task: state.task,
--- /dev/null
+++ b/src/load/slopes.rs
@@ -0,0 +1,336 @@
+//! What the decisions cost at the size of two years from now.
+//!
+//! One entry host that owns a whole zone: 417 workers, 11,500 tasks, 200
+//! starts a second. Only the decisions run; stand-ins answer in memory.
+
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+use crate::configuration::{Class, Configuration, Size, Team, Zone};
+use crate::entry::{Core, CoreSettings, Effect};
+use crate::ids::{HostId, JobId, ShardId, WorkerKey};
+use crate::jobs::{JobSpec, Wall};
+use crate::moment::Moment;
+use crate::ownership::OwnershipSettings;
+use crate::platform::{HostState, ListedHost, StoreOp};
+use crate::standins::store::Store;
+use crate::standins::tasks::TaskModel;
+use crate::workers::{BootId, TICKET_LIFE};
+use crate::{Result, table};
+
+const SHARDS: u16 = 16;
+const TICK: Duration = Duration::from_millis(50);
+const SYNC_TICKS: u64 = 20;
+const TASKS_PER_JOB: u32 = 40;
+
+/// The figures of one size.
+#[derive(Debug, Clone, Serialize)]
+struct Slope {
+    workers: usize,
+    tasks: usize,
+    started: u64,
+    finished: u64,
+    cpu_seconds: f64,
+    virtual_seconds: f64,
+    core_percent: f64,
+    micros_per_start: f64,
+    sync_bytes_per_worker: f64,
+    store_writes_per_second: f64,
+    store_reads_per_second: f64,
+    log_bytes_per_second: f64,
+    snapshot_bytes: usize,
+}
+
+/// One zone in virtual time.
+struct Zoned {
+    core: Core,
+    store: Store,
+    models: Vec<TaskModel>,
+    keys: Vec<Option<WorkerKey>>,
+    now: Moment,
+    spent: Duration,
+    sync_bytes: u64,
+    log_bytes: u64,
+}
+
+/// Measures several sizes and prints a table and JSON lines.
+///
+/// # Errors
+///
+/// Does not fail.
+pub fn measure(json: bool) -> Result<bool> {
+    let sizes = [(50, 1400), (100, 2800), (209, 5750), (417, 11_500)];
+    let slopes: Vec<Slope> = sizes
+        .iter()
+        .map(|(workers, tasks)| run(*workers, *tasks))
+        .collect();
+    if json {
+        for slope in &slopes {
+            let text = serde_json::to_string(slope).expect("plain values have a JSON form");
+            println!("{text}");
+        }
+    } else {
+        println!("{}", show(&slopes));
+    }
+    Ok(true)
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        revision: 1,
+        zones: vec![Zone {
+            name: "a".to_owned(),
+            shards: SHARDS,
+        }],
+        classes: vec![Class {
+            name: "c".to_owned(),
+            deadline: Duration::from_secs(36_000),
+            duration: Duration::from_millis(57_500),
+            size: Size {
+                cores: 1000,
+                memory: 1000,
+                accelerators: 0,
+            },
+            overnight: false,
+            checkpoint: true,
+            idempotent: true,
+            urgent: false,
+            attempts: 5,
+        }],
+        teams: vec![Team {
+            name: "t".to_owned(),
+            token: "t".to_owned(),
+            requests: 1000,
+            tasks: 1_000_000,
+        }],
+        ..Configuration::default()
+    }
+}
+
+fn listed(number: usize) -> ListedHost {
+    ListedHost {
+        name: format!("w{number}"),
+        zone: "a".to_owned(),
+        rack: format!("r{}", number / 8),
+        address: "127.0.0.1:1".to_owned(),
+        state: HostState::Live,
+        size: Size {
+            cores: 32_000,
+            memory: 125_000,
+            accelerators: 2,
+        },
+        slots: 8,
+        connections: 64,
+    }
+}
+
+/// Brings a zone to its number of running tasks, then keeps it there for a
+/// minute of virtual time while the decisions are timed.
+fn run(workers: usize, tasks: usize) -> Slope {
+    let mut zone = Zoned::new(workers);
+    zone.run(Duration::from_secs(8));
+    let per_second = tasks as f64 / 57.5;
+    let mut submitted = 0.0;
+    let mut number = 0;
+    for second in 0..75 {
+        submitted += per_second;
+        while submitted >= f64::from(TASKS_PER_JOB) {
+            submitted -= f64::from(TASKS_PER_JOB);
+            number += 1;
+            zone.submit(number);
+        }
+        zone.run(Duration::from_secs(1));
+        if second == 59 {
+            zone.restart_counts();
+        }
+    }
+    zone.slope(workers, Duration::from_secs(15))
+}
+
+impl Zoned {
+    fn new(workers: usize) -> Self {
+        let room = listed(0).size;
+        let settings = CoreSettings {
+            ownership: OwnershipSettings {
+                zone: "a".to_owned(),
+                ..OwnershipSettings::default()
+            },
+            ..CoreSettings::default()
+        };
+        let mut core = Core::new(HostId(1), settings);
+        let now = Moment::from_micros(1_000_000);
+        core.on_configuration(configuration(), now);
+        let hosts: Vec<ListedHost> = (0..workers).map(listed).collect();
+        core.on_hosts(hosts, now);
+        let keys = (0..workers).map(|number| core.placement.find(&format!("w{number}")));
+        Self {
+            keys: keys.collect(),
+            core,
+            store: Store::default(),
+            models: (0..workers)
+                .map(|number| TaskModel::new(BootId(number as u64), room, TICKET_LIFE))
+                .collect(),
+            now,
+            spent: Duration::ZERO,
+            sync_bytes: 0,
+            log_bytes: 0,
+        }
+    }
+
+    fn wall(&self) -> Wall {
+        Wall(self.now.as_micros() / 1000)
+    }
+
+    fn submit(&mut self, number: u64) {
+        let configuration = configuration();
+        let spec = JobSpec {
+            class: "c".to_owned(),
+            tasks: TASKS_PER_JOB,
+            payload: String::new(),
+            deadline_ms: None,
+            size: None,
+            duration_ms: None,
+        };
+        let holders = self.core.holders(configuration.classes[0].size);
+        let shard = holders[number as usize % holders.len()];
+        let id = JobId { shard, number };
+        let record = spec.record(id, "t", &configuration.classes[0], self.wall());
+        let (now, wall) = (self.now, self.wall());
+        let begun = Instant::now();
+        self.core.submit(record, now, wall);
+        self.spent += begun.elapsed();
+    }
+
+    fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + TICK;
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        let (now, wall) = (self.now, self.wall());
+        let begun = Instant::now();
+        self.core.tick(now, wall);
+        self.spent += begun.elapsed();
+        self.carry_out();
+        let turn = now.as_micros() / TICK.as_micros() as u64 % SYNC_TICKS;
+        for number in 0..self.models.len() {
+            if number as u64 % SYNC_TICKS == turn {
+                self.sync(number);
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        while let Some(effect) = self.core.next_effect() {
+            if let Effect::Store { call, op } = effect {
+                if let StoreOp::Put { value, .. } = &op {
+                    self.log_bytes += value.len() as u64;
+                }
+                let reply = self.store.call(op, self.now);
+                let begun = Instant::now();
+                self.core.on_store(call, Some(reply), self.now);
+                self.spent += begun.elapsed();
+            }
+        }
+    }
+
+    fn sync(&mut self, number: usize) {
+        let Some(key) = self.keys[number] else {
+            return;
+        };
+        let begun = Instant::now();
+        let call = self.core.sync_call(key, self.now);
+        self.spent += begun.elapsed();
+        let Some(call) = call else {
+            return;
+        };
+        let reply = self.models[number].sync(&call.request, &[], |_| false, self.now);
+        self.sync_bytes += json_bytes(&call.request) + json_bytes(&reply);
+        let begun = Instant::now();
+        self.core.on_sync(key, &call.request, Some(reply), self.now);
+        self.spent += begun.elapsed();
+        self.carry_out();
+    }
+
+    fn restart_counts(&mut self) {
+        self.spent = Duration::ZERO;
+        self.sync_bytes = 0;
+        self.log_bytes = 0;
+        self.store.writes = 0;
+        self.store.reads = 0;
+        for shard in 0..SHARDS {
+            if let Some(ledger) = self.core.ledger_mut(ShardId(shard)) {
+                ledger.started = 0;
+                ledger.finished = 0;
+            }
+        }
+    }
+
+    fn slope(mut self, workers: usize, span: Duration) -> Slope {
+        let counts = self.core.task_counts();
+        let now = self.now;
+        let tasks = self.models.iter_mut().map(|model| model.running(now)).sum();
+        let seconds = span.as_secs_f64();
+        let cpu = self.spent.as_secs_f64();
+        let snapshots = (0..SHARDS).filter_map(|shard| self.core.ledger(ShardId(shard)));
+        let snapshot_bytes = snapshots
+            .map(|ledger| json_bytes(&ledger.snapshot()) as usize)
+            .sum();
+        Slope {
+            workers,
+            tasks,
+            started: counts.started,
+            finished: counts.finished,
+            cpu_seconds: cpu,
+            virtual_seconds: seconds,
+            core_percent: cpu / seconds * 100.0,
+            micros_per_start: cpu * 1e6 / counts.started.max(1) as f64,
+            sync_bytes_per_worker: self.sync_bytes as f64 / seconds / workers as f64,
+            store_writes_per_second: self.store.writes as f64 / seconds,
+            store_reads_per_second: self.store.reads as f64 / seconds,
+            log_bytes_per_second: self.log_bytes as f64 / seconds,
+            snapshot_bytes,
+        }
+    }
+}
+
+fn json_bytes<T: Serialize>(value: &T) -> u64 {
+    serde_json::to_vec(value).map_or(0, |bytes| bytes.len() as u64)
+}
+
+fn show(slopes: &[Slope]) -> String {
+    let rows: Vec<Vec<String>> = slopes
+        .iter()
+        .map(|slope| {
+            vec![
+                slope.workers.to_string(),
+                slope.tasks.to_string(),
+                format!("{:.0}", slope.started as f64 / slope.virtual_seconds),
+                format!("{:.1} %", slope.core_percent),
+                format!("{:.0}", slope.micros_per_start),
+                format!("{:.0}", slope.sync_bytes_per_worker),
+                format!("{:.1}", slope.store_writes_per_second),
+                format!("{:.1}", slope.store_reads_per_second),
+                format!("{:.0}", slope.log_bytes_per_second),
+                slope.snapshot_bytes.to_string(),
+            ]
+        })
+        .collect();
+    let header = [
+        "workers",
+        "tasks running",
+        "starts/s",
+        "of a core",
+        "us/start",
+        "sync B/s a worker",
+        "store writes/s",
+        "store reads/s",
+        "log B/s",
+        "snapshot B",
+    ];
+    table::render(&header, &rows)
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -30,7 +30,7 @@
     };
     let config = Config::builder()
         .appender(Appender::builder().build("out", appender))
-        .logger(Logger::builder().build("rocket", LevelFilter::Warn))
+        .logger(Logger::builder().build("rocket", LevelFilter::Error))
         .logger(Logger::builder().build("_", LevelFilter::Off))
         .build(Root::builder().appender("out").build(level))
         .map_err(|error| Error::Log(error.to_string()))?;
--- a/src/ownership/machine.rs
+++ b/src/ownership/machine.rs
@@ -357,6 +357,20 @@
         }
     }
 
+    /// Notes that a request that was passed on has ended.
+    pub fn give_free(&mut self, host: HostId) {
+        if let Some(peer) = self.peers.get_mut(&host) {
+            peer.free += 1;
+        }
+    }
+
+    /// Free slots of the freest peer of this zone.
+    pub fn peer_slots(&self, now: Moment) -> u32 {
+        let freest = self.freest_peer(now);
+        let peer = freest.and_then(|host| self.peers.get(&host));
+        peer.map_or(0, |peer| peer.free)
+    }
+
     /// Hosts whose configuration is newer than `revision`.
     pub fn ahead(&self, revision: u64, now: Moment) -> Option<HostId> {
         let mut heard = self
--- a/src/standins/tasks.rs
+++ b/src/standins/tasks.rs
@@ -91,6 +91,8 @@
     needed: u64,
     fails: bool,
     throttle: u32,
+    /// How much of its declared size it really uses, in percent.
+    noise: u32,
     forgotten: bool,
 }
 
@@ -160,7 +162,7 @@
     pub fn load(&self) -> u32 {
         let running = self.tasks.iter().filter(|task| !task.state.ended());
         let used: u32 = running
-            .map(|task| task.start.size.cores * task.throttle / 100)
+            .map(|task| task.start.size.cores * task.throttle / 100 * task.noise / 100)
             .sum();
         used * 100 / self.room.cores.max(1)
     }
@@ -333,6 +335,7 @@
             needed,
             fails: start.payload.contains("fail"),
             throttle: 100,
+            noise: payload_number(&start.payload, "noise=").unwrap_or(100) as u32,
             forgotten: false,
         }
     }
