--- a/src/ids.rs
+++ b/src/ids/mod.rs
@@ -1,5 +1,9 @@
 //! The identifiers that processes exchange, and the keys of the arenas.
 
+#[cfg(test)]
+mod tests;
+mod text;
+
 use std::fmt;
 use std::str::FromStr;
 
@@ -42,7 +46,7 @@
 pub struct Epoch(pub u32);
 
 /// A job: its home shard and a number that is unique within the shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobId {
     /// The shard whose log holds the job.
     pub shard: ShardId,
@@ -51,7 +55,7 @@
 }
 
 /// A task of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
     /// The job.
     pub job: JobId,
@@ -61,9 +65,7 @@
 
 /// One attempt at a task. The epoch of the owner that started it makes
 /// attempts of successive owners grow without a log write for each start.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Attempt {
     /// The epoch of the owner that started the attempt.
     pub epoch: Epoch,
@@ -72,7 +74,7 @@
 }
 
 /// An interactive request at a worker. Never used twice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId {
     /// The entry process that sent it.
     pub host: HostId,
@@ -133,6 +135,12 @@
     }
 }
 
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.epoch, self.count)
+    }
+}
+
 impl fmt::Display for RequestId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}-{}", self.host, self.number)
@@ -153,6 +161,32 @@
     }
 }
 
+impl FromStr for TaskId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let fault = || ParseIdError::new(text, "a task id such as s3-00000000000000ff.0");
+        let (job, index) = text.split_once('.').ok_or_else(fault)?;
+        Ok(Self {
+            job: job.parse()?,
+            index: index.parse().map_err(|_| fault())?,
+        })
+    }
+}
+
+impl FromStr for Attempt {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let fault = || ParseIdError::new(text, "an attempt such as 2/7");
+        let (epoch, count) = text.split_once('/').ok_or_else(fault)?;
+        Ok(Self {
+            epoch: Epoch(epoch.parse().map_err(|_| fault())?),
+            count: count.parse().map_err(|_| fault())?,
+        })
+    }
+}
+
 impl FromStr for RequestId {
     type Err = ParseIdError;
 
