The decision that finds a slot free takes it; shards keep within a megabyte

Cause: three findings. The interactive flood of lycheelock load gave workers more requests than slots (125 to 200 times in 10 s): a slot was found free in one decision and taken in the next. A deadline near the end of the number range overflowed. Ruled out: counting on the worker's own refusal, which the users exclude; keeping answers under keys of their own, a write more for each request.

Owners call workers sooner while short tasks run and others wait.

--- a/src/bin/lycheelock/app.rs
+++ b/src/bin/lycheelock/app.rs
@@ -17,7 +17,7 @@
 #[cfg(feature = "standins")]
 use lycheelock::demo::{self, DemoSettings};
 #[cfg(feature = "standins")]
-use lycheelock::load::{self, DirectSettings, LoadSettings};
+use lycheelock::load::{self, DirectSettings, LoadSettings, Phase};
 #[cfg(feature = "standins")]
 use lycheelock::settings::{PlatformSettings, WorkerSettings};
 
@@ -252,9 +252,18 @@
     let policies = text(matches, "policies");
     let policies: std::result::Result<Vec<Policy>, String> =
         policies.split(',').map(str::parse).collect();
+    let phases = match optional(matches, "phases") {
+        None => Phase::ALL.to_vec(),
+        Some(names) => names
+            .split(',')
+            .map(|name| Phase::find(name).ok_or_else(|| format!("{name:?} is no phase")))
+            .collect::<std::result::Result<Vec<Phase>, String>>()
+            .map_err(fault("phases"))?,
+    };
     Ok(Command::Load(LoadSettings {
         profile: text(matches, "profile").parse().map_err(fault("profile"))?,
         policies: policies.map_err(fault("policies"))?,
+        phases,
         span: span(matches, "span")?,
         seed: matches.get_one("seed").copied().unwrap_or(1),
         json,
--- a/src/bin/lycheelock/clap_app.rs
+++ b/src/bin/lycheelock/clap_app.rs
@@ -277,6 +277,12 @@
                 .default_value("shipped,baseline-random,baseline-fifo")
                 .help("The policies to compare, separated by commas"),
         )
+        .arg(
+            Arg::new("phases")
+                .long("phases")
+                .value_name("NAMES")
+                .help("Only these phases, such as calm,batch-flood"),
+        )
         .arg(
             Arg::new("span")
                 .long("span")
--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -17,6 +17,8 @@
 const NO_WORKER_WAIT: Duration = Duration::from_secs(2);
 /// The most requests that wait, whatever their deadlines.
 const MOST_WAITING: usize = 20_000;
+/// An attempt is given this many times the mean time of an answer.
+const PATIENT_TIMES: f64 = 4.0;
 /// The shortest time that an attempt is given before another is tried.
 const LEAST_PATIENCE: Duration = Duration::from_millis(250);
 
@@ -173,7 +175,10 @@
         let left = now.until(call.arrival.deadline);
         let patience = match call.arrival.once {
             true => left,
-            false => (left / 2).max(LEAST_PATIENCE).min(left),
+            false => (left / 2)
+                .max(LEAST_PATIENCE)
+                .max(Duration::from_secs_f64(self.service_time * PATIENT_TIMES))
+                .min(left),
         };
         Step::Send { worker, patience }
     }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -140,6 +140,9 @@
     next_maintenance: Moment,
 }
 
+/// Between two calls to a worker that nothing hurries.
+const LONGEST_SYNC_GAP: Duration = Duration::from_secs(1);
+const SHORTEST_SYNC_GAP: Duration = Duration::from_millis(100);
 const MAINTENANCE_GAP: Duration = Duration::from_millis(200);
 
 impl Core {
@@ -434,6 +437,17 @@
         })
     }
 
+    /// How long the next call to a worker may wait if nothing hurries it.
+    pub fn sync_gap(&self, key: WorkerKey) -> Duration {
+        let shard = self.placement.get(key).map(|worker| worker.shard);
+        let ledger = shard.and_then(|shard| self.ledgers.get(&shard));
+        ledger.map_or(LONGEST_SYNC_GAP, |ledger| {
+            ledger
+                .expected_end(key)
+                .clamp(SHORTEST_SYNC_GAP, LONGEST_SYNC_GAP)
+        })
+    }
+
     /// Takes a worker's answer; none if there was none in time.
     pub fn on_sync(
         &mut self,
@@ -481,12 +495,12 @@
     /// Takes an interactive request and decides what happens first.
     pub fn arrive(&mut self, arrival: Arrival, now: Moment) -> Arrived {
         let key = self.dispatch.arrive(arrival);
-        let step = self.next_step(key, now);
-        Arrived { key, step }
+        let next = self.next_step(key, now);
+        Arrived { key, next }
     }
 
     /// Decides what happens to a request that was woken.
-    pub fn next_step(&mut self, key: AttemptKey, now: Moment) -> Step {
+    pub fn next_step(&mut self, key: AttemptKey, now: Moment) -> Next {
         let shards = self.acting(now);
         let peer = self.ownership.freest_peer(now);
         let mut ground = Ground {
@@ -495,11 +509,11 @@
             peer,
         };
         let step = self.dispatch.next(key, &mut ground, now);
-        self.note_pass(step)
+        self.reserve(step, now)
     }
 
     /// Decides what follows an attempt without an answer.
-    pub fn ended(&mut self, key: AttemptKey, end: End, now: Moment) -> Step {
+    pub fn ended(&mut self, key: AttemptKey, end: End, now: Moment) -> Next {
         let shards = self.acting(now);
         let peer = self.ownership.freest_peer(now);
         let mut ground = Ground {
@@ -508,7 +522,7 @@
             peer,
         };
         let step = self.dispatch.ended(key, end, &mut ground, now);
-        self.note_pass(step)
+        self.reserve(step, now)
     }
 
     /// Notes that a request that was passed on has ended.
@@ -517,16 +531,27 @@
         self.wake(now);
     }
 
-    fn note_pass(&mut self, step: Step) -> Step {
-        if let Step::Pass(host) = step {
-            self.ownership.take_free(host);
+    /// Takes the slot that a step needs, in the same decision that found it free.
+    fn reserve(&mut self, step: Step, now: Moment) -> Next {
+        match step {
+            Step::Refuse(kind) => Next::Refuse(kind),
+            Step::Wait(until) => Next::Wait(until),
+            Step::Pass(host) => {
+                self.ownership.take_free(host);
+                Next::Pass(host)
+            }
+            Step::Send { worker, patience } => match self.begin_attempt(worker, now) {
+                Some(attempted) => Next::Send {
+                    worker,
+                    patience,
+                    attempted,
+                },
+                None => Next::Refuse(ErrorKind::NoWorker),
+            },
         }
-        step
     }
 
-    /// Counts an attempt at a worker just before it is sent; none if this
-    /// host may not act for the worker's shard any more.
-    pub fn begin_attempt(&mut self, worker: WorkerKey, now: Moment) -> Option<Attempted> {
+    fn begin_attempt(&mut self, worker: WorkerKey, now: Moment) -> Option<Attempted> {
         let found = self.placement.get(worker)?;
         let shard = found.shard;
         let address = found.address.clone();
@@ -692,7 +717,7 @@
     }
 
     /// Notes the outcome of a keyed request.
-    pub fn end_key(&mut self, shard: ShardId, key: u64, outcome: &KeyOutcome, now: Moment) {
+    pub fn end_key(&mut self, shard: ShardId, key: u64, outcome: KeyOutcome, now: Moment) {
         if let Some(ledger) = self.ledgers.get_mut(&shard) {
             let change = ledger.keys.end(key, outcome);
             self.ownership.append(shard, vec![change]);
@@ -750,12 +775,32 @@
 }
 
 /// A request that was taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Arrived {
     /// Its key.
     pub key: AttemptKey,
     /// What happens first.
-    pub step: Step,
+    pub next: Next,
+}
+
+/// What happens to a request next, with its slot taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Send it to this worker, and give up after this time.
+    Send {
+        /// The worker.
+        worker: WorkerKey,
+        /// How long the attempt may take.
+        patience: Duration,
+        /// The attempt, which counts against the worker's slots.
+        attempted: Attempted,
+    },
+    /// Pass it on to this entry host.
+    Pass(HostId),
+    /// Wait to be woken, at most until this point.
+    Wait(Moment),
+    /// Answer with a refusal.
+    Refuse(ErrorKind),
 }
 
 /// An attempt that may be sent.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,8 +6,11 @@
 mod node;
 mod serve;
 mod tasks;
+#[cfg(test)]
+mod tests;
 
 pub use core::{
-    Arrived, Attempted, Core, CoreSettings, Effect, Home, LogResult, SyncCall, TaskCounts, Token,
+    Arrived, Attempted, Core, CoreSettings, Effect, Home, LogResult, Next, SyncCall, TaskCounts,
+    Token,
 };
 pub use node::{Node, Started};
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -5,10 +5,10 @@
 
 use tokio::time::timeout;
 
-use super::core::{Attempted, Home, LogResult, Token};
+use super::core::{Attempted, Home, LogResult, Next, Token};
 use super::node::Node;
 use crate::counters::Count;
-use crate::dispatch::{Arrival, End, Step};
+use crate::dispatch::{Arrival, End};
 use crate::ids::{AttemptKey, HostId, WorkerKey, stable_hash};
 use crate::jobs::{KeptAnswer, KeyOutcome, KeyStep, Wall};
 use crate::kind::{ErrorKind, Refusal, Run};
@@ -90,7 +90,7 @@
         }
         let served = self.serve_here(call).await;
         let outcome = self.outcome(&served);
-        self.decide(|core, now| core.end_key(key.shard, key.key, &outcome, now));
+        self.decide(|core, now| core.end_key(key.shard, key.key, outcome, now));
         served
     }
 
@@ -105,7 +105,7 @@
             None => {
                 // The intent may still be logged; the key is then free again.
                 let outcome = KeyOutcome::NotRun;
-                self.decide(|core, now| core.end_key(key.shard, key.key, &outcome, now));
+                self.decide(|core, now| core.end_key(key.shard, key.key, outcome, now));
             }
         }
         let message = "the intent could not be logged; nothing was sent";
@@ -140,7 +140,7 @@
         };
         let deadline = arrival.deadline;
         let arrived = self.decide(|core, now| core.arrive(arrival, now));
-        let served = self.follow(arrived.key, arrived.step, call, deadline).await;
+        let served = self.follow(arrived.key, arrived.next, call, deadline).await;
         self.decide(|core, _| core.dispatch.finish(arrived.key));
         self.forget_wait(arrived.key);
         served
@@ -149,22 +149,22 @@
     async fn follow(
         self: &Arc<Self>,
         key: AttemptKey,
-        first: Step,
+        first: Next,
         call: &ServeCall,
         deadline: Moment,
     ) -> Served {
-        let mut step = first;
+        let mut next = first;
         let mut failure = None;
         loop {
-            step = match step {
-                Step::Refuse(kind) => {
+            next = match next {
+                Next::Refuse(kind) => {
                     return failure.ok_or_else(|| refusal(kind, &call.service));
                 }
-                Step::Wait(until) => {
+                Next::Wait(until) => {
                     self.wait_woken(key, until).await;
                     self.decide(|core, now| core.next_step(key, now))
                 }
-                Step::Pass(host) => {
+                Next::Pass(host) => {
                     let passed = self.pass_on(host, call, deadline).await;
                     self.decide(|core, now| core.pass_ended(host, now));
                     match passed {
@@ -172,8 +172,13 @@
                         Passed::Ended(end) => self.decide(|core, now| core.ended(key, end, now)),
                     }
                 }
-                Step::Send { worker, patience } => {
-                    match self.attempt(worker, call, patience, deadline).await {
+                Next::Send {
+                    worker,
+                    patience,
+                    attempted,
+                } => {
+                    let tried = self.attempt(worker, attempted, call, patience, deadline);
+                    match tried.await {
                         Tried::Served(served) => return served,
                         Tried::Failed(answer) => {
                             failure = Some(answer);
@@ -189,14 +194,12 @@
     async fn attempt(
         self: &Arc<Self>,
         worker: WorkerKey,
+        attempted: Attempted,
         call: &ServeCall,
         patience: Duration,
         deadline: Moment,
     ) -> Tried {
         let begun = Moment::now();
-        let Some(attempted) = self.decide(|core, now| core.begin_attempt(worker, now)) else {
-            return Tried::Ended(End::NotSent);
-        };
         let limit = self.settings.limits.answer;
         let client = WorkerClient::new(self.http.clone(), &attempted.address, limit);
         let end = client.attempt(request(&attempted, call, patience)).await;
--- a/src/entry/tasks.rs
+++ b/src/entry/tasks.rs
@@ -21,8 +21,6 @@
 const HOSTS_POLL: Duration = Duration::from_secs(1);
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 const RETRY: Duration = Duration::from_millis(300);
-/// Between two calls to a worker that nothing hurries.
-const SYNC_GAP: Duration = Duration::from_secs(1);
 /// The shortest time between two calls to a worker.
 const SYNC_PAUSE: Duration = Duration::from_millis(20);
 /// How long a peer that is neither announced nor connected is dialled.
@@ -250,7 +248,8 @@
             node.decide(|core, now| core.on_sync(key, &call.request, reply, now));
             sleep(SYNC_PAUSE).await;
         }
-        let _ = timeout(SYNC_GAP, wake.notified()).await;
+        let gap = node.look(|core, _| core.sync_gap(key));
+        let _ = timeout(gap, wake.notified()).await;
     }
     let mut wakes = node.worker_wakes.lock().expect("no panic while locked");
     wakes.remove(key);
--- /dev/null
+++ b/src/entry/tests.rs
@@ -0,0 +1,118 @@
+//! The decisions of one entry host together.
+
+use std::time::Duration;
+
+use super::core::{Core, CoreSettings, Effect, Next};
+use crate::configuration::{Configuration, Size, Zone};
+use crate::dispatch::Arrival;
+use crate::ids::HostId;
+use crate::jobs::Wall;
+use crate::moment::Moment;
+use crate::ownership::OwnershipSettings;
+use crate::platform::{HostState, ListedHost};
+use crate::standins::store::Store;
+use crate::standins::tasks::TaskModel;
+use crate::workers::{BootId, TICKET_LIFE};
+
+const ROOM: Size = Size {
+    cores: 1000,
+    memory: 1000,
+    accelerators: 0,
+};
+
+/// An entry host that commands one worker of two slots, and the time.
+fn ready() -> (Core, Moment) {
+    let settings = CoreSettings {
+        ownership: OwnershipSettings {
+            zone: "z".to_owned(),
+            ..OwnershipSettings::default()
+        },
+        ..CoreSettings::default()
+    };
+    let mut core = Core::new(HostId(1), settings);
+    let mut store = Store::default();
+    let mut model = TaskModel::new(BootId(1), ROOM, TICKET_LIFE);
+    let mut now = Moment::from_micros(1_000_000);
+    let configuration = Configuration {
+        revision: 1,
+        zones: vec![Zone {
+            name: "z".to_owned(),
+            shards: 1,
+        }],
+        ..Configuration::default()
+    };
+    core.on_configuration(configuration, now);
+    let host = ListedHost {
+        name: "w".to_owned(),
+        zone: "z".to_owned(),
+        rack: "r".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        state: HostState::Live,
+        size: ROOM,
+        slots: 2,
+        connections: 8,
+    };
+    core.on_hosts(vec![host], now);
+    let key = core.placement.find("w").unwrap();
+    for _ in 0..60 {
+        now = now + Duration::from_millis(50);
+        core.tick(now, Wall(0));
+        while let Some(effect) = core.next_effect() {
+            if let Effect::Store { call, op } = effect {
+                let reply = store.call(op, now);
+                core.on_store(call, Some(reply), now);
+            }
+        }
+        if let Some(call) = core.sync_call(key, now) {
+            let reply = model.sync(&call.request, &[], |_| false, now);
+            core.on_sync(key, &call.request, Some(reply), now);
+        }
+    }
+    (core, now)
+}
+
+/// The load tool found workers with more requests than slots: the slot was
+/// found free in one decision and taken in another.
+#[test]
+fn the_decision_that_finds_a_slot_free_takes_it() {
+    let (mut core, now) = ready();
+    let arrival = Arrival {
+        service: "s".to_owned(),
+        deadline: now + Duration::from_secs(5),
+        once: false,
+        passed: false,
+    };
+    let steps: Vec<&str> = (0..4)
+        .map(|_| match core.arrive(arrival.clone(), now).next {
+            Next::Send { .. } => "send",
+            Next::Wait(_) => "wait",
+            Next::Pass(_) => "pass",
+            Next::Refuse(_) => "refuse",
+        })
+        .collect();
+    assert_eq!(steps, ["send", "send", "wait", "wait"]);
+}
+
+#[test]
+fn a_freed_slot_wakes_the_next_request() {
+    let (mut core, now) = ready();
+    let arrival = Arrival {
+        service: "s".to_owned(),
+        deadline: now + Duration::from_secs(5),
+        once: false,
+        passed: false,
+    };
+    let first = core.arrive(arrival.clone(), now);
+    core.arrive(arrival.clone(), now);
+    let waiting = core.arrive(arrival, now);
+    let Next::Send {
+        worker, attempted, ..
+    } = first.next
+    else {
+        panic!("{first:?}");
+    };
+    core.free_attempt(worker, attempted.id, now);
+    let effects = std::iter::from_fn(|| core.next_effect());
+    let woken = effects.filter(|effect| *effect == Effect::Wake(waiting.key));
+    assert_eq!(woken.count(), 1);
+}
--- a/src/jobs/account.rs
+++ b/src/jobs/account.rs
@@ -179,11 +179,12 @@
                 TaskStage::Intending { .. }
                 | TaskStage::Placed { .. }
                 | TaskStage::Ending { .. } => view.running += 1,
-                TaskStage::Ended { outcome } => {
-                    *view.ended.entry(outcome.name().to_owned()).or_default() += 1;
-                }
+                TaskStage::Ended { .. } => {}
             }
         }
+        for (outcome, count) in &job.ended {
+            view.ended.insert(outcome.name().to_owned(), *count);
+        }
         if !view.is_ended() {
             view.late = self.is_late(job, placement, now, wall);
         }
--- a/src/jobs/change.rs
+++ b/src/jobs/change.rs
@@ -1,5 +1,7 @@
 //! The changes that a shard's log holds.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use super::Wall;
@@ -34,6 +36,24 @@
         /// How.
         outcome: Outcome,
     },
+    /// Tasks ended for good; in snapshots, one for all with the same outcome.
+    EndedAll {
+        /// The job.
+        job: JobId,
+        /// How.
+        outcome: Outcome,
+        /// The tasks, by index.
+        tasks: Vec<u32>,
+    },
+    /// A job whose tasks have all ended, with their outcomes; in snapshots.
+    Closed {
+        /// The job.
+        record: Box<JobRecord>,
+        /// Whether it was cancelled.
+        cancelled: bool,
+        /// How many tasks ended in which way.
+        ended: BTreeMap<Outcome, u32>,
+    },
     /// A job was cancelled.
     Cancelled {
         /// The job.
@@ -203,6 +223,16 @@
     Unknown,
 }
 
+impl KeyOutcome {
+    /// The bytes that its kept answer takes in the log.
+    pub fn weight(&self) -> usize {
+        match self {
+            Self::Answered(answer) => answer.weight(),
+            Self::TooLarge | Self::NotRun | Self::Unknown => 0,
+        }
+    }
+}
+
 /// The answer of a keyed request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptAnswer {
@@ -214,3 +244,14 @@
     #[serde(with = "crate::bytes")]
     pub body: Vec<u8>,
 }
+
+impl KeptAnswer {
+    /// Its bytes in the log: two hexadecimal digits for each byte of the body.
+    fn weight(&self) -> usize {
+        let headers = self
+            .headers
+            .iter()
+            .map(|line| line.name.len() + line.value.len() + 24);
+        headers.sum::<usize>() + self.body.len() * 2
+    }
+}
--- a/src/jobs/keys.rs
+++ b/src/jobs/keys.rs
@@ -28,6 +28,15 @@
     Ended(KeyOutcome),
 }
 
+impl KeyState {
+    fn answer_weight(&self) -> usize {
+        match &self.stage {
+            KeyStage::Ended(outcome) => outcome.weight(),
+            KeyStage::Asked | KeyStage::Running | KeyStage::Orphaned => 0,
+        }
+    }
+}
+
 /// What to do with a keyed request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum KeyStep {
@@ -39,10 +48,18 @@
     Refuse(Refusal),
 }
 
+/// About how many bytes of a snapshot a key takes without its answer.
+const KEY_WEIGHT: usize = 220;
+/// A shard keeps at most this much of keys and answers; then answers are not
+/// kept, and then requests with new keys are refused.
+const MOST_WEIGHT: usize = 300_000;
+
 /// The keys of one shard.
 #[derive(Debug, Default)]
 pub struct Keys {
     states: BTreeMap<u64, KeyState>,
+    /// The bytes of all kept answers.
+    answers: usize,
 }
 
 impl Keys {
@@ -57,6 +74,10 @@
     /// ```
     pub fn begin(&mut self, key: u64, digest: u64, at: Wall) -> KeyStep {
         let Some(state) = self.states.get(&key) else {
+            if self.states.len() * KEY_WEIGHT >= MOST_WEIGHT {
+                let message = "the shard of this key keeps as many keys as it can";
+                return KeyStep::Refuse(Refusal::new(ErrorKind::Overloaded, message));
+            }
             self.states.insert(
                 key,
                 KeyState {
@@ -86,17 +107,26 @@
     }
 
     /// Notes an outcome before it is logged, so that a repeat gets it at once.
-    pub fn end(&mut self, key: u64, outcome: &KeyOutcome) -> Change {
-        self.set_outcome(key, outcome);
-        Change::KeyEnded {
-            key,
-            outcome: outcome.clone(),
-        }
+    pub fn end(&mut self, key: u64, outcome: KeyOutcome) -> Change {
+        let weight = outcome.weight();
+        let outcome = match weight > 0 && self.weight() + weight > MOST_WEIGHT {
+            true => KeyOutcome::TooLarge,
+            false => outcome,
+        };
+        self.set_outcome(key, &outcome);
+        Change::KeyEnded { key, outcome }
+    }
+
+    /// About how many bytes of a snapshot the keys and answers take.
+    pub fn weight(&self) -> usize {
+        self.states.len() * KEY_WEIGHT + self.answers
     }
 
     /// Drops a key whose intent was never logged.
     pub fn forget(&mut self, key: u64) {
-        self.states.remove(&key);
+        if let Some(state) = self.states.remove(&key) {
+            self.answers -= state.answer_weight();
+        }
     }
 
     /// Takes a change that stands in the log.
@@ -113,21 +143,22 @@
                     stage,
                     dropping: false,
                 };
+                self.forget(*key);
                 self.states.insert(*key, state);
             }
             Change::KeyEnded { key, outcome } => self.set_outcome(*key, outcome),
-            Change::KeyDropped { key } => {
-                self.states.remove(key);
-            }
+            Change::KeyDropped { key } => self.forget(*key),
             _ => {}
         }
     }
 
     fn set_outcome(&mut self, key: u64, outcome: &KeyOutcome) {
         if *outcome == KeyOutcome::NotRun {
-            self.states.remove(&key);
+            self.forget(key);
         } else if let Some(state) = self.states.get_mut(&key) {
+            self.answers -= state.answer_weight();
             state.stage = KeyStage::Ended(outcome.clone());
+            self.answers += state.answer_weight();
         }
     }
 
--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -39,7 +39,7 @@
             margin: Duration::from_millis(500),
             delay: Duration::from_millis(200),
             keep_jobs: 24 * 3600 * 1000,
-            keep_keys: 3600 * 1000,
+            keep_keys: 900 * 1000,
         }
     }
 }
@@ -59,6 +59,8 @@
     pub tasks: Vec<TaskKey>,
     pub cancelled: bool,
     pub open: u32,
+    /// The outcomes of the tasks that ended.
+    pub ended: BTreeMap<Outcome, u32>,
     pub ended_at: Option<Wall>,
     /// Since when no worker of the shard could hold a task.
     pub homeless: Option<Moment>,
@@ -81,6 +83,10 @@
     pub at: Wall,
 }
 
+/// About how many bytes of a snapshot a job and a task take.
+const JOB_WEIGHT: usize = 450;
+const TASK_WEIGHT: usize = 20;
+
 /// The order in which waiting tasks are started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
@@ -250,13 +256,7 @@
             })
             .collect();
         for job in self.jobs.values() {
-            changes.push(Change::Accepted(Box::new(job.record.clone())));
-            if job.cancelled {
-                changes.push(Change::Cancelled { job: job.record.id });
-            }
-            let tasks = job.tasks.iter().map(|key| &self.tasks[*key]);
-            changes.extend(tasks.flat_map(task_changes));
-            changes.extend(self.move_changes(job));
+            changes.extend(self.job_changes(job));
         }
         changes.extend(self.redirects.values().map(|redirect| Change::Redirected {
             job: redirect.job,
@@ -267,6 +267,41 @@
         changes
     }
 
+    fn job_changes(&self, job: &Job) -> Vec<Change> {
+        if job.open == 0 && job.moves.is_empty() {
+            return vec![Change::Closed {
+                record: Box::new(job.record.clone()),
+                cancelled: job.cancelled,
+                ended: job.ended.clone(),
+            }];
+        }
+        let mut changes = vec![Change::Accepted(Box::new(job.record.clone()))];
+        if job.cancelled {
+            changes.push(Change::Cancelled { job: job.record.id });
+        }
+        let tasks = job.tasks.iter().map(|key| &self.tasks[*key]);
+        changes.extend(tasks.flat_map(task_changes));
+        // Moved tasks are ended by the move itself.
+        for outcome in job
+            .ended
+            .keys()
+            .filter(|outcome| **outcome != Outcome::Moved)
+        {
+            let same = |key: &&TaskKey| match self.tasks[**key].stage {
+                TaskStage::Ended { outcome: own } => own == *outcome,
+                _ => false,
+            };
+            let tasks = job.tasks.iter().filter(same);
+            changes.push(Change::EndedAll {
+                job: job.record.id,
+                outcome: *outcome,
+                tasks: tasks.map(|key| self.tasks[*key].id.index).collect(),
+            });
+        }
+        changes.extend(self.move_changes(job));
+        changes
+    }
+
     fn apply(&mut self, change: &Change, replayed: bool) {
         match change {
             Change::Accepted(record) => self.add_job(record),
@@ -277,6 +312,24 @@
                 }
             }
             Change::Ended { task, outcome } => self.on_ended(*task, *outcome),
+            Change::EndedAll {
+                job,
+                outcome,
+                tasks,
+            } => {
+                for index in tasks {
+                    let id = TaskId {
+                        job: *job,
+                        index: *index,
+                    };
+                    self.on_ended(id, *outcome);
+                }
+            }
+            Change::Closed {
+                record,
+                cancelled,
+                ended,
+            } => self.add_closed(record, *cancelled, ended),
             Change::Cancelled { job } => self.on_cancelled(*job),
             Change::Moved { job, to, tasks } => self.on_moved(*job, *to, tasks),
             Change::MoveDone { to, .. } => {
@@ -321,6 +374,7 @@
             tasks: Vec::new(),
             cancelled: false,
             open: record.tasks,
+            ended: BTreeMap::new(),
             ended_at: None,
             homeless: None,
             moves: Vec::new(),
@@ -341,6 +395,36 @@
         }
     }
 
+    fn add_closed(&mut self, record: &JobRecord, cancelled: bool, ended: &BTreeMap<Outcome, u32>) {
+        let job = self.jobs.insert(Job {
+            record: record.clone(),
+            tasks: Vec::new(),
+            cancelled,
+            open: 0,
+            ended: ended.clone(),
+            ended_at: None,
+            homeless: None,
+            moves: Vec::new(),
+        });
+        self.index.insert(record.id, job);
+    }
+
+    /// Drops the tasks of a job that has ended; their outcomes stay.
+    fn close(&mut self, key: JobKey) {
+        if self.jobs[key].moves.is_empty() {
+            for task in std::mem::take(&mut self.jobs[key].tasks) {
+                self.tasks.remove(task);
+            }
+        }
+    }
+
+    /// About how many bytes a snapshot takes.
+    pub fn weight(&self) -> usize {
+        let tasks = self.tasks.len() * TASK_WEIGHT;
+        let jobs = self.jobs.len() + self.redirects.len();
+        jobs * JOB_WEIGHT + tasks + self.keys.weight()
+    }
+
     fn on_intent(&mut self, task: TaskId, attempt: Attempt, replayed: bool) {
         let Some(key) = self.task_key(task) else {
             return;
@@ -375,8 +459,13 @@
             return;
         }
         task.stage = TaskStage::Ended { outcome };
-        let job = &mut self.jobs[task.job];
+        let key = task.job;
+        let job = &mut self.jobs[key];
+        *job.ended.entry(outcome).or_default() += 1;
         job.open = job.open.saturating_sub(1);
+        if job.open == 0 {
+            self.close(key);
+        }
     }
 
     fn on_cancelled(&mut self, id: JobId) {
@@ -535,6 +624,12 @@
 fn task_changes(task: &Task) -> Vec<Change> {
     let id = task.id;
     let mut changes = Vec::new();
+    let moved = TaskStage::Ended {
+        outcome: Outcome::Moved,
+    };
+    if matches!(task.stage, TaskStage::Ended { .. }) && task.stage != moved {
+        return changes;
+    }
     if task.intended {
         let attempt = Attempt::default();
         changes.push(Change::Intent { task: id, attempt });
@@ -546,8 +641,5 @@
             checkpoint,
         });
     }
-    if let TaskStage::Ended { outcome } = task.stage {
-        changes.push(Change::Ended { task: id, outcome });
-    }
     changes
 }
--- a/src/jobs/moves.rs
+++ b/src/jobs/moves.rs
@@ -97,6 +97,10 @@
         let Some(key) = self.index.get(&job).copied() else {
             return;
         };
+        self.jobs[key].moves.push(JobMove {
+            to,
+            tasks: tasks.to_vec(),
+        });
         let mut record = self.jobs[key].record.clone();
         record.id = to;
         record.tasks = tasks.len() as u32;
@@ -107,10 +111,6 @@
             let id = self.tasks[task].id;
             self.on_ended(id, Outcome::Moved);
         }
-        self.jobs[key].moves.push(JobMove {
-            to,
-            tasks: tasks.to_vec(),
-        });
         self.moves.insert(to, record);
     }
 
--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -1,6 +1,7 @@
 //! Starting, watching and stopping the tasks of a shard.
 
 use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 use super::Wall;
 use super::change::{Change, Outcome};
@@ -298,6 +299,17 @@
         }
     }
 
+    /// A fifth of the shortest declared run time on a worker, so that the room
+    /// of short tasks is soon given to the next ones; long if nothing waits.
+    pub fn expected_end(&self, worker: WorkerKey) -> Duration {
+        let keys = self.placed.get(&worker).into_iter().flatten();
+        let durations = keys.map(|key| self.jobs[self.tasks[*key].job].record.duration);
+        match durations.min() {
+            Some(shortest) if !self.waiting.is_empty() => Duration::from_millis(shortest / 5),
+            _ => Duration::MAX,
+        }
+    }
+
     /// Whether a call to this worker should not wait for its next turn.
     pub fn has_commands(&self, worker: WorkerKey) -> bool {
         let keys = self.placed.get(&worker);
--- a/src/jobs/submit.rs
+++ b/src/jobs/submit.rs
@@ -12,12 +12,14 @@
 use crate::placement::Placement;
 
 /// The most tasks of one job.
-const MAX_TASKS: u32 = 100_000;
+const MAX_TASKS: u32 = 20_000;
+/// A shard takes no more jobs when its snapshot would have this many bytes;
+/// the store holds values of up to a megabyte.
+const FULL_WEIGHT: usize = 600_000;
 /// The longest payload, in bytes.
 const MAX_PAYLOAD: usize = 4096;
-/// A job is refused when the work before it needs longer than this part of
-/// the time until its deadline, in percent.
-const FULL_PERCENT: u64 = 100;
+/// The longest time until a deadline and the longest run time, in milliseconds.
+const MAX_SPAN: u64 = 366 * 24 * 3600 * 1000;
 
 /// A job as it is submitted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,8 +72,15 @@
                 "payload of {length} bytes: give at most {MAX_PAYLOAD}"
             ));
         }
-        if self.deadline_ms == Some(0) {
-            return fault("deadline_ms = 0: give 1 or more".to_owned());
+        let spans = [
+            ("deadline_ms", self.deadline_ms),
+            ("duration_ms", self.duration_ms),
+        ];
+        for (name, span) in spans {
+            if span.is_some_and(|span| span == 0 || span > MAX_SPAN) {
+                let span = span.unwrap_or_default();
+                return fault(format!("{name} = {span}: give 1 to {MAX_SPAN}"));
+            }
         }
         Ok(())
     }
@@ -148,6 +157,10 @@
         if let Some(redirect) = self.redirects.get(&record.id.number) {
             return Submission::Redirected(redirect.to);
         }
+        if self.weight() >= FULL_WEIGHT {
+            let message = format!("shard {} holds as many jobs and keys as fit", self.shard());
+            return refuse(ErrorKind::Overloaded, message);
+        }
         if !placement.could_hold(self.shard(), record.size) {
             if let Some(to) = other.filter(|to| *to != self.shard()) {
                 let job = record.id;
@@ -190,6 +203,6 @@
         let own = u64::from(record.tasks) * record.duration * u64::from(record.size.cores);
         let wait = (self.backlog(record.deadline) + own) / cores;
         let left = record.deadline.0.saturating_sub(wall.0);
-        (wait > left * FULL_PERCENT / 100).then_some(wait)
+        (wait > left).then_some(wait)
     }
 }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::change::{Change, JobRecord, KeyOutcome, Outcome};
+use super::change::{Change, JobRecord, KeptAnswer, KeyOutcome, Outcome};
 use super::keys::{KeyStep, Keys};
 use super::ledger::{Ledger, LedgerSettings};
 use super::submit::Submission;
@@ -421,16 +421,76 @@
     keys.apply(&intent, false);
     note("while it runs", keys.begin(1, 5, Wall(0)));
     note("another request", keys.begin(1, 6, Wall(0)));
-    keys.end(1, &KeyOutcome::TooLarge);
+    keys.end(1, KeyOutcome::TooLarge);
     note("after a large answer", keys.begin(1, 5, Wall(0)));
     let mut taken_over = Keys::default();
     taken_over.apply(&intent, true);
     note("after a takeover", taken_over.begin(1, 5, Wall(0)));
-    taken_over.end(1, &KeyOutcome::NotRun);
+    taken_over.end(1, KeyOutcome::NotRun);
     note("after it did not run", taken_over.begin(1, 5, Wall(0)));
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+#[test]
+fn keys_and_answers_of_a_shard_fit_into_a_snapshot() {
+    let answer = |size| {
+        KeyOutcome::Answered(KeptAnswer {
+            status: 200,
+            headers: Vec::new(),
+            body: vec![0; size],
+        })
+    };
+    let mut keys = Keys::default();
+    let mut kept = 0;
+    let mut refused = 0;
+    for key in 0..3000 {
+        match keys.begin(key, 0, Wall(0)) {
+            KeyStep::Log(_) => {
+                let change = keys.end(key, answer(1000));
+                let whole = matches!(
+                    change,
+                    Change::KeyEnded {
+                        outcome: KeyOutcome::Answered(_),
+                        ..
+                    }
+                );
+                kept += u32::from(whole);
+            }
+            _ => refused += 1,
+        }
+    }
+    let bytes = serde_json::to_vec(&keys.snapshot()).unwrap().len();
+    assert!(bytes < 1 << 20, "{bytes} bytes");
+    assert!(
+        kept > 100 && refused > 1000,
+        "{kept} kept, {refused} refused"
+    );
+}
+
+#[test]
+fn a_full_shard_refuses_jobs_before_its_snapshot_is_too_large() {
+    let mut bench = Bench::new(&[]);
+    let mut number = 0;
+    loop {
+        number += 1;
+        let record = JobRecord {
+            payload: "x".repeat(100),
+            deadline: Wall(u64::MAX / 4),
+            ..bench.record(number, "plain", 100)
+        };
+        let placement = &bench.placement;
+        match bench.ledger.submit(record, placement, None, at(0), Wall(0)) {
+            Submission::Log(change) => bench.ledger.commit(&[change]),
+            refused => {
+                assert!(format!("{refused:?}").contains("Overloaded"), "{refused:?}");
+                break;
+            }
+        }
+    }
+    let bytes = serde_json::to_vec(&bench.ledger.snapshot()).unwrap().len();
+    assert!(bytes < 1 << 20, "{bytes} bytes");
+}
+
 #[test]
 fn a_job_that_cannot_meet_its_deadline_is_refused_early() {
     let mut bench = Bench::new(&[]);
--- a/src/load/phase.rs
+++ b/src/load/phase.rs
@@ -44,6 +44,18 @@
         }
     }
 
+    /// The phase with this name, dashes for spaces.
+    ///
+    /// ```
+    /// use lycheelock::load::Phase;
+    ///
+    /// assert_eq!(Phase::find("batch-flood"), Some(Phase::BatchFlood));
+    /// ```
+    pub fn find(name: &str) -> Option<Self> {
+        let name = name.replace('-', " ");
+        Self::ALL.into_iter().find(|phase| phase.name() == name)
+    }
+
     /// Interactive requests, in percent of what the fleet can take.
     pub const fn requests_percent(self) -> u32 {
         match self {
--- a/src/load/profile.rs
+++ b/src/load/profile.rs
@@ -17,7 +17,7 @@
 }
 
 /// What an interactive request takes on an idle worker.
-const LATENCY: Duration = Duration::from_millis(500);
+const LATENCY: Duration = Duration::from_secs(1);
 const SLOTS: u32 = 8;
 const CONNECTIONS: u32 = 64;
 const RACK: usize = 8;
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -16,7 +16,7 @@
 use crate::configuration::{Class, Configuration, Service, Size, Team, Weights, Zone};
 use crate::jobs::JobSpec;
 use crate::placement::Policy;
-use crate::standins::audit::{Told, audit};
+use crate::standins::audit::{Told, Violations, audit};
 use crate::standins::tasks::TaskRun;
 use crate::standins::worker::WorkerFaults;
 use crate::workers::TaskState;
@@ -29,6 +29,8 @@
     pub profile: Profile,
     /// The policies to compare.
     pub policies: Vec<Policy>,
+    /// The phases, in their order.
+    pub phases: Vec<Phase>,
     /// How long each phase lasts.
     pub span: Duration,
     /// The seed of all choices.
@@ -44,6 +46,7 @@
         Self {
             profile: Profile::Nombrario,
             policies: Policy::ALL.to_vec(),
+            phases: Phase::ALL.to_vec(),
             span: Duration::from_secs(10),
             seed: 1,
             json: false,
@@ -80,13 +83,13 @@
     /// Retries of interactive requests and batch tasks.
     pub retries: u64,
     /// What must never happen.
-    pub violations: u64,
+    pub violations: Violations,
 }
 
 const PREPARE: Duration = Duration::from_secs(60);
 /// After a phase, for queues to empty.
 const REST: Duration = Duration::from_secs(4);
-const DEADLINE: Duration = Duration::from_secs(3);
+const DEADLINE: Duration = Duration::from_secs(5);
 const TASK_CORES: u32 = 4000;
 const TASK_MS: u64 = 1000;
 const TASKS_PER_JOB: u32 = 20;
@@ -120,7 +123,7 @@
     }
     let mut results = Vec::new();
     let mut series = Vec::new();
-    for phase in Phase::ALL {
+    for phase in settings.phases.iter().copied() {
         for (policy, cluster) in settings.policies.iter().zip(&clusters) {
             let ran = run_phase(settings, *policy, phase, cluster, &configuration).await;
             let line = serde_json::to_string(&ran.result).expect("plain values have a JSON form");
@@ -142,7 +145,7 @@
     for cluster in clusters {
         cluster.stop().await;
     }
-    Ok(results.iter().all(|result| result.violations == 0))
+    Ok(results.iter().all(|result| result.violations.total() == 0))
 }
 
 fn configuration() -> Configuration {
@@ -233,7 +236,7 @@
         tasks: batch.finished as f64 / settings.span.as_secs_f64(),
         evictions: batch.stopped,
         retries: retries(cluster).await - retries_before,
-        violations: violations(cluster, &told, configuration) - violations_before,
+        violations: violations(cluster, &told, configuration).minus(violations_before),
     };
     Ran { result, sent }
 }
@@ -329,8 +332,8 @@
     sum
 }
 
-fn violations(cluster: &Cluster, told: &[Told], configuration: &Configuration) -> u64 {
-    audit(&cluster.journals(), told, &configuration.services).total()
+fn violations(cluster: &Cluster, told: &[Told], configuration: &Configuration) -> Violations {
+    audit(&cluster.journals(), told, &configuration.services)
 }
 
 fn show(results: &[PhaseResult]) -> String {
@@ -349,7 +352,7 @@
                 result.refused.to_string(),
                 result.unknown.to_string(),
                 result.retries.to_string(),
-                result.violations.to_string(),
+                result.violations.total().to_string(),
             ]
         })
         .collect();
--- a/src/standins/audit.rs
+++ b/src/standins/audit.rs
@@ -42,6 +42,19 @@
 }
 
 impl Violations {
+    /// What came after `before`.
+    pub const fn minus(self, before: Self) -> Self {
+        Self {
+            overfull: self.overfull - before.overfull,
+            two_places: self.two_places - before.two_places,
+            finished_twice: self.finished_twice - before.finished_twice,
+            resumed_wrong: self.resumed_wrong - before.resumed_wrong,
+            ran_twice: self.ran_twice - before.ran_twice,
+            not_run_false: self.not_run_false - before.not_run_false,
+            wrong_answer: self.wrong_answer - before.wrong_answer,
+        }
+    }
+
     /// The sum of all.
     ///
     /// ```
