Fuzz interactive requests: slots, doubts, epochs, what callers are told

Change: requests are steps of the fuzz; they travel late, are lost with silent or restarted workers, are settled, refused by epoch; the oracle counts slots, runs and what callers were told.

--- a/tests/fuzz/world/mod.rs
+++ b/tests/fuzz/world/mod.rs
@@ -2,6 +2,7 @@
 //! decisions, with small fakes at their interfaces.
 
 pub mod oracle;
+pub mod requests;
 pub mod step;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +25,7 @@
 use lycheelock::workers::{BootId, SyncReply, SyncRequest, TICKET_LIFE};
 
 use oracle::Oracle;
+use requests::{Flight, Serving};
 
 pub const ZONE: &str = "z";
 pub const HOSTS: usize = 3;
@@ -55,6 +57,7 @@
 /// One worker.
 pub struct Worker {
     pub model: TaskModel,
+    pub serving: Serving,
     pub host: ListedHost,
     /// Calls do not arrive.
     pub silent: bool,
@@ -123,6 +126,7 @@
     calls: Vec<StoreCall>,
     letters: Vec<Letter>,
     syncs: Vec<SyncCall>,
+    flights: Vec<Flight>,
     publishing: Vec<Publishing>,
     next_host: u64,
     next_hosts_poll: Moment,
@@ -209,6 +213,7 @@
         let workers = (0..WORKERS)
             .map(|number| Worker {
                 model: TaskModel::new(BootId(number as u64 * 1000), ROOM, TICKET_LIFE),
+                serving: Serving::default(),
                 host: ListedHost {
                     name: format!("w{number}"),
                     zone: ZONE.to_owned(),
@@ -238,6 +243,7 @@
             calls: Vec::new(),
             letters: Vec::new(),
             syncs: Vec::new(),
+            flights: Vec::new(),
             publishing: Vec::new(),
             next_host: 1,
             next_hosts_poll: Moment::default(),
@@ -309,6 +315,8 @@
         worker.boots += 1;
         let boot = BootId(number as u64 * 1000 + worker.boots);
         worker.model = TaskModel::new(boot, ROOM, TICKET_LIFE);
+        worker.serving = Serving::default();
+        self.flights.retain(|flight| flight.outlives(number));
     }
 
     pub fn run(&mut self, span: Duration) {
@@ -341,6 +349,7 @@
         self.deliver_store();
         self.deliver_letters();
         self.deliver_syncs();
+        self.run_flights();
         self.poll_platform();
         for number in 0..self.hosts.len() {
             if self.hosts[number].paused {
@@ -553,7 +562,9 @@
             let worker = &mut self.workers[sync.worker];
             if now >= sync.arrives && !sync.taken && !worker.silent {
                 sync.taken = true;
-                sync.reply = Some(worker.model.sync(&sync.request, &[], |_| false, now));
+                let running = worker.serving.ids();
+                let ended = |id| worker.serving.has_ended(id);
+                sync.reply = Some(worker.model.sync(&sync.request, &running, ended, now));
             }
             let host = &mut self.hosts[sync.host];
             if host.paused || host.id != sync.id || sync.answered {
--- a/tests/fuzz/world/oracle.rs
+++ b/tests/fuzz/world/oracle.rs
@@ -6,6 +6,7 @@
 use lycheelock::configuration::Verdict;
 use lycheelock::ids::{HostId, JobId, ShardId, TaskId};
 use lycheelock::jobs::{JobView, Outcome};
+use lycheelock::kind::Run;
 use lycheelock::moment::Moment;
 use lycheelock::standins::tasks::TaskRun;
 use lycheelock::workers::TaskState;
@@ -22,11 +23,19 @@
     cancelled: bool,
 }
 
+struct Request {
+    once: bool,
+    runs: u32,
+    not_run: bool,
+}
+
 /// What the world was told, and what ran.
 #[derive(Default)]
 pub struct Oracle {
     jobs: BTreeMap<JobId, Job>,
     keys: BTreeMap<u64, u32>,
+    requests: BTreeMap<u64, Request>,
+    marks: u64,
     revisions: BTreeMap<HostId, u64>,
     accepted: BTreeMap<u64, u64>,
     /// Runs on worker processes that were killed.
@@ -68,6 +77,41 @@
         assert!(*runs <= 1, "a request with key {key} ran twice");
     }
 
+    pub fn next_mark(&mut self, once: bool) -> u64 {
+        self.marks += 1;
+        let request = Request {
+            once,
+            runs: 0,
+            not_run: false,
+        };
+        self.requests.insert(self.marks, request);
+        self.marks
+    }
+
+    pub fn ran(&mut self, mark: u64) {
+        let request = self.requests.get_mut(&mark).expect("a known mark");
+        request.runs += 1;
+        assert!(
+            !request.not_run,
+            "request {mark} ran after \"not run\" was said"
+        );
+        assert!(
+            !request.once || request.runs == 1,
+            "request {mark} ran twice"
+        );
+    }
+
+    pub fn told(&mut self, mark: u64, run: Run) {
+        let request = self.requests.get_mut(&mark).expect("a known mark");
+        if run == Run::No {
+            assert_eq!(
+                request.runs, 0,
+                "request {mark} ran, and \"not run\" was said"
+            );
+            request.not_run = true;
+        }
+    }
+
     pub const fn next_nonce(&mut self) -> u64 {
         self.nonces += 1;
         self.nonces
--- a/tests/fuzz/world/step.rs
+++ b/tests/fuzz/world/step.rs
@@ -14,6 +14,7 @@
     Submit(usize, usize, u32),
     Cancel(usize, usize),
     Keyed(usize, u64),
+    Request(usize, bool, u32),
     Publish(u64, u64),
     Pause(usize),
     Resume(usize),
@@ -42,6 +43,7 @@
         5 => (host.clone(), 0_usize..4, 1_u32..4).prop_map(|(h, c, t)| Step::Submit(h, c, t)),
         1 => (host.clone(), 0_usize..20).prop_map(|(h, j)| Step::Cancel(h, j)),
         2 => (host.clone(), 0_u64..6).prop_map(|(h, k)| Step::Keyed(h, k)),
+        4 => (host.clone(), any::<bool>(), 1_u32..8).prop_map(|(h, o, n)| Step::Request(h, o, n)),
         1 => (1_u64..3, 0_u64..300).prop_map(|(o, w)| Step::Publish(o, w)),
         1 => host.clone().prop_map(Step::Pause),
         2 => host.clone().prop_map(Step::Resume),
@@ -72,6 +74,11 @@
             Step::Submit(host, class, tasks) => self.submit(host, class, tasks),
             Step::Cancel(host, job) => self.cancel(host, job),
             Step::Keyed(host, key) => self.keyed(host, key),
+            Step::Request(host, once, count) => {
+                for _ in 0..count {
+                    self.request(host, once);
+                }
+            }
             Step::Publish(operator, wait) => self.publish(operator, span(wait)),
             Step::Pause(host) => self.hosts[host].paused = true,
             Step::Resume(host) => self.hosts[host].paused = false,
