Interference is learned over all workers, and the weights say how much is tolerated

Cause: in the noisy wave of lycheelock load the shipped policy had the p99 of the baselines, 3004 ms: each worker learned alone, from two requests a second. Ruled out: more samples for each worker, which a wave does not leave time for. Change: one set of latencies by load for all workers of a host, up to 400 % of load; batch work is slowed in proportion to what exceeds the tolerated level, which follows from the questionnaire's weights of latency and throughput. Urgent work waits 800 ms before it evicts.

--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -756,7 +756,7 @@
 /// evicted, in milliseconds. Urgent work has to start within 1.4 s.
 const fn patience_before_eviction(policy: Policy) -> u64 {
     match policy {
-        Policy::Shipped => 600,
+        Policy::Shipped => 800,
         Policy::Random | Policy::Fifo => 0,
     }
 }
--- a/src/placement/interference.rs
+++ b/src/placement/interference.rs
@@ -1,21 +1,23 @@
 //! What batch work costs the interactive requests beside it.
 //!
-//! Each worker keeps the mean latency of its interactive requests at several
-//! levels of batch load. The difference to the level without load, bounded by
-//! its own uncertainty, is the cost. Reports of load lag, so a sample counts
-//! for the level that was reported last.
+//! The mean latency of interactive requests is kept for several levels of a
+//! worker's load, over all workers that this host commands: one worker alone
+//! sees too few requests to learn within a noisy wave. The difference to the
+//! lowest level, bounded by its uncertainty, is the cost. Reports of load lag,
+//! so a sample counts for the level that was reported last.
 
 use std::time::Duration;
 
-/// Levels of batch load: 0 to 19 percent, 20 to 39, and so on.
-const LEVELS: usize = 5;
-const LEVEL_PERCENT: u32 = 20;
+/// Levels of batch load: 0 to 24 percent, 25 to 49, and so on. Tasks that use
+/// more than they declare take the load above 100.
+const LEVELS: usize = 16;
+const LEVEL_PERCENT: u32 = 25;
 /// The weight of a new sample once a level has enough of them.
 const SMOOTHING: f64 = 0.05;
 /// A level counts once it has this many samples.
 const ENOUGH: u32 = 20;
 
-/// The mean latencies of one worker at each level of load.
+/// The mean latencies at each level of load.
 #[derive(Debug, Clone, Default)]
 pub struct Interference {
     levels: [Level; LEVELS],
@@ -59,6 +61,27 @@
         (level.samples >= ENOUGH).then(|| Duration::from_secs_f64(level.mean.max(0.0)))
     }
 
+    /// The highest load, in percent, at which requests are at most `tolerance`
+    /// times slower than without load, as far as the evidence goes.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lycheelock::placement::Interference;
+    ///
+    /// let mut interference = Interference::default();
+    /// for _ in 0..30 {
+    ///     interference.add(0, Duration::from_millis(2));
+    ///     interference.add(60, Duration::from_millis(4));
+    /// }
+    /// assert_eq!(interference.allowed_load(1.5), Some(50));
+    /// assert_eq!(interference.allowed_load(3.0), None);
+    /// ```
+    pub fn allowed_load(&self, tolerance: f64) -> Option<u32> {
+        let loads = (1..LEVELS as u32).map(|level| level * LEVEL_PERCENT);
+        let mut too_slow = loads.filter(|load| self.slowdown(*load) > tolerance);
+        too_slow.next()
+    }
+
     /// How many times slower requests are at a load than without load, 1 as
     /// long as the evidence does not exceed its uncertainty.
     pub fn slowdown(&self, load: u32) -> f64 {
--- a/src/placement/state.rs
+++ b/src/placement/state.rs
@@ -6,9 +6,10 @@
 use slotmap::SlotMap;
 
 use super::estimate::Estimates;
+use super::interference::Interference;
 use super::policy::Policy;
 use super::worker::{Contact, Worker, WorkerView};
-use crate::configuration::Size;
+use crate::configuration::{Size, Weights};
 use crate::ids::{HostId, RequestId, ShardId, WorkerKey, mix};
 use crate::moment::Moment;
 use crate::platform::{HostState, ListedHost};
@@ -16,11 +17,10 @@
 
 /// How many workers are looked at for one interactive request.
 const SAMPLES: usize = 3;
-/// Batch work on a worker is slowed down when requests take this many times
-/// longer beside it than without it.
-const THROTTLE_ABOVE: f64 = 1.5;
-const LEAST_THROTTLE: u32 = 25;
-const THROTTLE_STEP: u32 = 25;
+const LEAST_THROTTLE: u32 = 10;
+const THROTTLE_STEP: u32 = 5;
+/// What the services tolerate when latency and throughput weigh the same.
+const DEFAULT_TOLERANCE: f64 = 0.5;
 
 /// The workers of the zone.
 #[derive(Debug, Default)]
@@ -34,10 +34,21 @@
     pub policy: Policy,
     /// The part of each worker's cores that batch work leaves free, in percent.
     pub reserve: u32,
+    /// What batch work costs interactive requests.
+    pub interference: Interference,
+    /// How many times slower batch work may make them; not limited if zero.
+    tolerance: f64,
     random: u64,
 }
 
 impl Placement {
+    /// Takes what the deployment weighs: the more latency counts beside
+    /// throughput, the less batch work may slow interactive requests down.
+    pub fn weigh(&mut self, weights: Weights) {
+        let latency = weights.latency.max(f64::EPSILON);
+        self.tolerance = DEFAULT_TOLERANCE * weights.throughput / latency;
+    }
+
     /// Adds a worker of the host list or takes over what the list says of it.
     ///
     /// ```
@@ -192,7 +203,7 @@
     fn cost(&self, key: WorkerKey) -> f64 {
         let worker = &self.workers[key];
         let busy = f64::from(worker.requests()) / f64::from(worker.slots.max(1));
-        let slowdown = worker.interference.slowdown(worker.load);
+        let slowdown = self.interference.slowdown(worker.load);
         let load = f64::from(worker.load) / 100.0;
         (1.0 + busy) * slowdown.max(1.0 + load * 0.1)
     }
@@ -268,7 +279,7 @@
         let worker = &self.workers[key];
         let used = f64::from(worker.used.cores) / f64::from(worker.size.cores.max(1));
         let busy = f64::from(worker.requests()) / f64::from(worker.slots.max(1));
-        let slowdown = worker.interference.slowdown(worker.load);
+        let slowdown = self.interference.slowdown(worker.load);
         used * slowdown + busy
     }
 
@@ -296,9 +307,8 @@
 
     /// Notes the latency of an answered request.
     pub fn note_latency(&mut self, key: WorkerKey, latency: Duration) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            let load = worker.load;
-            worker.interference.add(load, latency);
+        if let Some(worker) = self.workers.get(key) {
+            self.interference.add(worker.load, latency);
         }
     }
 
@@ -319,6 +329,7 @@
         now: Moment,
     ) -> Vec<SettledRequest> {
         let learns = self.policy.learns();
+        let allowed = self.interference.allowed_load(1.0 + self.tolerance);
         let Some(worker) = self.workers.get_mut(key) else {
             return Vec::new();
         };
@@ -329,7 +340,7 @@
         worker.load = report.load;
         worker.set_foreign(&report.requests, me);
         if learns {
-            adjust_throttle(worker);
+            adjust_throttle(worker, allowed);
         }
         let fates = match rebooted {
             true => worker
@@ -380,15 +391,12 @@
         .collect()
 }
 
-/// Slows batch work down step by step while it costs the services too much.
-fn adjust_throttle(worker: &mut Worker) {
-    let slowdown = worker.interference.slowdown(worker.load);
-    let busy = worker.requests() > 0;
-    worker.throttle = match busy && slowdown > THROTTLE_ABOVE {
-        true => worker
-            .throttle
-            .saturating_sub(THROTTLE_STEP)
-            .max(LEAST_THROTTLE),
-        false => (worker.throttle + THROTTLE_STEP).min(100),
+/// Slows batch work down in proportion while it costs the services too much,
+/// and lets it go again step by step.
+fn adjust_throttle(worker: &mut Worker, allowed: Option<u32>) {
+    let over = allowed.filter(|allowed| worker.load > *allowed && worker.requests() > 0);
+    worker.throttle = match over {
+        Some(allowed) => (worker.throttle * allowed / worker.load).max(LEAST_THROTTLE),
+        None => (worker.throttle + THROTTLE_STEP).min(100),
     };
 }
--- a/src/placement/worker.rs
+++ b/src/placement/worker.rs
@@ -5,7 +5,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::interference::Interference;
 use crate::configuration::Size;
 use crate::ids::{HostId, RequestId, ShardId};
 use crate::moment::Moment;
@@ -80,8 +79,6 @@
     pub used: Size,
     /// When the last report came.
     pub reported: Option<Moment>,
-    /// What batch work costs interactive requests here.
-    pub interference: Interference,
     /// The speed limit of batch work, in percent.
     pub throttle: u32,
     /// The use of the processors by the last report, in percent.
@@ -128,7 +125,6 @@
             boot: None,
             used: Size::default(),
             reported: None,
-            interference: Interference::default(),
             throttle: 100,
             load: 0,
             mine: BTreeSet::new(),
