Split the large files by duty: claims, logs, sessions, heartbeats, reports, roster

Ruled out: traits for the parts, which would hide one state behind several. Change: the methods stand in files named by what they do; nothing else changed.

--- /dev/null
+++ b/src/entry/core/batch.rs
@@ -0,0 +1,91 @@
+//! Jobs: submissions, cancellations, moves, the account.
+
+use super::{Core, holders, not_owner, pick_holder, unknown_job};
+use crate::configuration::Size;
+use crate::ids::{JobId, ShardId};
+use crate::jobs::{Account, JobRecord, JobView, Submission, Wall};
+use crate::kind::Refusal;
+use crate::moment::Moment;
+
+impl Core {
+    /// Decides on a submission to a shard that this host owns.
+    pub fn submit(&mut self, record: JobRecord, now: Moment, wall: Wall) -> Submission {
+        let shard = record.id.shard;
+        if let Some(refusal) = self.cannot_log(shard, now) {
+            return Submission::Refused(refusal);
+        }
+        let holders = self.holders(record.size);
+        let other = pick_holder(&holders, record.id.number);
+        let Some(ledger) = self.ledgers.get_mut(&shard) else {
+            return Submission::Refused(not_owner(shard));
+        };
+        let submission = ledger.submit(record, &self.placement, other, now, wall);
+        if let Submission::Log(change) = &submission {
+            self.ownership.append(shard, vec![change.clone()]);
+            self.flush(now);
+        }
+        submission
+    }
+
+    /// The shards of all zones with a worker that could hold a task, by the host list.
+    pub fn holders(&self, size: Size) -> Vec<ShardId> {
+        holders(&self.listed, &self.current, size)
+    }
+
+    /// Notes that another shard has accepted moved tasks.
+    pub fn move_accepted(&mut self, from: ShardId, to: JobId, now: Moment) {
+        if let Some(ledger) = self.ledgers.get_mut(&from) {
+            ledger.move_accepted(to);
+        }
+        self.flush(now);
+    }
+
+    /// Notes that moved tasks go on to yet another shard.
+    pub fn move_redirected(&mut self, from: ShardId, to: JobId, shard: ShardId) {
+        if let Some(ledger) = self.ledgers.get_mut(&from) {
+            ledger.move_redirected(to, shard);
+        }
+    }
+
+    /// Cancels a job of a shard that this host owns.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an unknown job, and any while the log cannot be written.
+    pub fn cancel(&mut self, job: JobId, now: Moment) -> Result<(), Refusal> {
+        if let Some(refusal) = self.cannot_log(job.shard, now) {
+            return Err(refusal);
+        }
+        let ledger = self.ledgers.get_mut(&job.shard);
+        let known = ledger.is_some_and(|ledger| ledger.cancel(job));
+        if !known {
+            return Err(unknown_job(job));
+        }
+        self.flush(now);
+        Ok(())
+    }
+
+    /// Looks up a job of a shard that this host owns.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an unknown job.
+    pub fn job(&self, job: JobId, now: Moment, wall: Wall) -> Result<JobView, Refusal> {
+        let configuration = self.configuration()?;
+        let ledger = self.ledgers.get(&job.shard);
+        let view =
+            ledger.and_then(|ledger| ledger.job(job, &self.placement, configuration, now, wall));
+        view.ok_or_else(|| unknown_job(job))
+    }
+
+    /// The account of the shards that this host owns.
+    pub fn account(&self, now: Moment, wall: Wall) -> Account {
+        let mut account = Account::default();
+        if let Some(configuration) = self.current.get() {
+            for ledger in self.ledgers.values() {
+                account.merge(ledger.account(&self.placement, configuration, now, wall));
+            }
+        }
+        account
+    }
+}
--- a/src/entry/core.rs
+++ b/src/entry/core/mod.rs
@@ -3,6 +3,10 @@
 //! [`Core`] holds no socket, clock or codec. Tests drive it in virtual time;
 //! [`Node`](super::Node) drives it in a running daemon.
 
+mod batch;
+mod requests;
+mod sync;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -10,13 +14,10 @@
 
 use crate::admission::Quotas;
 use crate::configuration::{Configuration, Current, Size};
-use crate::dispatch::{Arrival, Dispatch, End, Ground, Step};
+use crate::dispatch::Dispatch;
 use crate::drain::Drain;
 use crate::ids::{AttemptKey, Epoch, HostId, JobId, RequestId, ShardId, WorkerKey, mix};
-use crate::jobs::{
-    Account, Change, JobRecord, JobView, KeyOutcome, KeyStep, Ledger, LedgerSettings, PendingMove,
-    Submission, Wall,
-};
+use crate::jobs::{Change, Ledger, LedgerSettings, PendingMove, Wall};
 use crate::kind::{ErrorKind, Refusal, RetryReason};
 use crate::moment::Moment;
 use crate::ownership::{
@@ -24,7 +25,7 @@
 };
 use crate::placement::{Placement, Policy};
 use crate::platform::{HostState, ListedHost, StoreOp, StoreReply};
-use crate::workers::{Fate, SyncReply, SyncRequest, Ticket};
+use crate::workers::{Fate, SyncRequest, Ticket};
 
 /// The settings of the decisions.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -140,9 +141,6 @@
     next_maintenance: Moment,
 }
 
-/// Between two calls to a worker that nothing hurries.
-const LONGEST_SYNC_GAP: Duration = Duration::from_secs(1);
-const SHORTEST_SYNC_GAP: Duration = Duration::from_millis(100);
 const MAINTENANCE_GAP: Duration = Duration::from_millis(200);
 
 impl Core {
@@ -405,188 +403,6 @@
         self.mark_leaving();
     }
 
-    /// The next call to a worker, if this host may act for its shard.
-    pub fn sync_call(&mut self, key: WorkerKey, now: Moment) -> Option<SyncCall> {
-        let worker = self.placement.get(key)?;
-        let shard = worker.shard;
-        let epoch = self.ownership.acting_epoch(shard, now)?;
-        let ledger = self.ledgers.get_mut(&shard)?;
-        let contact = self.contacts.entry(key)?.or_default();
-        if contact.epoch != epoch {
-            *contact = Contact {
-                epoch,
-                ..Contact::default()
-            };
-        }
-        contact.number += 1;
-        let commands = ledger.commands(key, contact.number);
-        let lease = self.settings.ledger.lease;
-        Some(SyncCall {
-            address: worker.address.clone(),
-            request: SyncRequest {
-                shard,
-                epoch,
-                number: contact.number,
-                ticket: contact.ticket,
-                lease_ms: lease.as_millis() as u64,
-                starts: commands.starts,
-                stops: commands.stops,
-                forget: commands.forget,
-                settle: worker.doubts(),
-                throttle: worker.throttle,
-            },
-        })
-    }
-
-    /// How long the next call to a worker may wait if nothing hurries it.
-    pub fn sync_gap(&self, key: WorkerKey) -> Duration {
-        let shard = self.placement.get(key).map(|worker| worker.shard);
-        let ledger = shard.and_then(|shard| self.ledgers.get(&shard));
-        ledger.map_or(LONGEST_SYNC_GAP, |ledger| {
-            ledger
-                .expected_end(key)
-                .clamp(SHORTEST_SYNC_GAP, LONGEST_SYNC_GAP)
-        })
-    }
-
-    /// Takes a worker's answer; none if there was none in time.
-    pub fn on_sync(
-        &mut self,
-        key: WorkerKey,
-        request: &SyncRequest,
-        reply: Option<SyncReply>,
-        now: Moment,
-    ) {
-        let Some(SyncReply::Report(report)) = reply else {
-            self.placement.on_silence(key, now);
-            return;
-        };
-        let Some(contact) = self.contacts.get_mut(key) else {
-            return;
-        };
-        let same = contact.epoch == request.epoch && contact.number == request.number;
-        if !same || self.ownership.acting_epoch(request.shard, now) != Some(request.epoch) {
-            return;
-        }
-        contact.ticket = Some(report.ticket);
-        let me = self.ownership.me();
-        let settled = self.placement.on_report(key, &report, me, now);
-        for each in settled {
-            self.effects.push_back(Effect::Settled(each.id, each.fate));
-        }
-        if let Some(ledger) = self.ledgers.get_mut(&request.shard) {
-            ledger.on_report(key, request.number, &report, &mut self.placement, now);
-        }
-        self.wake(now);
-        self.flush(now);
-    }
-
-    fn wake(&mut self, now: Moment) {
-        if self.dispatch.waiting() == 0 {
-            return;
-        }
-        let shards = self.acting(now);
-        let near = self.placement.free_slots(&shards, now);
-        let free = near + self.ownership.peer_slots(now);
-        for key in self.dispatch.wake(free as usize) {
-            self.effects.push_back(Effect::Wake(key));
-        }
-    }
-
-    /// Takes an interactive request and decides what happens first.
-    pub fn arrive(&mut self, arrival: Arrival, now: Moment) -> Arrived {
-        let key = self.dispatch.arrive(arrival);
-        let next = self.next_step(key, now);
-        Arrived { key, next }
-    }
-
-    /// Decides what happens to a request that was woken.
-    pub fn next_step(&mut self, key: AttemptKey, now: Moment) -> Next {
-        let shards = self.acting(now);
-        let peer = self.ownership.freest_peer(now);
-        let mut ground = Ground {
-            placement: &mut self.placement,
-            shards: &shards,
-            peer,
-        };
-        let step = self.dispatch.next(key, &mut ground, now);
-        self.reserve(step, now)
-    }
-
-    /// Decides what follows an attempt without an answer.
-    pub fn ended(&mut self, key: AttemptKey, end: End, now: Moment) -> Next {
-        let shards = self.acting(now);
-        let peer = self.ownership.freest_peer(now);
-        let mut ground = Ground {
-            placement: &mut self.placement,
-            shards: &shards,
-            peer,
-        };
-        let step = self.dispatch.ended(key, end, &mut ground, now);
-        self.reserve(step, now)
-    }
-
-    /// Notes that a request that was passed on has ended.
-    pub fn pass_ended(&mut self, host: HostId, now: Moment) {
-        self.ownership.give_free(host);
-        self.wake(now);
-    }
-
-    /// Takes the slot that a step needs, in the same decision that found it free.
-    fn reserve(&mut self, step: Step, now: Moment) -> Next {
-        match step {
-            Step::Refuse(kind) => Next::Refuse(kind),
-            Step::Wait(until) => Next::Wait(until),
-            Step::Pass(host) => {
-                self.ownership.take_free(host);
-                Next::Pass(host)
-            }
-            Step::Send { worker, patience } => match self.begin_attempt(worker, now) {
-                Some(attempted) => Next::Send {
-                    worker,
-                    patience,
-                    attempted,
-                },
-                None => Next::Refuse(ErrorKind::NoWorker),
-            },
-        }
-    }
-
-    fn begin_attempt(&mut self, worker: WorkerKey, now: Moment) -> Option<Attempted> {
-        let found = self.placement.get(worker)?;
-        let shard = found.shard;
-        let address = found.address.clone();
-        let epoch = self.ownership.acting_epoch(shard, now)?;
-        self.next_request += 1;
-        let id = RequestId {
-            host: self.ownership.me(),
-            number: self.next_request,
-        };
-        self.placement.take_slot(worker, id);
-        Some(Attempted {
-            id,
-            shard,
-            epoch,
-            address,
-        })
-    }
-
-    /// Frees the slot of an attempt that has certainly ended.
-    pub fn free_attempt(&mut self, worker: WorkerKey, id: RequestId, now: Moment) {
-        if let Some(worker) = self.placement.get_mut(worker) {
-            worker.free_slot(id);
-        }
-        self.wake(now);
-    }
-
-    /// Keeps the slot of an attempt whose answer is lost.
-    pub fn doubt_attempt(&mut self, worker: WorkerKey, id: RequestId) {
-        if let Some(found) = self.placement.get_mut(worker) {
-            found.doubt(id);
-        }
-        self.effects.push_back(Effect::Call(worker));
-    }
-
     /// The shard that holds a key or job, and the host that owns it.
     pub fn home(&self, shard: ShardId, now: Moment) -> Home {
         if self.ledgers.contains_key(&shard) {
@@ -601,87 +417,6 @@
         }
     }
 
-    /// Decides on a submission to a shard that this host owns.
-    pub fn submit(&mut self, record: JobRecord, now: Moment, wall: Wall) -> Submission {
-        let shard = record.id.shard;
-        if let Some(refusal) = self.cannot_log(shard, now) {
-            return Submission::Refused(refusal);
-        }
-        let holders = self.holders(record.size);
-        let other = pick_holder(&holders, record.id.number);
-        let Some(ledger) = self.ledgers.get_mut(&shard) else {
-            return Submission::Refused(not_owner(shard));
-        };
-        let submission = ledger.submit(record, &self.placement, other, now, wall);
-        if let Submission::Log(change) = &submission {
-            self.ownership.append(shard, vec![change.clone()]);
-            self.flush(now);
-        }
-        submission
-    }
-
-    /// The shards of all zones with a worker that could hold a task, by the host list.
-    pub fn holders(&self, size: Size) -> Vec<ShardId> {
-        holders(&self.listed, &self.current, size)
-    }
-
-    /// Notes that another shard has accepted moved tasks.
-    pub fn move_accepted(&mut self, from: ShardId, to: JobId, now: Moment) {
-        if let Some(ledger) = self.ledgers.get_mut(&from) {
-            ledger.move_accepted(to);
-        }
-        self.flush(now);
-    }
-
-    /// Notes that moved tasks go on to yet another shard.
-    pub fn move_redirected(&mut self, from: ShardId, to: JobId, shard: ShardId) {
-        if let Some(ledger) = self.ledgers.get_mut(&from) {
-            ledger.move_redirected(to, shard);
-        }
-    }
-
-    /// Cancels a job of a shard that this host owns.
-    ///
-    /// # Errors
-    ///
-    /// Refuses an unknown job, and any while the log cannot be written.
-    pub fn cancel(&mut self, job: JobId, now: Moment) -> Result<(), Refusal> {
-        if let Some(refusal) = self.cannot_log(job.shard, now) {
-            return Err(refusal);
-        }
-        let ledger = self.ledgers.get_mut(&job.shard);
-        let known = ledger.is_some_and(|ledger| ledger.cancel(job));
-        if !known {
-            return Err(unknown_job(job));
-        }
-        self.flush(now);
-        Ok(())
-    }
-
-    /// Looks up a job of a shard that this host owns.
-    ///
-    /// # Errors
-    ///
-    /// Refuses an unknown job.
-    pub fn job(&self, job: JobId, now: Moment, wall: Wall) -> Result<JobView, Refusal> {
-        let configuration = self.configuration()?;
-        let ledger = self.ledgers.get(&job.shard);
-        let view =
-            ledger.and_then(|ledger| ledger.job(job, &self.placement, configuration, now, wall));
-        view.ok_or_else(|| unknown_job(job))
-    }
-
-    /// The account of the shards that this host owns.
-    pub fn account(&self, now: Moment, wall: Wall) -> Account {
-        let mut account = Account::default();
-        if let Some(configuration) = self.current.get() {
-            for ledger in self.ledgers.values() {
-                account.merge(ledger.account(&self.placement, configuration, now, wall));
-            }
-        }
-        account
-    }
-
     /// The configuration in force.
     ///
     /// # Errors
@@ -694,45 +429,6 @@
         })
     }
 
-    /// Decides on a keyed request whose home shard this host owns.
-    pub fn begin_key(
-        &mut self,
-        shard: ShardId,
-        key: u64,
-        digest: u64,
-        now: Moment,
-        wall: Wall,
-    ) -> KeyStep {
-        if let Some(refusal) = self.cannot_log(shard, now) {
-            return KeyStep::Refuse(refusal);
-        }
-        let Some(ledger) = self.ledgers.get_mut(&shard) else {
-            return KeyStep::Refuse(not_owner(shard));
-        };
-        let step = ledger.keys.begin(key, digest, wall);
-        if let KeyStep::Log(change) = &step {
-            self.ownership.append(shard, vec![change.clone()]);
-            self.flush(now);
-        }
-        step
-    }
-
-    /// Notes the outcome of a keyed request.
-    pub fn end_key(&mut self, shard: ShardId, key: u64, outcome: KeyOutcome, now: Moment) {
-        if let Some(ledger) = self.ledgers.get_mut(&shard) {
-            let change = ledger.keys.end(key, outcome);
-            self.ownership.append(shard, vec![change]);
-            self.flush(now);
-        }
-    }
-
-    /// Drops a key whose intent was not logged.
-    pub fn forget_key(&mut self, shard: ShardId, key: u64) {
-        if let Some(ledger) = self.ledgers.get_mut(&shard) {
-            ledger.keys.forget(key);
-        }
-    }
-
     /// Why nothing can be logged for a shard now: it is not this host's, or
     /// the store is out of reach.
     fn cannot_log(&self, shard: ShardId, now: Moment) -> Option<Refusal> {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -9,6 +9,8 @@
 mod keys;
 mod ledger;
 mod moves;
+mod report;
+mod roster;
 mod run;
 mod submit;
 mod task;
--- /dev/null
+++ b/src/jobs/roster.rs
@@ -0,0 +1,133 @@
+//! The workers that may run a shard's tasks, and what grows old in its ledger.
+
+use std::collections::BTreeSet;
+
+use super::Wall;
+use super::change::Change;
+use super::ledger::Ledger;
+use crate::ids::WorkerKey;
+use crate::moment::Moment;
+use crate::placement::{Contact, Placement};
+
+impl Ledger {
+    /// Does what is due: tasks on workers that have been silent for too long
+    /// are given up, and workers join or leave the roster.
+    pub fn maintain(&mut self, placement: &mut Placement, now: Moment, wall: Wall) {
+        for worker in placement.of_shard(self.shard).to_vec() {
+            self.maintain_worker(worker, placement, now);
+        }
+        self.expire(wall);
+    }
+
+    fn maintain_worker(&mut self, key: WorkerKey, placement: &mut Placement, now: Moment) {
+        let Some(worker) = placement.get(key) else {
+            return;
+        };
+        let name = worker.name.clone();
+        let address = worker.address.clone();
+        let (listed, leaving) = (worker.listed, worker.leaving);
+        let silent = matches!(worker.contact, Contact::Silent { .. });
+        let over = silent
+            && worker
+                .reported
+                .is_some_and(|at| now - at >= self.settings.horizon());
+        if over {
+            self.give_up(key, placement);
+        }
+        let empty = self.placed.get(&key).is_none_or(BTreeSet::is_empty);
+        let asked = !self.unasked.contains(&name) || now >= self.hold_until;
+        if leaving {
+            self.evict_all(key);
+        }
+        let known = self
+            .roster
+            .get(&name)
+            .map(|entry| (entry.logged, entry.leaving));
+        match known {
+            None if listed && !leaving => self.enroll(&name, address),
+            Some((true, false)) if !listed && empty && asked && (over || !silent) => {
+                self.dismiss(&name);
+            }
+            Some((logged, going)) => {
+                if let Some(worker) = placement.get_mut(key) {
+                    worker.enrolled = logged && !going;
+                }
+            }
+            None => {}
+        }
+        let gone = !listed && !self.roster.contains_key(&name) && empty;
+        if gone {
+            self.orders.remove(&key);
+            self.placed.remove(&key);
+            placement.remove(key);
+        }
+    }
+
+    fn enroll(&mut self, name: &str, address: String) {
+        let entry = super::ledger::RosterEntry {
+            address: address.clone(),
+            logged: false,
+            leaving: false,
+        };
+        self.roster.insert(name.to_owned(), entry);
+        self.changes.push(Change::WorkerJoined {
+            name: name.to_owned(),
+            address,
+        });
+    }
+
+    fn dismiss(&mut self, name: &str) {
+        if let Some(entry) = self.roster.get_mut(name) {
+            entry.leaving = true;
+        }
+        self.unasked.remove(name);
+        let name = name.to_owned();
+        self.changes.push(Change::WorkerLeft { name });
+    }
+
+    /// Gives up every task on a worker whose leases have all ended.
+    fn give_up(&mut self, worker: WorkerKey, placement: &mut Placement) {
+        let keys = self.placed.get(&worker).cloned().unwrap_or_default();
+        for key in keys {
+            self.on_absent(key, placement);
+        }
+    }
+
+    /// Moves work away from a leaving worker, where nothing is lost by it.
+    fn evict_all(&mut self, worker: WorkerKey) {
+        let keys = self.placed.get(&worker).cloned().unwrap_or_default();
+        for key in keys {
+            let resumes = self.jobs[self.tasks[key].job].record.checkpoint;
+            if resumes && self.is_evictable(key) {
+                self.evict(key);
+            }
+        }
+    }
+
+    /// Drops old jobs and keys.
+    fn expire(&mut self, wall: Wall) {
+        let keep_jobs = self.settings.keep_jobs;
+        let mut dropped = Vec::new();
+        for job in self.jobs.values_mut() {
+            if job.open > 0 {
+                continue;
+            }
+            let ended = *job.ended_at.get_or_insert(wall);
+            if wall.0.saturating_sub(ended.0) >= keep_jobs {
+                dropped.push(job.record.id);
+                job.ended_at = Some(wall);
+            }
+        }
+        for redirect in self.redirects.values_mut() {
+            if wall.0.saturating_sub(redirect.at.0) >= keep_jobs {
+                dropped.push(redirect.job);
+                redirect.at = wall;
+            }
+        }
+        let drops = dropped.into_iter().map(|job| Change::Dropped { job });
+        self.changes.extend(drops);
+        let before = Wall(wall.0.saturating_sub(self.settings.keep_keys));
+        let keys = self.keys.expire(before);
+        self.changes.extend(keys);
+    }
+}
--- /dev/null
+++ b/src/ownership/heartbeat.rs
@@ -0,0 +1,85 @@
+//! Heartbeats between entry hosts, and the promises that answer them.
+
+use super::machine::{Ownership, Slot};
+use super::messages::{OwnedShard, PeerMessage};
+use crate::ids::{HostId, SessionId};
+use crate::moment::Moment;
+
+impl Ownership {
+    pub(super) fn tick_heartbeats(&mut self, now: Moment) {
+        let due: Vec<HostId> = self
+            .peers
+            .iter()
+            .filter(|(host, peer)| !self.dead.contains_key(host) && now >= peer.next_heartbeat)
+            .map(|(host, _)| *host)
+            .collect();
+        for host in due {
+            let near = self.peers[&host].zone == self.settings.zone;
+            let gap = match near {
+                true => self.settings.heartbeat,
+                false => self.settings.distant,
+            };
+            if let Some(peer) = self.peers.get_mut(&host) {
+                peer.next_heartbeat = now + gap;
+            }
+            let message = self.heartbeat(now);
+            self.send(host, message);
+        }
+    }
+
+    fn heartbeat(&self, now: Moment) -> PeerMessage {
+        let sessions = self.current.iter().chain(&self.former);
+        PeerMessage::Heartbeat {
+            sessions: sessions.map(|session| session.id).collect(),
+            sent: now.as_micros(),
+            owned: self.owned(now),
+            revision: self.summary.revision,
+            leaving: self.summary.leaving.clone(),
+            free: self.summary.free,
+            stopping: self.stopping,
+        }
+    }
+
+    fn owned(&self, now: Moment) -> Vec<OwnedShard> {
+        let owned = self.slots.iter().filter_map(|(shard, slot)| match slot {
+            Slot::Owned(owned) if self.session_acts(owned.session, now) => Some(OwnedShard {
+                shard: *shard,
+                epoch: owned.epoch,
+            }),
+            _ => None,
+        });
+        owned.collect()
+    }
+
+    /// Lets every peer know at once that the owned shards have changed.
+    pub fn hurry_heartbeats(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.next_heartbeat = Moment::default();
+        }
+    }
+
+    pub(super) fn answer_heartbeat(
+        &mut self,
+        from: HostId,
+        sessions: &[SessionId],
+        sent: u64,
+        now: Moment,
+    ) {
+        let span = self.settings.promise;
+        let promised = sessions
+            .iter()
+            .copied()
+            .filter(|session| self.promises.promise(*session, span, now))
+            .collect();
+        self.send(from, PeerMessage::Ack { sent, promised });
+    }
+
+    /// A promise counts from the moment at which the heartbeat was sent.
+    pub(super) fn on_ack(&mut self, from: HostId, sent: u64, promised: &[SessionId]) {
+        let span = self.settings.promise.saturating_sub(self.settings.margin);
+        let until = PeerMessage::sent_at(sent) + span;
+        for session in promised {
+            self.promises.receive(*session, from, until);
+        }
+    }
+}
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -9,15 +9,18 @@
 //! out. No socket, clock or codec is inside.
 
 mod balance;
+mod heartbeat;
 mod log;
 mod machine;
 mod messages;
+mod opening;
 mod pace;
 mod promise;
 mod session;
 mod takeover;
 #[cfg(test)]
 mod tests;
+mod writer;
 
 pub use log::{EntryBody, LogEntry, log_key, log_prefix};
 pub use machine::{
--- /dev/null
+++ b/src/ownership/opening.rs
@@ -0,0 +1,301 @@
+//! Opening and renewing a session at the store, and changing its view.
+
+use super::machine::{Ownership, Purpose, Slot, to_json};
+use super::messages::Announcement;
+use super::promise::View;
+use super::session::{
+    Opening, OpeningStage, Session, SessionRecord, alive_key, occupant_key, record_key,
+};
+use crate::ids::SessionId;
+use crate::moment::Moment;
+use crate::platform::{Entry, Expect, LeaseId, StoreOp, StoreReply};
+
+impl Ownership {
+    pub(super) fn tick_session(&mut self, now: Moment) {
+        let needs_session = match &self.current {
+            None => true,
+            Some(session) => session.lapsed,
+        };
+        if needs_session && self.opening.is_none() && now >= self.retry_open && !self.stopping {
+            self.open(now);
+        }
+        let third = self.settings.session / 3;
+        let Some(session) = &mut self.current else {
+            return;
+        };
+        if !session.lapsed && !session.renewing && now >= session.next_renewal {
+            session.renewing = true;
+            session.next_renewal = now + third;
+            session.renewal_sent = now;
+            let (id, lease) = (session.id, session.lease);
+            self.call(Purpose::Renew(id), StoreOp::Renew { lease });
+        }
+        self.drop_former();
+    }
+
+    fn open(&mut self, now: Moment) {
+        let id = SessionId(self.next_random());
+        self.opening = Some(Opening {
+            id,
+            stage: OpeningStage::Finding,
+            sent: now,
+            lease: None,
+            view: self.wanted_view(now),
+            version: 0,
+        });
+        if self.occupies {
+            self.grant(now);
+            return;
+        }
+        let key = occupant_key(&self.settings.peers);
+        self.call(Purpose::Open, StoreOp::Get { key });
+    }
+
+    fn grant(&mut self, now: Moment) {
+        if let Some(opening) = &mut self.opening {
+            opening.stage = OpeningStage::Granting;
+            opening.sent = now;
+        }
+        let ttl_ms = self.settings.session.as_millis() as u64;
+        self.call(Purpose::Open, StoreOp::Grant { ttl_ms });
+    }
+
+    /// Writes that this process has its address now. The version keeps a late
+    /// write of an earlier process from undoing it.
+    fn occupy(&mut self, found: Option<&Entry>) {
+        let expect = found.map_or(Expect::Absent, |found| Expect::Version(found.version));
+        let op = StoreOp::Put {
+            key: occupant_key(&self.settings.peers),
+            value: to_json(&self.me),
+            expect,
+            lease: None,
+        };
+        self.call(Purpose::Open, op);
+    }
+
+    /// A lost answer while a session is opened costs nothing: the lease ends
+    /// by itself, and a new session is opened.
+    pub(super) fn on_open(&mut self, reply: Option<StoreReply>, now: Moment) {
+        let Some(mut opening) = self.opening.take() else {
+            return;
+        };
+        match (opening.stage, reply) {
+            (OpeningStage::Finding, Some(StoreReply::Value(found))) => {
+                opening.stage = OpeningStage::Moving;
+                self.occupy(found.as_ref());
+                self.opening = Some(opening);
+            }
+            (OpeningStage::Moving, Some(StoreReply::Written(_))) => {
+                self.occupies = true;
+                self.opening = Some(opening);
+                self.grant(now);
+            }
+            (OpeningStage::Granting, Some(StoreReply::Granted(lease))) => {
+                opening.lease = Some(lease);
+                opening.stage = OpeningStage::Recording;
+                self.write_record(&opening);
+                self.opening = Some(opening);
+            }
+            (OpeningStage::Recording, Some(StoreReply::Written(version))) => {
+                opening.version = version;
+                opening.stage = OpeningStage::Announcing;
+                self.announce(&opening);
+                self.opening = Some(opening);
+            }
+            (OpeningStage::Announcing, Some(StoreReply::Written(_))) => {
+                self.begin_session(opening);
+            }
+            _ => self.retry_open = now + self.settings.heartbeat,
+        }
+    }
+
+    fn write_record(&mut self, opening: &Opening) {
+        let record = SessionRecord {
+            host: self.me,
+            address: self.settings.peers.clone(),
+            view: opening.view.clone(),
+            sealed: false,
+        };
+        self.call(
+            Purpose::Open,
+            StoreOp::Put {
+                key: record_key(opening.id),
+                value: to_json(&record),
+                expect: Expect::Absent,
+                lease: None,
+            },
+        );
+    }
+
+    fn announce(&mut self, opening: &Opening) {
+        let announcement = Announcement {
+            host: self.me,
+            session: opening.id,
+            name: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            peers: self.settings.peers.clone(),
+            callers: self.settings.callers.clone(),
+        };
+        self.call(
+            Purpose::Open,
+            StoreOp::Put {
+                key: alive_key(&self.settings.zone, opening.id),
+                value: to_json(&announcement),
+                expect: Expect::Any,
+                lease: opening.lease,
+            },
+        );
+    }
+
+    fn begin_session(&mut self, opening: Opening) {
+        let lease = opening.lease.unwrap_or(LeaseId(0));
+        let until = opening.sent + self.settings.session.saturating_sub(self.settings.margin);
+        let session = Session {
+            id: opening.id,
+            lease,
+            view: opening.view,
+            proposed: None,
+            version: opening.version,
+            until,
+            lapsed: false,
+            renewing: false,
+            next_renewal: opening.sent + self.settings.session / 3,
+            renewal_sent: opening.sent,
+        };
+        if let Some(old) = self.former.take() {
+            self.promises.drop_session(old.id);
+        }
+        self.former = self.current.replace(session);
+    }
+
+    pub(super) fn on_renewed(&mut self, id: SessionId, reply: Option<StoreReply>, now: Moment) {
+        let span = self.settings.session;
+        let margin = self.settings.margin;
+        let retry = self.settings.heartbeat;
+        let Some(session) = self.current.as_mut().filter(|session| session.id == id) else {
+            return;
+        };
+        session.renewing = false;
+        match reply {
+            Some(StoreReply::Done) => {
+                let granted = session.renewal_sent + span.saturating_sub(margin);
+                session.until = session.until.max(granted);
+            }
+            Some(_) => session.lapsed = true,
+            None => session.next_renewal = now + retry,
+        }
+    }
+
+    /// Drops the former session once no shard is held under it.
+    fn drop_former(&mut self) {
+        let Some(former) = &self.former else {
+            return;
+        };
+        let id = former.id;
+        let used = self.slots.values().any(|slot| match slot {
+            Slot::Owned(owned) => owned.session == id,
+            Slot::Free(_) => false,
+        });
+        if !used {
+            self.promises.drop_session(id);
+            self.former = None;
+        }
+    }
+
+    pub(super) fn wanted_view(&self, now: Moment) -> View {
+        let near = self.peers.iter().filter(|(_, peer)| {
+            peer.zone == self.settings.zone && !peer.stopping && self.is_heard(peer, now)
+        });
+        let members = near.filter_map(|(host, peer)| {
+            let announced = peer.announced.as_ref()?;
+            Some((*host, announced.peers.clone()))
+        });
+        View {
+            members: members.collect(),
+        }
+    }
+
+    pub(super) fn tick_view(&mut self, now: Moment) {
+        let wanted = self.wanted_view(now);
+        let me = self.me;
+        let address = self.settings.peers.clone();
+        let Some(session) = &mut self.current else {
+            return;
+        };
+        let leased = !session.lapsed && now < session.until;
+        if !leased || session.proposed.is_some() || session.view == wanted {
+            return;
+        }
+        session.proposed = Some(wanted.clone());
+        let record = SessionRecord {
+            host: me,
+            address,
+            view: wanted,
+            sealed: false,
+        };
+        let op = StoreOp::Put {
+            key: record_key(session.id),
+            value: to_json(&record),
+            expect: Expect::Version(session.version),
+            lease: None,
+        };
+        self.call(Purpose::WriteView, op);
+    }
+
+    pub(super) fn on_view_written(&mut self, reply: Option<StoreReply>) {
+        let Some(session) = &mut self.current else {
+            return;
+        };
+        if let Some(StoreReply::Written(version)) = reply {
+            session.version = version;
+            if let Some(view) = session.proposed.take() {
+                session.view = view;
+            }
+            return;
+        }
+        let key = record_key(session.id);
+        self.call(Purpose::ReadView, StoreOp::Get { key });
+    }
+
+    /// Settles a view whose write was not confirmed. Until the record shows
+    /// that the write came or can no longer come, both views count.
+    pub(super) fn on_view_read(&mut self, reply: Option<StoreReply>) {
+        let Some(session) = &mut self.current else {
+            return;
+        };
+        let key = record_key(session.id);
+        let Some(StoreReply::Value(Some(entry))) = reply else {
+            self.call(Purpose::ReadView, StoreOp::Get { key });
+            return;
+        };
+        let text = entry.value.as_deref().unwrap_or_default();
+        let Ok(record) = serde_json::from_str::<SessionRecord>(text) else {
+            return;
+        };
+        if entry.version == session.version {
+            let Some(view) = session.proposed.clone() else {
+                return;
+            };
+            let value = to_json(&SessionRecord {
+                host: self.me,
+                address: self.settings.peers.clone(),
+                view,
+                sealed: false,
+            });
+            let expect = Expect::Version(session.version);
+            let op = StoreOp::Put {
+                key,
+                value,
+                expect,
+                lease: None,
+            };
+            self.call(Purpose::WriteView, op);
+            return;
+        }
+        session.version = entry.version;
+        session.view = record.view;
+        session.proposed = None;
+        // A record is sealed only after the lease has ended.
+        session.lapsed |= record.sealed;
+    }
+}
