Write repeated steps once: the ground of a decision, the job argument

Cause: the same lines stood twice. Ruled out: macros. Change: one method builds the ground, one function the argument.

--- a/src/bin/lycheelock/clap_app.rs
+++ b/src/bin/lycheelock/clap_app.rs
@@ -171,16 +171,18 @@
         )
 }
 
+fn job_id() -> Arg {
+    Arg::new("id")
+        .value_name("JOB")
+        .required(true)
+        .help("The job's id")
+}
+
 fn job() -> Command {
     target(Command::new("job"))
         .about("Show a job")
         .arg(team())
-        .arg(
-            Arg::new("id")
-                .value_name("JOB")
-                .required(true)
-                .help("The job's id"),
-        )
+        .arg(job_id())
         .after_help("Example: lycheelock job s3-00000000000000ff")
 }
 
@@ -188,12 +190,7 @@
     target(Command::new("cancel"))
         .about("Cancel a job")
         .arg(team())
-        .arg(
-            Arg::new("id")
-                .value_name("JOB")
-                .required(true)
-                .help("The job's id"),
-        )
+        .arg(job_id())
         .after_help("Example: lycheelock cancel s3-00000000000000ff")
 }
 
--- a/src/entry/core/requests.rs
+++ b/src/entry/core/requests.rs
@@ -1,7 +1,7 @@
 //! Interactive requests and their idempotency keys.
 
 use super::{Arrived, Attempted, Core, Effect, Next, not_owner};
-use crate::dispatch::{Arrival, End, Ground, Step};
+use crate::dispatch::{Arrival, Dispatch, End, Ground, Step};
 use crate::ids::{AttemptKey, HostId, RequestId, ShardId, WorkerKey};
 use crate::jobs::{KeyOutcome, KeyStep, Wall};
 use crate::kind::ErrorKind;
@@ -17,27 +17,29 @@
 
     /// Decides what happens to a request that was woken.
     pub fn next_step(&mut self, key: AttemptKey, now: Moment) -> Next {
-        let shards = self.acting(now);
-        let peer = self.ownership.freest_peer(now);
-        let mut ground = Ground {
-            placement: &mut self.placement,
-            shards: &shards,
-            peer,
-        };
-        let step = self.dispatch.next(key, &mut ground, now);
-        self.reserve(step, now)
+        self.decide(now, |dispatch, ground| dispatch.next(key, ground, now))
     }
 
     /// Decides what follows an attempt without an answer.
     pub fn ended(&mut self, key: AttemptKey, end: End, now: Moment) -> Next {
+        self.decide(now, |dispatch, ground| {
+            dispatch.ended(key, end, ground, now)
+        })
+    }
+
+    /// Asks for a step on the workers that this host may use now.
+    fn decide(
+        &mut self,
+        now: Moment,
+        step: impl FnOnce(&mut Dispatch, &mut Ground<'_>) -> Step,
+    ) -> Next {
         let shards = self.acting(now);
-        let peer = self.ownership.freest_peer(now);
         let mut ground = Ground {
+            peer: self.ownership.freest_peer(now),
             placement: &mut self.placement,
             shards: &shards,
-            peer,
         };
-        let step = self.dispatch.ended(key, end, &mut ground, now);
+        let step = step(&mut self.dispatch, &mut ground);
         self.reserve(step, now)
     }
 
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -71,17 +71,21 @@
     (core, now)
 }
 
+fn arrival(now: Moment) -> Arrival {
+    Arrival {
+        service: "s".to_owned(),
+        deadline: now + Duration::from_secs(5),
+        once: false,
+        passed: false,
+    }
+}
+
 /// The load tool found workers with more requests than slots: the slot was
 /// found free in one decision and taken in another.
 #[test]
 fn the_decision_that_finds_a_slot_free_takes_it() {
     let (mut core, now) = ready();
-    let arrival = Arrival {
-        service: "s".to_owned(),
-        deadline: now + Duration::from_secs(5),
-        once: false,
-        passed: false,
-    };
+    let arrival = arrival(now);
     let steps: Vec<&str> = (0..4)
         .map(|_| match core.arrive(arrival.clone(), now).next {
             Next::Send { .. } => "send",
@@ -96,12 +100,7 @@
 #[test]
 fn a_freed_slot_wakes_the_next_request() {
     let (mut core, now) = ready();
-    let arrival = Arrival {
-        service: "s".to_owned(),
-        deadline: now + Duration::from_secs(5),
-        once: false,
-        passed: false,
-    };
+    let arrival = arrival(now);
     let first = core.arrive(arrival.clone(), now);
     core.arrive(arrival.clone(), now);
     let waiting = core.arrive(arrival, now);
