The tolerated load is interpolated between levels with evidence

Ruled out: a lower first level, which would slow calm batch work down too. Change: the cost is taken to grow evenly between levels with evidence.

--- a/src/placement/interference.rs
+++ b/src/placement/interference.rs
@@ -23,6 +23,13 @@
     levels: [Level; LEVELS],
 }
 
+/// What a load costs.
+#[derive(Debug, Clone, Copy)]
+struct Cost {
+    load: f64,
+    slowdown: f64,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Level {
     samples: u32,
@@ -62,7 +69,8 @@
     }
 
     /// The highest load, in percent, at which requests are at most `tolerance`
-    /// times slower than without load, as far as the evidence goes.
+    /// times slower than without load. Between the levels with evidence the
+    /// cost is taken to grow evenly; none if no level costs too much.
     ///
     /// ```
     /// use std::time::Duration;
@@ -73,13 +81,31 @@
     ///     interference.add(0, Duration::from_millis(2));
     ///     interference.add(60, Duration::from_millis(4));
     /// }
-    /// assert_eq!(interference.allowed_load(1.5), Some(50));
+    /// assert_eq!(interference.allowed_load(1.5), Some(25));
     /// assert_eq!(interference.allowed_load(3.0), None);
     /// ```
     pub fn allowed_load(&self, tolerance: f64) -> Option<u32> {
-        let loads = (1..LEVELS as u32).map(|level| level * LEVEL_PERCENT);
-        let mut too_slow = loads.filter(|load| self.slowdown(*load) > tolerance);
-        too_slow.next()
+        let mut last = Cost {
+            load: 0.0,
+            slowdown: 1.0,
+        };
+        for level in 1..LEVELS {
+            if self.levels[level].samples < ENOUGH {
+                continue;
+            }
+            let load = level as u32 * LEVEL_PERCENT;
+            let cost = Cost {
+                load: f64::from(load),
+                slowdown: self.slowdown(load),
+            };
+            if cost.slowdown > tolerance {
+                let part = (tolerance - last.slowdown) / (cost.slowdown - last.slowdown);
+                let allowed = last.load + part.clamp(0.0, 1.0) * (cost.load - last.load);
+                return Some(allowed as u32);
+            }
+            last = cost;
+        }
+        None
     }
 
     /// How many times slower requests are at a load than without load, 1 as
