A restarted worker proves nothing of what its former process ran

Ruled out: asking workers to remember across restarts; they keep nothing. Change: an owner notes to which process of the worker each request was sent, and takes "not run" only from that process. The fuzz waits a second for the fate of a lost request, as the daemon does.

--- a/src/placement/state.rs
+++ b/src/placement/state.rs
@@ -351,7 +351,7 @@
                     fate: Fate::Ended,
                 })
                 .collect(),
-            false => known_fates(report),
+            false => known_fates(worker, report),
         };
         for settled in &fates {
             worker.free_slot(settled.id);
@@ -378,7 +378,7 @@
     pub fate: Fate,
 }
 
-fn known_fates(report: &Report) -> Vec<SettledRequest> {
+fn known_fates(worker: &Worker, report: &Report) -> Vec<SettledRequest> {
     let known = report
         .settled
         .iter()
@@ -386,7 +386,10 @@
     known
         .map(|settled| SettledRequest {
             id: settled.request,
-            fate: settled.fate,
+            fate: match worker.was_sent_to(settled.request, report.boot) {
+                true => settled.fate,
+                false => Fate::Ended,
+            },
         })
         .collect()
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -83,6 +83,7 @@
 fn a_slot_in_doubt_is_kept_until_the_worker_settles_it() {
     let mut placement = Placement::default();
     let key = add(&mut placement, "w0", 4000);
+    placement.on_report(key, &report(0, Vec::new()), ME, at(0));
     placement.take_slot(key, request(1));
     placement.get_mut(key).unwrap().doubt(request(1));
     placement.on_report(key, &report(0, Vec::new()), ME, at(1));
--- a/src/placement/worker.rs
+++ b/src/placement/worker.rs
@@ -1,6 +1,6 @@
 //! One worker as its owner counts it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -83,7 +83,8 @@
     pub throttle: u32,
     /// The use of the processors by the last report, in percent.
     pub load: u32,
-    mine: BTreeSet<RequestId>,
+    /// Requests of this host, with the worker process that each was sent to.
+    mine: BTreeMap<RequestId, Option<BootId>>,
     doubts: BTreeSet<RequestId>,
     foreign: u32,
     failures: u32,
@@ -127,7 +128,7 @@
             reported: None,
             throttle: 100,
             load: 0,
-            mine: BTreeSet::new(),
+            mine: BTreeMap::new(),
             doubts: BTreeSet::new(),
             foreign: 0,
             failures: 0,
@@ -157,7 +158,7 @@
 
     /// Counts an interactive request that is about to be sent.
     pub fn take_slot(&mut self, id: RequestId) {
-        self.mine.insert(id);
+        self.mine.insert(id, self.boot);
         self.begin_probe();
     }
 
@@ -169,7 +170,7 @@
 
     /// Keeps the slot of a request whose answer was lost until its fate is known.
     pub fn doubt(&mut self, id: RequestId) {
-        if self.mine.contains(&id) {
+        if self.mine.contains_key(&id) {
             self.doubts.insert(id);
         }
     }
@@ -179,6 +180,12 @@
         self.doubts.iter().copied().collect()
     }
 
+    /// Whether a request was sent to this process of the worker. Another
+    /// process cannot know whether the request ran.
+    pub fn was_sent_to(&self, id: RequestId, boot: BootId) -> bool {
+        self.mine.get(&id) == Some(&Some(boot))
+    }
+
     /// Counts the requests that other hosts have running here.
     pub fn set_foreign(&mut self, running: &[RequestId], me: HostId) {
         let others = running.iter().filter(|id| id.host != me);
--- a/tests/fuzz/found.rs
+++ b/tests/fuzz/found.rs
@@ -50,6 +50,23 @@
     ]);
 }
 
+/// A restarted worker said "not run" of a request that its former process ran.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+fn a_restarted_worker_proves_nothing_of_its_former_process(#[case] host: usize) {
+    play(&[
+        Step::Request(host, true, 4),
+        Step::Run(50),
+        Step::WorkerRestart(0),
+        Step::WorkerRestart(1),
+        Step::WorkerRestart(2),
+        Step::WorkerRestart(3),
+        Step::Run(8000),
+    ]);
+}
+
 /// The whole zone is cut off for an hour, with a worker restarting and an
 /// owner paused on the way.
 #[rstest]
--- a/tests/fuzz/world/mod.rs
+++ b/tests/fuzz/world/mod.rs
@@ -22,7 +22,7 @@
 use lycheelock::platform::{Entry, Expect, HostState, ListedHost, StoreOp, StoreReply};
 use lycheelock::standins::store::Store;
 use lycheelock::standins::tasks::TaskModel;
-use lycheelock::workers::{BootId, SyncReply, SyncRequest, TICKET_LIFE};
+use lycheelock::workers::{BootId, Fate, SyncReply, SyncRequest, TICKET_LIFE};
 
 use oracle::Oracle;
 use requests::{Flight, Serving};
@@ -414,6 +414,7 @@
                     self.hosts[number].next_sync.insert(key, Moment::default());
                 }
                 Effect::Move { from, pending } => self.submit_move(number, from, pending),
+                Effect::Settled(id, Fate::NotRun) => self.prove_not_run(id),
                 Effect::Wake(_) | Effect::Settled(..) | Effect::Claimed { .. } => {}
             }
         }
--- a/tests/fuzz/world/requests.rs
+++ b/tests/fuzz/world/requests.rs
@@ -12,6 +12,8 @@
 use super::World;
 
 const DEADLINE: Duration = Duration::from_secs(4);
+/// How long a sender waits to hear whether a request ran.
+const SETTLE_WAIT: Duration = Duration::from_secs(1);
 /// How long a worker takes for a request.
 const SERVICE: Duration = Duration::from_millis(700);
 
@@ -40,6 +42,10 @@
     arrives: Moment,
     gives_up: Moment,
     stage: Stage,
+    /// Until when its sender waits to hear of its fate.
+    settles: Option<Moment>,
+    /// The worker said that it did not run and never will.
+    proven: bool,
     /// The caller's side has given up on it.
     abandoned: bool,
 }
@@ -122,6 +128,8 @@
                     arrives: now + self.workers[place].delay,
                     gives_up: now + patience,
                     stage: Stage::Travelling,
+                    settles: None,
+                    proven: false,
                     abandoned: false,
                 });
             }
@@ -134,6 +142,14 @@
         }
     }
 
+    /// A worker told its owner that a request did not run.
+    pub(super) fn prove_not_run(&mut self, id: RequestId) {
+        let mut flights = self.flights.iter_mut();
+        if let Some(flight) = flights.find(|flight| flight.attempted.id == id) {
+            flight.proven = true;
+        }
+    }
+
     pub(super) fn run_flights(&mut self) {
         let now = self.now;
         for worker in &mut self.workers {
@@ -210,9 +226,12 @@
                 host.core.free_attempt(flight.worker_key, id, now);
                 End::Refused
             }
-            _ if over => {
+            _ if flight.proven => End::ProvenNotRun,
+            _ if flight.settles.is_some_and(|until| now >= until) => End::Lost,
+            _ if over && flight.settles.is_none() => {
                 host.core.doubt_attempt(flight.worker_key, id);
-                End::Lost
+                flight.settles = Some(now + SETTLE_WAIT);
+                return;
             }
             _ => return,
         };
