--- a/src/error.rs
+++ b/src/error.rs
@@ -7,7 +7,7 @@
 
 use crate::settings::Fault;
 
-/// A result whose error is [`Error`].
+/// A result whose error is [`enum@Error`].
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// What can stop a command or a daemon.
