--- a/src/operator/commands.rs
+++ b/src/operator/commands.rs
@@ -338,6 +338,11 @@
     text
 }
 
+#[derive(Serialize)]
+struct Drained {
+    stopped: bool,
+}
+
 /// Begins a planned stop of an entry host and waits until it is gone.
 ///
 /// # Errors
@@ -349,11 +354,15 @@
     let until = Instant::now() + wait;
     while Instant::now() < until {
         if let Err(Error::Unreachable { .. }) = client.status().await {
-            println!("{} has stopped", target.entry);
+            let line = Drained { stopped: true };
+            target.print(&line, || format!("{} has stopped", target.entry));
             return Ok(true);
         }
         sleep(POLL).await;
     }
-    println!("{} still finishes requests", target.entry);
+    let line = Drained { stopped: false };
+    target.print(&line, || {
+        format!("{} still finishes requests", target.entry)
+    });
     Ok(false)
 }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -97,6 +97,35 @@
     assert_eq!(forged.send().await.unwrap().status(), 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_over_its_limit_is_refused_as_not_run() {
+    let deployment = Deployment::start("limits", SMALL).await;
+    let url = format!("http://{}/svc/shortlist/echo", deployment.entries[0]);
+    let call = || deployment.http.post(&url).header("lycheelock-team", TEAM);
+    let large_body = call().body(vec![0; (8 << 20) + 1]);
+    let large_header = call().header("x-large", "a".repeat(9000));
+    let large_key = call().header("idempotency-key", "k".repeat(300));
+    let mut lines = Vec::new();
+    for (name, call) in [
+        ("body", large_body),
+        ("header", large_header),
+        ("key", large_key),
+    ] {
+        let response = call.send().await.unwrap();
+        let status = response.status().as_u16();
+        let body: Value = response.json().await.unwrap();
+        lines.push(format!("{name}: {status} {body}"));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+    assert!(
+        deployment
+            .journals()
+            .await
+            .iter()
+            .all(|journal| journal.requests.is_empty())
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_commands_work_from_end_to_end() {
     let deployment = Deployment::start("commands", SMALL).await;
