Remove state and counts that nothing reads

Ruled out: filling the counts, which would count the same events twice. Change: they are gone, with the doc example of the removed method; one example names another count. Behaviour is the same.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -17,12 +17,6 @@
     Answered,
     /// Interactive requests passed on to a peer.
     Forwarded,
-    /// Batch tasks started.
-    Started,
-    /// Batch tasks finished.
-    Finished,
-    /// Batch tasks evicted.
-    Evicted,
     /// Writes to the store.
     StoreWrites,
     /// Reads from the store, each round of a watch included.
@@ -35,12 +29,9 @@
 
 impl Count {
     /// Every count, in the order of the counters.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 6] = [
         Self::Answered,
         Self::Forwarded,
-        Self::Started,
-        Self::Finished,
-        Self::Evicted,
         Self::StoreWrites,
         Self::StoreReads,
         Self::Claims,
@@ -50,15 +41,12 @@
     /// The name in counters.
     ///
     /// ```
-    /// assert_eq!(lycheelock::counters::Count::Evicted.name(), "evicted");
+    /// assert_eq!(lycheelock::counters::Count::Takeovers.name(), "takeovers");
     /// ```
     pub const fn name(self) -> &'static str {
         match self {
             Self::Answered => "answered",
             Self::Forwarded => "forwarded",
-            Self::Started => "started",
-            Self::Finished => "finished",
-            Self::Evicted => "evicted",
             Self::StoreWrites => "store_writes",
             Self::StoreReads => "store_reads",
             Self::Claims => "claims",
--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -444,7 +444,6 @@
                 told: None,
                 seen: false,
                 stop: None,
-                since: Moment::default(),
             };
         }
     }
--- a/src/jobs/report.rs
+++ b/src/jobs/report.rs
@@ -251,7 +251,7 @@
             return;
         }
         if state.state == TaskState::Running {
-            self.adopt(key, worker, state, placement, now);
+            self.adopt(key, worker, state, placement);
             return;
         }
         let counted = self.tasks[key].failed == Some(state.attempt);
@@ -276,7 +276,6 @@
         worker: WorkerKey,
         state: &RunningTask,
         placement: &mut Placement,
-        now: Moment,
     ) {
         self.dequeue(key);
         let job = &self.jobs[self.tasks[key].job];
@@ -287,7 +286,6 @@
             told: None,
             seen: true,
             stop: job.cancelled.then_some(StopReason::Cancelled),
-            since: now,
         };
         self.set_placed(key, worker, stage);
     }
--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -28,17 +28,6 @@
     pub forget: Vec<RunningKey>,
 }
 
-impl Commands {
-    /// Whether the worker should be called at once.
-    ///
-    /// ```
-    /// assert!(!lycheelock::jobs::Commands::default().is_urgent());
-    /// ```
-    pub fn is_urgent(&self) -> bool {
-        !self.starts.is_empty() || !self.stops.is_empty()
-    }
-}
-
 /// What follows from a worker's last report.
 #[derive(Debug, Default)]
 pub(super) struct Orders {
@@ -116,7 +105,7 @@
         }
         let avoid = task.avoid;
         if let Some(worker) = placement.pick_room(self.shard, size, avoid, now) {
-            self.start(key, worker, placement, now);
+            self.start(key, worker, placement);
             return true;
         }
         if !placement.could_hold(self.shard, size) && wall > job.record.deadline {
@@ -130,7 +119,7 @@
         false
     }
 
-    fn start(&mut self, key: TaskKey, worker: WorkerKey, placement: &mut Placement, now: Moment) {
+    fn start(&mut self, key: TaskKey, worker: WorkerKey, placement: &mut Placement) {
         self.dequeue(key);
         let attempt = self.next_attempt();
         let task = &self.tasks[key];
@@ -143,7 +132,6 @@
                 told: None,
                 seen: false,
                 stop: None,
-                since: now,
             },
             false => {
                 let task = task.id;
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -42,8 +42,6 @@
         seen: bool,
         /// Why it is being stopped.
         stop: Option<StopReason>,
-        /// When it was placed.
-        since: Moment,
     },
     /// It ended, and the log does not say so yet.
     Ending {
