--- a/src/bin/lycheelock/app.rs
+++ b/src/bin/lycheelock/app.rs
@@ -9,8 +9,8 @@
 use lycheelock::jobs::JobSpec;
 use lycheelock::operator::{self, Target};
 use lycheelock::placement::Policy;
-use lycheelock::settings::{EntrySettings, form};
-use lycheelock::{Error, Result, logs};
+use lycheelock::settings::{EntrySettings, FleetSettings, form};
+use lycheelock::{Error, Result, daemon, logs};
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -95,6 +95,7 @@
 
     async fn run_command(self) -> Result<bool> {
         match self.command {
+            Command::Entry(path, _) if FleetSettings::is_meant(&path)? => daemon::run(&path).await,
             Command::Entry(path, policy) => entry(&EntrySettings::read(&path)?, policy).await,
             Command::Check(path, json) => operator::check(&path, json),
             Command::Apply(apply) => {
--- /dev/null
+++ b/src/daemon/ingress.rs
@@ -0,0 +1,234 @@
+//! The HTTP side towards callers, on Rocket.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rocket::data::ToByteUnit;
+use rocket::http::{Header, Method};
+use rocket::response::Response;
+use rocket::route::{Handler, Outcome};
+use rocket::{Build, Data, Request, Rocket, Route};
+
+use super::Node;
+use super::intake::Cancelled;
+use super::lines::DaemonLine;
+use crate::drain::Progress;
+use crate::front::refuse;
+use crate::journal;
+use crate::kind::{ErrorKind, Refusal};
+use crate::moment::Moment;
+use crate::platform::fleet::{DEADLINE_HEADER, read_workflow, write_pending, write_state};
+use crate::routing::{Queue, Queues};
+use crate::server::{self, METHODS};
+use crate::workers::HeaderLine;
+use crate::workflow::WorkflowId;
+
+/// How long a caller waits if it does not say so.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+/// What Rocket itself allows a body to have; the configuration has the limit.
+const LARGEST_BODY: u64 = 16 << 20;
+
+/// The server towards callers.
+pub(super) fn build(node: &Arc<Node>) -> Rocket<Build> {
+    let routes = METHODS.map(|method| {
+        let rank = 0;
+        Route::ranked(rank, method, "/<path..>", Jobs(node.clone()))
+    });
+    server::build(node.settings.address, node.settings.grace, LARGEST_BODY)
+        .mount("/", routes.to_vec())
+}
+
+#[derive(Clone)]
+struct Jobs(Arc<Node>);
+
+/// What a caller is told.
+struct Reply {
+    status: u16,
+    body: Vec<u8>,
+    detail: &'static str,
+}
+
+/// A request whose queue is known.
+struct Call<'a> {
+    queue: &'a Queue,
+    /// What follows the queue's prefix: a job's id, or nothing.
+    rest: &'a str,
+    limit: u64,
+    deadline: Moment,
+}
+
+#[rocket::async_trait]
+impl Handler for Jobs {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let progress = self.0.in_progress.begin();
+        let begun = Moment::now();
+        let queues = self.0.queues();
+        let path = request.uri().path().as_str();
+        let host = host_name(request);
+        let target = queues.as_ref().and_then(|queues| queues.find(host, path));
+        let reply = match (&queues, target) {
+            (None, _) => Err(Refusal::new(
+                ErrorKind::NotReady,
+                "no configuration is known yet",
+            )),
+            (Some(_), None) => {
+                let message = format!("no queue has host {host:?} and path {path:?}");
+                Err(Refusal::new(ErrorKind::UnknownService, message))
+            }
+            (Some(queues), Some(target)) => {
+                let call = Call {
+                    queue: target.queue,
+                    rest: target.rest,
+                    limit: queues.body_limit,
+                    deadline: begun + deadline(request),
+                };
+                match check_headers(request, queues) {
+                    Ok(()) => self.serve(request.method(), call, data).await,
+                    Err(refusal) => Err(refusal),
+                }
+            }
+        };
+        let queue = target.map_or("", |target| target.queue.name.as_str());
+        let rest = target.map_or("", |target| target.rest);
+        let version = queues.as_ref().map_or(0, |queues| queues.version);
+        let (status, detail) = outcome(&reply);
+        journal::line(&DaemonLine::Answered {
+            id: rest,
+            queue,
+            method: request.method().as_str(),
+            status,
+            detail,
+            configuration: version,
+            took_ms: (Moment::now() - begun).as_millis() as u64,
+        });
+        Outcome::Success(self.answer(reply, progress))
+    }
+}
+
+impl Jobs {
+    async fn serve(
+        &self,
+        method: Method,
+        call: Call<'_>,
+        data: Data<'_>,
+    ) -> Result<Reply, Refusal> {
+        if call.rest.is_empty() && method == Method::Get {
+            let pending = self.0.pending(&call.queue.name).await?;
+            return Ok(reply(200, write_pending(pending), "counted"));
+        }
+        let id: WorkflowId = call.rest.parse().map_err(|error| {
+            let message = format!("path after the queue's prefix: {error}");
+            Refusal::new(ErrorKind::BadRequest, message)
+        })?;
+        match method {
+            Method::Post => self.submit(id, call, data).await,
+            Method::Get => self.look_up(id).await,
+            Method::Delete => self.cancel(id, call.deadline).await,
+            other => {
+                let message = format!("method {other}: give POST, GET or DELETE");
+                Err(Refusal::new(ErrorKind::BadRequest, message))
+            }
+        }
+    }
+
+    async fn submit(
+        &self,
+        id: WorkflowId,
+        call: Call<'_>,
+        data: Data<'_>,
+    ) -> Result<Reply, Refusal> {
+        let body = read_body(data, call.limit).await?;
+        let workflow =
+            read_workflow(&body).map_err(|message| Refusal::new(ErrorKind::BadRequest, message))?;
+        self.0
+            .submit(call.queue, id, workflow, call.deadline)
+            .await?;
+        Ok(reply(200, b"{}".to_vec(), "accepted"))
+    }
+
+    async fn look_up(&self, id: WorkflowId) -> Result<Reply, Refusal> {
+        match self.0.state(id).await? {
+            Some(state) => Ok(reply(200, write_state(state), "known")),
+            None => Ok(reply(410, b"{}".to_vec(), "unknown_job")),
+        }
+    }
+
+    async fn cancel(&self, id: WorkflowId, deadline: Moment) -> Result<Reply, Refusal> {
+        match self.0.cancel(id, deadline).await? {
+            Cancelled::Done => Ok(reply(200, b"{}".to_vec(), "cancelled")),
+            Cancelled::Unknown => Ok(reply(410, b"{}".to_vec(), "unknown_job")),
+        }
+    }
+
+    fn answer(&self, reply: Result<Reply, Refusal>, progress: Progress) -> Response<'static> {
+        let mut response = match reply {
+            Ok(reply) => {
+                let line = HeaderLine {
+                    name: "content-type".to_owned(),
+                    value: "application/json".to_owned(),
+                };
+                server::counted_answer(reply.status, &[line], reply.body, progress)
+            }
+            Err(refusal) => {
+                self.0.counters.refused(refusal.kind);
+                refuse(&refusal, None)
+            }
+        };
+        if self.0.is_stopping() {
+            response.set_header(Header::new("connection", "close"));
+        }
+        response
+    }
+}
+
+const fn reply(status: u16, body: Vec<u8>, detail: &'static str) -> Reply {
+    Reply {
+        status,
+        body,
+        detail,
+    }
+}
+
+fn outcome(reply: &Result<Reply, Refusal>) -> (u16, &'static str) {
+    match reply {
+        Ok(reply) => (reply.status, reply.detail),
+        Err(refusal) => {
+            let row = refusal.kind.row();
+            (row.status, row.name)
+        }
+    }
+}
+
+fn host_name<'r>(request: &'r Request<'_>) -> &'r str {
+    let host = request.headers().get_one("host").unwrap_or_default();
+    host.split(':').next().unwrap_or_default()
+}
+
+fn deadline(request: &Request<'_>) -> Duration {
+    let given = request.headers().get_one(DEADLINE_HEADER);
+    let millis = given.and_then(|text| text.parse().ok());
+    millis.map_or(DEFAULT_DEADLINE, Duration::from_millis)
+}
+
+fn check_headers(request: &Request<'_>, queues: &Queues) -> Result<(), Refusal> {
+    let headers = request.headers().iter();
+    let bytes: usize = headers
+        .map(|line| line.name.as_str().len() + line.value().len())
+        .sum();
+    if bytes as u64 <= queues.header_limit {
+        return Ok(());
+    }
+    let limit = queues.header_limit;
+    let message = format!("headers of {bytes} bytes: give at most {limit}");
+    Err(Refusal::new(ErrorKind::TooLarge, message))
+}
+
+async fn read_body(data: Data<'_>, limit: u64) -> Result<Vec<u8>, Refusal> {
+    let read = data.open(limit.bytes()).into_bytes().await;
+    let body = read.map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
+    if !body.is_complete() {
+        let message = format!("the body is larger than {limit} bytes");
+        return Err(Refusal::new(ErrorKind::TooLarge, message));
+    }
+    Ok(body.into_inner())
+}
--- /dev/null
+++ b/src/daemon/node.rs
@@ -0,0 +1,97 @@
+//! What all tasks of the daemon share.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::watch;
+
+use super::health::StoreHealth;
+use crate::counters::Counters;
+use crate::drain::InProgress;
+use crate::platform::fleet::{Store, WorkerApi};
+use crate::routing::Queues;
+use crate::settings::FleetSettings;
+
+/// Orders to workers without an answer fail after this time.
+const ORDER_SILENCE: Duration = Duration::from_millis(250);
+
+/// What all tasks of the daemon share.
+#[derive(Debug)]
+pub struct Node {
+    pub(super) settings: FleetSettings,
+    /// Tells this life of the process from earlier ones.
+    pub(super) life: u64,
+    pub(super) store: Store,
+    pub(super) health: StoreHealth,
+    pub(super) counters: Counters,
+    pub(super) in_progress: InProgress,
+    pub(super) stop: watch::Sender<bool>,
+    pub(super) owned: AtomicU32,
+    client: reqwest::Client,
+    queues: RwLock<Option<Arc<Queues>>>,
+}
+
+impl Node {
+    /// The state of a daemon that was just started.
+    pub(super) fn new(settings: FleetSettings) -> Arc<Self> {
+        Arc::new(Self {
+            life: rand::random(),
+            store: Store::new(settings.platform, settings.silence),
+            health: StoreHealth::default(),
+            counters: Counters::default(),
+            in_progress: InProgress::default(),
+            stop: watch::channel(false).0,
+            owned: AtomicU32::new(0),
+            client: WorkerApi::pool(ORDER_SILENCE),
+            queues: RwLock::default(),
+            settings,
+        })
+    }
+
+    /// The newest configuration that this host knows.
+    pub(super) fn queues(&self) -> Option<Arc<Queues>> {
+        self.queues.read().expect("no holder panics").clone()
+    }
+
+    /// Uses a configuration, unless a newer one is known.
+    pub(super) fn configure(&self, queues: Queues) -> bool {
+        let mut known = self.queues.write().expect("no holder panics");
+        let newer = known
+            .as_ref()
+            .is_none_or(|known| queues.version > known.version);
+        if newer {
+            *known = Some(Arc::new(queues));
+        }
+        newer
+    }
+
+    /// A client of the worker at this address.
+    pub(super) fn worker(&self, id: &str, address: &str) -> WorkerApi {
+        WorkerApi::new(self.client.clone(), id, address, ORDER_SILENCE)
+    }
+
+    /// Whether a planned stop has begun.
+    pub(super) fn is_stopping(&self) -> bool {
+        *self.stop.borrow()
+    }
+
+    /// Waits until a planned stop begins.
+    pub(super) async fn stopped(&self) {
+        let mut stop = self.stop.subscribe();
+        // The sender lives as long as this node.
+        let _ = stop.wait_for(|stop| *stop).await;
+    }
+
+    /// How many shards this host owns.
+    pub(super) fn owned(&self) -> u32 {
+        self.owned.load(Ordering::Relaxed)
+    }
+}
+
+/// The time of day, since 1970.
+pub(super) fn wall() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/src/daemon/ownership.rs
@@ -0,0 +1,242 @@
+//! Follows the owners of all shards, and claims those that have none.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::Node;
+use super::lines::DaemonLine;
+use super::term::{Claim, reign};
+use crate::journal;
+use crate::moment::Moment;
+use crate::platform::fleet::{Change, Commit, Item, StoreFault, Transaction, Watched};
+use crate::shards::{
+    Candidate, Hint, OwnerRecord, SHARD_PREFIX, ShardKey, Step, View, decode, encode, epoch_key,
+    hint_key, read_shard_key,
+};
+
+/// How long a watch waits for a change.
+const WAIT: Duration = Duration::from_secs(20);
+/// Between calls while the store does not answer.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// What this host knows of the shards' owners.
+struct Follower {
+    node: Arc<Node>,
+    views: HashMap<String, View>,
+    /// The revision that the views are as of; none if they must be read anew.
+    revision: Option<u64>,
+    owned: Vec<String>,
+    terms: JoinSet<()>,
+    ended: mpsc::UnboundedSender<String>,
+}
+
+/// Follows the shards until a planned stop has handed this host's over.
+pub(super) async fn follow(node: Arc<Node>) {
+    let (ended, mut endings) = mpsc::unbounded_channel();
+    let views = node.settings.zones.iter().cloned();
+    let mut follower = Follower {
+        views: views.map(|zone| (zone, View::default())).collect(),
+        node: node.clone(),
+        revision: None,
+        owned: Vec::new(),
+        terms: JoinSet::new(),
+        ended,
+    };
+    loop {
+        let wait = follower.claim_due().await;
+        tokio::select! {
+            () = node.stopped() => break,
+            Some(shard) = endings.recv() => follower.release(&shard),
+            () = sleep(wait) => {}
+            changed = watch(&node, follower.revision) => follower.take(changed).await,
+        }
+    }
+    while follower.terms.join_next().await.is_some() {}
+}
+
+/// The next changes; all views if the history is gone.
+enum News {
+    All(Vec<Item>, u64),
+    Changes(Vec<Change>, u64),
+    Forgotten,
+}
+
+async fn watch(node: &Node, revision: Option<u64>) -> Result<News, StoreFault> {
+    let Some(after) = revision else {
+        let page = node
+            .health
+            .note(node.store.range(SHARD_PREFIX, false).await)?;
+        return Ok(News::All(page.items, page.revision));
+    };
+    let watched = node.store.watch(SHARD_PREFIX, after, WAIT).await;
+    Ok(match node.health.note(watched)? {
+        Watched::Forgotten => News::Forgotten,
+        Watched::Changes(changes, revision) => News::Changes(changes, revision),
+    })
+}
+
+impl Follower {
+    /// Claims what is due. Returns how long nothing else is.
+    async fn claim_due(&mut self) -> Duration {
+        if self.revision.is_none() {
+            return WAIT;
+        }
+        let mut wait = WAIT;
+        let shards: Vec<String> = self.views.keys().cloned().collect();
+        for shard in shards {
+            if self.owned.contains(&shard) {
+                continue;
+            }
+            let now = Moment::now();
+            match self.candidate().step(&shard, &self.views[&shard], now) {
+                Step::Follow => {}
+                Step::ClaimAt(at) => wait = wait.min(now.until(at)),
+                Step::Claim { hint, epoch } => self.claim(&shard, hint, epoch).await,
+            }
+        }
+        wait
+    }
+
+    fn candidate(&self) -> Candidate {
+        Candidate {
+            host: self.node.settings.name.clone(),
+            life: self.node.life,
+            zone: self.node.settings.zone.clone(),
+            owned: self.owned.len() as u32,
+        }
+    }
+
+    async fn claim(&mut self, shard: &str, hint: u64, epoch: u64) {
+        let begun = Moment::now();
+        let Ok(lease) = self.node.store.grant(self.node.settings.session).await else {
+            return sleep(PAUSE).await;
+        };
+        let owner = encode(&OwnerRecord {
+            host: self.node.settings.name.clone(),
+            life: self.node.life,
+        });
+        let transaction = Transaction::default()
+            .require(&hint_key(shard), hint)
+            .require(&epoch_key(shard), epoch)
+            .set_leased(&hint_key(shard), owner.clone(), lease)
+            .set(&epoch_key(shard), owner);
+        match self
+            .node
+            .health
+            .note(self.node.store.commit(&transaction).await)
+        {
+            Ok(Commit::Done(fence)) => {
+                journal::line(&DaemonLine::ShardClaimed {
+                    shard,
+                    fence,
+                    former: epoch,
+                });
+                let claim = Claim {
+                    shard: shard.to_owned(),
+                    fence,
+                    former: epoch,
+                    lease,
+                    begun,
+                };
+                self.begin(claim);
+            }
+            // Read anew who has it now; an unanswered claim may be ours.
+            Ok(_) | Err(_) => {
+                self.revision = None;
+                sleep(PAUSE).await;
+            }
+        }
+    }
+
+    fn begin(&mut self, claim: Claim) {
+        let shard = claim.shard.clone();
+        self.owned.push(shard.clone());
+        self.count_owned();
+        let node = self.node.clone();
+        let ended = self.ended.clone();
+        self.terms.spawn(async move {
+            reign(node, claim).await;
+            // The receiver is gone only when the daemon stops.
+            let _ = ended.send(shard);
+        });
+    }
+
+    fn release(&mut self, shard: &str) {
+        self.owned.retain(|owned| owned != shard);
+        self.count_owned();
+        self.revision = None;
+    }
+
+    fn count_owned(&self) {
+        let count = self.owned.len() as u32;
+        self.node.owned.store(count, Ordering::Relaxed);
+    }
+
+    async fn take(&mut self, news: Result<News, StoreFault>) {
+        match news {
+            Ok(News::All(items, revision)) => {
+                self.read_all(&items);
+                self.revision = Some(revision);
+            }
+            Ok(News::Changes(changes, revision)) => {
+                changes.iter().for_each(|change| self.apply(change));
+                self.revision = Some(revision);
+            }
+            Ok(News::Forgotten) => self.revision = None,
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+
+    fn read_all(&mut self, items: &[Item]) {
+        let now = Moment::now();
+        for view in self.views.values_mut() {
+            let had = view.hint.take().is_some();
+            if had || view.vacant == Moment::default() {
+                view.vacant = now;
+            }
+        }
+        for item in items {
+            self.apply(&Change::Written(item.clone()));
+        }
+    }
+
+    fn apply(&mut self, change: &Change) {
+        let now = Moment::now();
+        let known = read_shard_key(change.key());
+        let (Some(ShardKey::Epoch(shard)) | Some(ShardKey::Hint(shard))) = known else {
+            return;
+        };
+        let Some(view) = self.views.get_mut(shard) else {
+            return;
+        };
+        match (known, change) {
+            (Some(ShardKey::Epoch(_)), Change::Written(item)) => view.epoch = item.revision,
+            (Some(ShardKey::Hint(_)), Change::Written(item)) => {
+                match decode::<OwnerRecord>(&item.value.0) {
+                    Ok(owner) => {
+                        view.hint = Some(Hint {
+                            host: owner.host,
+                            life: owner.life,
+                            revision: item.revision,
+                        });
+                    }
+                    Err(error) => journal::line(&DaemonLine::ValueIgnored {
+                        key: &item.key,
+                        reason: error.to_string(),
+                    }),
+                }
+            }
+            (Some(ShardKey::Hint(_)), Change::Removed { .. }) => {
+                view.hint = None;
+                view.vacant = now;
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/restore.rs
@@ -0,0 +1,213 @@
+//! Takes up the state of a shard, then follows its jobs and workers.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::lines::DaemonLine;
+use super::node::wall;
+use super::term::Reign;
+use super::writer;
+use crate::fleet::Registration;
+use crate::journal;
+use crate::moment::Moment;
+use crate::platform::fleet::{Change, Item, REGISTRY_PREFIX, StoreFault, Watched, read_worker};
+use crate::shards::{
+    Accepted, JobKey, decode, progress_prefix, read_job_key, roster_key, work_prefix,
+};
+use crate::workflow::{Flow, Progress, WorkflowId, WorkflowState, dues};
+
+/// How long a watch waits for a change.
+const WAIT: Duration = Duration::from_secs(10);
+/// Between calls while the store does not answer.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Between two readings of the registry.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(900);
+
+/// Takes up the shard's state, starts the tasks of the ownership, and follows
+/// the shard's jobs.
+pub(super) async fn run(reign: Arc<Reign>) {
+    let begun = Moment::now();
+    let mut revision = loop {
+        match read_state(&reign).await {
+            Ok(revision) => break revision,
+            Err(fault) => {
+                log::warn!("shard {:?} is not restored yet: {fault}", reign.claim.shard);
+                sleep(PAUSE).await;
+            }
+        }
+    };
+    note_restored(&reign, begun);
+    reign.wake();
+    reign.spawn(writer::run(reign.clone()));
+    reign.spawn(follow_registry(reign.clone()));
+    loop {
+        match follow_jobs(&reign, revision).await {
+            Ok(next) => revision = next,
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+fn note_restored(reign: &Reign, begun: Moment) {
+    let (jobs, workers) =
+        reign.decide(|scheduler, _| (scheduler.ledger.flows.len(), scheduler.workers.len()));
+    journal::line(&DaemonLine::ShardRestored {
+        shard: &reign.claim.shard,
+        fence: reign.claim.fence,
+        jobs,
+        workers,
+        took_ms: (Moment::now() - begun).as_millis() as u64,
+    });
+}
+
+/// Reads everything that the former owner left. Returns the revision to follow
+/// the jobs from.
+async fn read_state(reign: &Arc<Reign>) -> Result<u64, StoreFault> {
+    let shard = &reign.claim.shard;
+    let store = &reign.node.store;
+    let (progress_place, work_place, roster_place) = (
+        progress_prefix(shard),
+        work_prefix(shard),
+        roster_key(shard),
+    );
+    let (progress, work, roster, registry) = tokio::try_join!(
+        store.range(&progress_place, false),
+        store.range(&work_place, false),
+        store.get(&roster_place),
+        store.range(REGISTRY_PREFIX, false),
+    )?;
+    let progress = read_progress(&progress_place, &progress.items);
+    take_jobs(reign, &work.items, &progress);
+    take_registry(reign, &registry.items);
+    take_roster(reign, roster);
+    Ok(work.revision)
+}
+
+fn read_progress(prefix: &str, items: &[Item]) -> HashMap<WorkflowId, Progress> {
+    let rows = items.iter().filter_map(|item| {
+        let id = item.key.strip_prefix(prefix)?.parse().ok()?;
+        readable(item).map(|progress| (id, progress))
+    });
+    rows.collect()
+}
+
+fn readable<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
+    match decode(&item.value.0) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            ignore(&item.key, error.to_string());
+            None
+        }
+    }
+}
+
+fn ignore(key: &str, reason: String) {
+    journal::line(&DaemonLine::ValueIgnored { key, reason });
+}
+
+fn take_jobs(reign: &Reign, items: &[Item], progress: &HashMap<WorkflowId, Progress>) {
+    for item in items {
+        match read_job_key(&reign.claim.shard, &item.key) {
+            Some(JobKey::Job(id)) => take_job(reign, id, item, progress.get(&id)),
+            Some(JobKey::Cancelled(id)) => reign.decide(|scheduler, now| scheduler.cancel(id, now)),
+            None => ignore(&item.key, "no key of a job".to_owned()),
+        }
+    }
+}
+
+fn take_job(reign: &Reign, id: WorkflowId, item: &Item, progress: Option<&Progress>) {
+    let Some(accepted) = readable::<Accepted>(item) else {
+        return;
+    };
+    let wall = wall();
+    let age = wall.saturating_sub(Duration::from_millis(accepted.accepted_at));
+    reign.decide(|scheduler, now| {
+        // A job that was accepted before this process started counts from its start.
+        let since = Moment::default() + (now - Moment::default()).saturating_sub(age);
+        let flow = Flow {
+            id,
+            queue: Arc::new(accepted.queue),
+            revision: item.revision,
+            accepted: since,
+            state: WorkflowState::Queued,
+            occurrences: Vec::new(),
+            dues: dues(&accepted.workflow, wall, now),
+            workflow: Arc::new(accepted.workflow),
+        };
+        scheduler.submit(flow, progress, now);
+    });
+}
+
+fn take_registry(reign: &Arc<Reign>, items: &[Item]) {
+    let entries: Vec<Registration> = items
+        .iter()
+        .filter_map(|item| match read_worker(item) {
+            Ok(entry) => Some(entry),
+            Err(error) => {
+                ignore(&item.key, error.to_string());
+                None
+            }
+        })
+        .filter(|entry| entry.zone == reign.claim.shard)
+        .collect();
+    let added = reign.decide(|scheduler, now| scheduler.on_registry(entries, now));
+    added.into_iter().for_each(|key| reign.attend(key));
+}
+
+fn take_roster(reign: &Arc<Reign>, item: Option<Item>) {
+    let roster = item.as_ref().and_then(readable).unwrap_or_default();
+    let added = reign.decide(|scheduler, now| scheduler.on_roster(roster, now));
+    added.into_iter().for_each(|key| reign.attend(key));
+}
+
+async fn follow_jobs(reign: &Arc<Reign>, after: u64) -> Result<u64, StoreFault> {
+    let prefix = work_prefix(&reign.claim.shard);
+    let node = &reign.node;
+    match node
+        .health
+        .note(node.store.watch(&prefix, after, WAIT).await)?
+    {
+        Watched::Changes(changes, revision) => {
+            let written: Vec<Item> = changes
+                .into_iter()
+                .filter_map(|change| match change {
+                    Change::Written(item) => Some(item),
+                    Change::Removed { .. } => None,
+                })
+                .collect();
+            if !written.is_empty() {
+                take_jobs(reign, &written, &HashMap::new());
+                reign.wake();
+            }
+            Ok(revision)
+        }
+        Watched::Forgotten => {
+            let page = node.health.note(node.store.range(&prefix, false).await)?;
+            take_jobs(reign, &page.items, &HashMap::new());
+            reign.wake();
+            Ok(page.revision)
+        }
+    }
+}
+
+/// Reads the registry again and again.
+async fn follow_registry(reign: Arc<Reign>) {
+    let mut attended = HashSet::new();
+    loop {
+        sleep(REGISTRY_PAUSE).await;
+        let read = reign.node.store.range(REGISTRY_PREFIX, false).await;
+        if let Ok(page) = reign.node.health.note(read) {
+            take_registry(&reign, &page.items);
+            let present: HashSet<_> =
+                reign.decide(|scheduler, _| scheduler.workers.keys().collect());
+            for gone in attended.difference(&present) {
+                reign.dismiss(*gone);
+            }
+            attended = present;
+            reign.wake();
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/term.rs
@@ -0,0 +1,256 @@
+//! One ownership of a shard.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::Node;
+use super::lines::{DaemonLine, ShardLine};
+use super::{restore, worker};
+use crate::fleet::WorkerKey;
+use crate::journal;
+use crate::moment::Moment;
+use crate::platform::fleet::{Commit, Transaction};
+use crate::schedule::{Order, Scheduler, Term};
+use crate::shards::{GIVES_UP, OwnerRecord, encode, epoch_key, hint_key, settles};
+
+/// The longest time between two passes over the waiting tasks.
+const TICK: Duration = Duration::from_millis(250);
+/// The shortest time between two passes.
+const GATHER: Duration = Duration::from_millis(4);
+/// How many times the hint is renewed in its life.
+const RENEWALS: u32 = 4;
+/// Between calls while the store does not answer.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// A claim that the store has taken.
+#[derive(Debug, Clone)]
+pub(super) struct Claim {
+    pub shard: String,
+    /// The fencing token: the revision of the claim.
+    pub fence: u64,
+    /// The revision of the former claim; 0 if there was none.
+    pub former: u64,
+    /// The lease of the hint.
+    pub lease: u64,
+    /// When the claim was sent.
+    pub begun: Moment,
+}
+
+/// One ownership of a shard, as its tasks share it.
+#[derive(Debug)]
+pub(super) struct Reign {
+    pub node: Arc<Node>,
+    pub claim: Claim,
+    pub write: Notify,
+    scheduler: Mutex<Scheduler>,
+    plan: Notify,
+    lease: AtomicU64,
+    confirmed: AtomicU64,
+    lost: watch::Sender<Option<&'static str>>,
+    orders: Mutex<HashMap<WorkerKey, mpsc::UnboundedSender<Order>>>,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+/// Owns a shard until it is lost or the daemon stops.
+pub(super) async fn reign(node: Arc<Node>, claim: Claim) {
+    let former = claim.former > 0;
+    let term = Term {
+        fence: claim.fence,
+        settles: former.then(|| settles(Moment::now())),
+    };
+    let reign = Arc::new(Reign {
+        write: Notify::new(),
+        scheduler: Mutex::new(Scheduler::new(term)),
+        plan: Notify::new(),
+        lease: AtomicU64::new(claim.lease),
+        confirmed: AtomicU64::new(claim.begun.as_micros()),
+        lost: watch::channel(None).0,
+        orders: Mutex::default(),
+        tasks: Mutex::default(),
+        node,
+        claim,
+    });
+    reign.spawn(renew(reign.clone()));
+    reign.spawn(restore::run(reign.clone()));
+    reign.spawn(plan(reign.clone()));
+    let reason = tokio::select! {
+        reason = reign.wait_lost() => reason,
+        () = reign.node.stopped() => "planned stop",
+    };
+    reign.end(reason).await;
+}
+
+impl Reign {
+    /// Makes a decision and logs what came of it.
+    pub fn decide<T>(&self, decision: impl FnOnce(&mut Scheduler, Moment) -> T) -> T {
+        let mut scheduler = self.scheduler.lock().expect("no holder panics");
+        let result = decision(&mut scheduler, Moment::now());
+        let notes = scheduler.take_notes();
+        let urgent = scheduler.is_urgent();
+        drop(scheduler);
+        for note in &notes {
+            journal::line(&ShardLine {
+                shard: &self.claim.shard,
+                fence: self.claim.fence,
+                note,
+            });
+        }
+        if urgent {
+            self.write.notify_one();
+        }
+        result
+    }
+
+    /// Has the waiting tasks looked through soon.
+    pub fn wake(&self) {
+        self.plan.notify_one();
+    }
+
+    /// Runs a task until the end of this ownership.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.lock().expect("no holder panics").spawn(task);
+    }
+
+    /// Starts the two tasks of a worker.
+    pub fn attend(self: &Arc<Self>, key: WorkerKey) {
+        let entry = self.decide(|scheduler, _| {
+            scheduler
+                .workers
+                .get(key)
+                .map(|worker| worker.entry.clone())
+        });
+        let Some(entry) = entry else {
+            return;
+        };
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.orders
+            .lock()
+            .expect("no holder panics")
+            .insert(key, sender);
+        let api = self.node.worker(&entry.id, &entry.address);
+        self.spawn(worker::carry_orders(
+            self.clone(),
+            key,
+            api.clone(),
+            receiver,
+        ));
+        self.spawn(worker::keep_looking(self.clone(), key, api));
+    }
+
+    /// Forgets the way to a worker that is gone.
+    pub fn dismiss(&self, key: WorkerKey) {
+        self.orders.lock().expect("no holder panics").remove(&key);
+    }
+
+    /// Ends this ownership.
+    pub fn lose(&self, reason: &'static str) {
+        self.lost.send_if_modified(|lost| {
+            let first = lost.is_none();
+            lost.get_or_insert(reason);
+            first
+        });
+    }
+
+    /// Notes that the store confirmed this ownership to a call sent then.
+    pub fn confirm(&self, sent: Moment) {
+        self.confirmed
+            .fetch_max(sent.as_micros(), Ordering::Relaxed);
+    }
+
+    /// Whether this host may still command the workers.
+    pub fn is_confirmed(&self) -> bool {
+        let confirmed = Moment::from_micros(self.confirmed.load(Ordering::Relaxed));
+        Moment::now() - confirmed < GIVES_UP
+    }
+
+    async fn wait_lost(&self) -> &'static str {
+        let mut lost = self.lost.subscribe();
+        let reason = lost.wait_for(Option::is_some).await;
+        reason.ok().and_then(|reason| *reason).unwrap_or("ended")
+    }
+
+    async fn end(&self, reason: &str) {
+        self.tasks.lock().expect("no holder panics").abort_all();
+        journal::line(&DaemonLine::ShardLost {
+            shard: &self.claim.shard,
+            fence: self.claim.fence,
+            reason,
+        });
+        let lease = self.lease.load(Ordering::Relaxed);
+        if let Err(fault) = self.node.store.end(lease).await {
+            log::warn!(
+                "the hint of shard {:?} was left to lapse: {fault}",
+                self.claim.shard
+            );
+        }
+    }
+}
+
+/// Places waiting tasks whenever something has changed.
+async fn plan(reign: Arc<Reign>) {
+    loop {
+        // A pass after the tick finds leases that have ended.
+        let _ = timeout(TICK, reign.plan.notified()).await;
+        if !reign.is_confirmed() {
+            reign.lose("the store has not confirmed it for too long");
+            return;
+        }
+        if let Some(queues) = reign.node.queues() {
+            reign.decide(|scheduler, _| scheduler.configure(&queues));
+        }
+        let orders = reign.decide(|scheduler, now| scheduler.plan(now));
+        let senders = reign.orders.lock().expect("no holder panics").clone();
+        for (worker, order) in orders {
+            if let Some(sender) = senders.get(&worker) {
+                // A worker without its task is gone.
+                let _ = sender.send(order);
+            }
+        }
+        sleep(GATHER).await;
+    }
+}
+
+/// Keeps the hint alive.
+async fn renew(reign: Arc<Reign>) {
+    let pause = reign.node.settings.session / RENEWALS;
+    loop {
+        sleep(pause).await;
+        let sent = Moment::now();
+        let lease = reign.lease.load(Ordering::Relaxed);
+        match reign.node.health.note(reign.node.store.renew(lease).await) {
+            Ok(true) => reign.confirm(sent),
+            Ok(false) => put_back(&reign).await,
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Writes the hint again, if nobody has claimed the shard meanwhile.
+async fn put_back(reign: &Reign) {
+    let sent = Moment::now();
+    let (node, claim) = (&reign.node, &reign.claim);
+    let Ok(lease) = node.store.grant(node.settings.session).await else {
+        return;
+    };
+    let owner = OwnerRecord {
+        host: node.settings.name.clone(),
+        life: node.life,
+    };
+    let transaction = Transaction::default()
+        .require(&epoch_key(&claim.shard), claim.fence)
+        .set_leased(&hint_key(&claim.shard), encode(&owner), lease);
+    match node.health.note(node.store.commit(&transaction).await) {
+        Ok(Commit::Done(_)) => {
+            reign.lease.store(lease, Ordering::Relaxed);
+            reign.confirm(sent);
+        }
+        Ok(Commit::Conflict(_)) => reign.lose("another host claimed it"),
+        Ok(Commit::LeaseGone) | Err(_) => {}
+    }
+}
--- /dev/null
+++ b/src/daemon/worker.rs
@@ -0,0 +1,139 @@
+//! The two tasks of a worker: one for orders, one for looks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use super::lines::DaemonLine;
+use super::term::Reign;
+use crate::fleet::{StopOrder, WorkerKey};
+use crate::journal;
+use crate::moment::Moment;
+use crate::platform::fleet::{WorkerApi, WorkerFault};
+use crate::schedule::Order;
+use crate::workflow::TaskKey;
+
+/// Between two tries of an order.
+const RETRY: Duration = Duration::from_millis(60);
+/// Between looks at a worker that does not answer.
+const SILENT_PAUSE: Duration = Duration::from_millis(250);
+/// The shortest time between two looks: ends that come together are read together.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// Sends a worker its orders, one after the other.
+pub(super) async fn carry_orders(
+    reign: Arc<Reign>,
+    key: WorkerKey,
+    api: WorkerApi,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+) {
+    while let Some(order) = orders.recv().await {
+        match order {
+            Order::Start { task, run } => start(&reign, key, &api, task, run).await,
+            Order::Stop(stop) => carry_stop(&reign, key, &api, &stop).await,
+            Order::Pace(run, percent) => {
+                if let Err(fault) = api.pace(&run, percent).await {
+                    note_fault(&reign, &api, &run, &fault);
+                }
+            }
+        }
+    }
+}
+
+async fn start(reign: &Reign, key: WorkerKey, api: &WorkerApi, task: TaskKey, run: u64) {
+    let mut doubtful = false;
+    while reign.is_confirmed() {
+        let order = reign.decide(|scheduler, now| scheduler.start_order(key, task, run, now));
+        let Some(order) = order else {
+            return;
+        };
+        match api.start(&order).await {
+            Ok(reply) => {
+                reign.decide(|scheduler, now| scheduler.on_start(key, task, run, reply, now));
+                return;
+            }
+            Err(WorkerFault::Deposed) => return reign.lose("a worker follows a newer owner"),
+            Err(WorkerFault::Refused(reason)) => {
+                log::warn!("worker {} refused {}: {reason}", api.id(), order.task);
+                reign.decide(|scheduler, now| scheduler.on_start_refused(key, task, run, now));
+                return reign.wake();
+            }
+            Err(WorkerFault::Unreached(_)) if !doubtful => {
+                reign.decide(|scheduler, now| scheduler.on_start_unreached(key, task, run, now));
+                return reign.wake();
+            }
+            Err(fault) => {
+                doubtful = true;
+                let run = StopOrder {
+                    task: order.task,
+                    run,
+                    fence: order.fence,
+                };
+                note_fault(reign, api, &run, &fault);
+            }
+        }
+        sleep(RETRY).await;
+    }
+}
+
+async fn carry_stop(reign: &Reign, key: WorkerKey, api: &WorkerApi, stop: &StopOrder) {
+    while reign.decide(|scheduler, _| scheduler.wants_stop(key, stop)) {
+        match api.stop(stop).await {
+            Ok(()) => return reign.decide(|scheduler, now| scheduler.on_stop(key, stop, now)),
+            Err(WorkerFault::Deposed) => return reign.lose("a worker follows a newer owner"),
+            Err(fault) => note_fault(reign, api, stop, &fault),
+        }
+        sleep(RETRY).await;
+    }
+}
+
+fn note_fault(reign: &Reign, api: &WorkerApi, order: &StopOrder, fault: &WorkerFault) {
+    if *fault == WorkerFault::Deposed {
+        reign.lose("a worker follows a newer owner");
+    }
+    journal::line(&DaemonLine::OrderUnanswered {
+        worker: api.id(),
+        task: order.task.to_string(),
+        run: order.run,
+        reason: fault.to_string(),
+    });
+}
+
+/// Looks at a worker again and again, and prolongs its leases.
+pub(super) async fn keep_looking(reign: Arc<Reign>, key: WorkerKey, api: WorkerApi) {
+    let mut answers = true;
+    while reign.is_confirmed() {
+        let Some(order) = reign.decide(|scheduler, now| scheduler.look_order(key, now)) else {
+            return;
+        };
+        let sent = Moment::now();
+        match api.look(&order).await {
+            Ok(look) => {
+                reign.decide(|scheduler, now| scheduler.on_look(key, sent, &look, now));
+                reign.wake();
+                note_reach(&api, &mut answers, None);
+                sleep(GATHER).await;
+            }
+            Err(WorkerFault::Deposed) => return reign.lose("a worker follows a newer owner"),
+            Err(fault) => {
+                let unreached = matches!(fault, WorkerFault::Unreached(_));
+                reign.decide(|scheduler, now| scheduler.on_look_failed(key, unreached, now));
+                note_reach(&api, &mut answers, Some(&fault));
+                sleep(SILENT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn note_reach(api: &WorkerApi, answers: &mut bool, fault: Option<&WorkerFault>) {
+    let answered = fault.is_none();
+    if std::mem::replace(answers, answered) == answered {
+        return;
+    }
+    match fault {
+        Some(fault) => log::warn!("worker {} does not answer: {fault}", api.id()),
+        None => log::info!("worker {} answers again", api.id()),
+    }
+}
--- /dev/null
+++ b/src/fleet/capacity.rs
@@ -0,0 +1,57 @@
+//! What a worker offers and a task uses.
+
+use std::ops::{AddAssign, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// Processor, memory and accelerators.
+///
+/// ```
+/// use lycheelock::fleet::Capacity;
+///
+/// let worker = Capacity { millicores: 4000, memory: 1000, accelerators: 0 };
+/// let task = Capacity { millicores: 3000, memory: 600, accelerators: 0 };
+/// assert!(worker.holds(task));
+/// assert!(!worker.minus(task).holds(task));
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Capacity {
+    /// Thousandths of a processor core.
+    pub millicores: u32,
+    /// Memory in MB.
+    pub memory: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl Capacity {
+    /// Whether `need` fits into this.
+    pub const fn holds(self, need: Self) -> bool {
+        self.millicores >= need.millicores
+            && self.memory >= need.memory
+            && self.accelerators >= need.accelerators
+    }
+
+    /// What is left beside `used`.
+    pub const fn minus(self, used: Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_sub(used.millicores),
+            memory: self.memory.saturating_sub(used.memory),
+            accelerators: self.accelerators.saturating_sub(used.accelerators),
+        }
+    }
+}
+
+impl AddAssign for Capacity {
+    fn add_assign(&mut self, other: Self) {
+        self.millicores += other.millicores;
+        self.memory += other.memory;
+        self.accelerators += other.accelerators;
+    }
+}
+
+impl SubAssign for Capacity {
+    fn sub_assign(&mut self, other: Self) {
+        *self = self.minus(other);
+    }
+}
--- a/src/front/answers.rs
+++ b/src/front/answers.rs
@@ -29,7 +29,7 @@
 }
 
 /// The answer to a refusal: a JSON body, and the same in headers.
-pub(super) fn refuse(refusal: &Refusal, status: Option<Status>) -> Response<'static> {
+pub(crate) fn refuse(refusal: &Refusal, status: Option<Status>) -> Response<'static> {
     let row = refusal.kind.row();
     let retry_after_ms = row.retry.map(|retry| retry.as_millis() as u64);
     let body = Body {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -16,6 +16,7 @@
 use crate::kind::{ErrorKind, Refusal};
 use crate::server;
 use answers::Refused;
+pub(crate) use answers::refuse;
 
 pub use jobs::AcceptedJob;
 pub use operators::{EntryStatus, Published};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,15 +8,18 @@
 pub mod bytes;
 pub mod configuration;
 pub mod counters;
+pub mod daemon;
 #[cfg(feature = "standins")]
 pub mod demo;
 pub mod dispatch;
 pub mod drain;
 pub mod entry;
 pub mod error;
+pub mod fleet;
 pub mod front;
 pub mod ids;
 pub mod jobs;
+pub mod journal;
 pub mod kind;
 #[cfg(feature = "standins")]
 pub mod load;
@@ -27,11 +30,15 @@
 pub mod peers;
 pub mod placement;
 pub mod platform;
+pub mod routing;
+pub mod schedule;
 pub mod server;
 pub mod settings;
+pub mod shards;
 #[cfg(feature = "standins")]
 pub mod standins;
 pub mod table;
 pub mod workers;
+pub mod workflow;
 
 pub use error::{Error, Result};
--- a/src/moment.rs
+++ b/src/moment.rs
@@ -1,9 +1,11 @@
-//! A point on a process's own monotonic clock.
+//! A point on a process's own steady clock.
 
 use std::fmt;
 use std::ops::{Add, Sub};
 use std::sync::OnceLock;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use nix::time::{ClockId, clock_gettime};
 
 /// A point in time in microseconds since the process started.
 ///
@@ -22,7 +24,8 @@
 pub struct Moment(u64);
 
 impl Moment {
-    /// Reads the process's monotonic clock.
+    /// Reads the host's clock since boot, which also counts the time that the
+    /// host was suspended: leases of others go on meanwhile.
     ///
     /// ```
     /// use lycheelock::moment::Moment;
@@ -30,9 +33,10 @@
     /// assert!(Moment::now() <= Moment::now());
     /// ```
     pub fn now() -> Self {
-        static START: OnceLock<Instant> = OnceLock::new();
-        let start = START.get_or_init(Instant::now);
-        Self(start.elapsed().as_micros() as u64 + 1)
+        static START: OnceLock<Duration> = OnceLock::new();
+        let now = since_boot();
+        let start = START.get_or_init(|| now);
+        Self(now.saturating_sub(*start).as_micros() as u64 + 1)
     }
 
     /// A point given in microseconds.
@@ -66,6 +70,12 @@
     }
 }
 
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .expect("every Linux since 2.6.39 has this clock")
+        .into()
+}
+
 impl Add<Duration> for Moment {
     type Output = Self;
 
--- /dev/null
+++ b/src/platform/fleet/configuration.rs
@@ -0,0 +1,88 @@
+//! The operator's configuration.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::routing::{Queue, Queues};
+
+#[derive(Deserialize)]
+struct Document {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteRow>,
+    #[serde(default)]
+    limits: LimitRow,
+}
+
+/// A route is a queue of jobs; `backend` is the pool of workers that runs them.
+#[derive(Deserialize)]
+struct RouteRow {
+    name: String,
+    host: String,
+    prefix: String,
+    #[serde(default)]
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: f64,
+    backend: String,
+    #[serde(default = "one")]
+    attempts: f64,
+    #[serde(default = "one")]
+    stretch: f64,
+}
+
+#[derive(Default, Deserialize)]
+struct LimitRow {
+    #[serde(default)]
+    max_header_bytes: f64,
+    #[serde(default)]
+    max_body_bytes: f64,
+}
+
+const fn one() -> f64 {
+    1.0
+}
+
+/// The largest header and body, in bytes, where the operator gives none.
+const LARGEST_HEADER: u64 = 16 << 10;
+const LARGEST_BODY: u64 = 256 << 10;
+
+/// Reads the queues from the operator's configuration.
+///
+/// # Errors
+///
+/// Fails when the value is not a configuration.
+///
+/// ```
+/// let text = br#"{"version":7,"routes":[],"services":[],"limits":{}}"#;
+/// let queues = lycheelock::platform::fleet::read_queues(text).unwrap();
+/// assert_eq!(queues.version, 7);
+/// ```
+pub fn read_queues(value: &[u8]) -> Result<Queues, serde_json::Error> {
+    let document: Document = serde_json::from_slice(value)?;
+    let list = document.routes.into_iter().map(queue).collect();
+    let size = |given: f64, default: u64| if given > 0.0 { given as u64 } else { default };
+    Ok(Queues {
+        version: document.version,
+        list,
+        header_limit: size(document.limits.max_header_bytes, LARGEST_HEADER),
+        body_limit: size(document.limits.max_body_bytes, LARGEST_BODY),
+    })
+}
+
+fn queue(row: RouteRow) -> Queue {
+    Queue {
+        name: row.name,
+        host: row.host,
+        prefix: row.prefix,
+        pool: row.backend,
+        timeout: Duration::from_secs_f64(row.timeout_ms.max(0.0) / 1000.0),
+        target: Duration::from_secs_f64(row.target_latency_ms.max(0.0) / 1000.0),
+        priority: row.priority.max(0.0) as u32,
+        attempts: row.attempts.max(1.0) as u32,
+        stretch: row.stretch.max(1.0),
+    }
+}
--- /dev/null
+++ b/src/platform/fleet/store.rs
@@ -0,0 +1,444 @@
+//! The platform's key-value service.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use reqwest::{Client, RequestBuilder, StatusCode};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use thiserror::Error;
+
+/// How much longer than the wait of a watch its answer may take.
+const WATCH_MARGIN: Duration = Duration::from_millis(1500);
+/// How long an unused connection to the store is kept.
+const IDLE: Duration = Duration::from_secs(20);
+
+/// Why a call to the store has no result.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum StoreFault {
+    /// The store said that nothing was done, or was never reached.
+    #[error("the store refused: {0}")]
+    Refused(String),
+    /// No answer came; a change may have taken effect, or may still do so.
+    #[error("no answer from the store: {0}")]
+    Unanswered(String),
+    /// The answer could not be read.
+    #[error("the store's answer could not be read: {0}")]
+    Unreadable(String),
+}
+
+impl StoreFault {
+    /// Whether it is certain that nothing was changed.
+    pub const fn is_certain(&self) -> bool {
+        matches!(self, Self::Refused(_))
+    }
+}
+
+/// Bytes that travel as standard base64 with padding.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Bytes(pub Vec<u8>);
+
+impl Serialize for Bytes {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&BASE64_STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for Bytes {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_str(BytesVisitor)
+    }
+}
+
+struct BytesVisitor;
+
+impl serde::de::Visitor<'_> for BytesVisitor {
+    type Value = Bytes;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("base64 text")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Bytes, E> {
+        let decoded = BASE64_STANDARD.decode(text);
+        decoded.map(Bytes).map_err(serde::de::Error::custom)
+    }
+}
+
+/// A key with its value.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Item {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Bytes,
+    /// The revision of its last change.
+    #[serde(rename = "rev")]
+    pub revision: u64,
+}
+
+/// A change that a watch reports.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    /// The key was written.
+    Written(Item),
+    /// The key was removed.
+    Removed {
+        /// The key.
+        key: String,
+        /// The revision of the removal.
+        #[serde(rename = "rev")]
+        revision: u64,
+    },
+}
+
+impl Change {
+    /// The key that changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+}
+
+/// All items under a prefix.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The items, in the order of their keys.
+    pub items: Vec<Item>,
+    /// A revision that all items are at least as new as.
+    pub revision: u64,
+}
+
+/// What a watch found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watched {
+    /// The changes, and the revision to go on from.
+    Changes(Vec<Change>, u64),
+    /// The history is gone; read the prefix again.
+    Forgotten,
+}
+
+/// The result of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Commit {
+    /// It took effect at this revision.
+    Done(u64),
+    /// A condition did not hold; the items it names as they are.
+    Conflict(Vec<Item>),
+    /// The lease has ended.
+    LeaseGone,
+}
+
+/// Changes that take effect together, if all conditions hold.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Transaction {
+    #[serde(rename = "precondition")]
+    conditions: Vec<ConditionRow>,
+    #[serde(rename = "set_keys")]
+    sets: Vec<SetRow>,
+    #[serde(rename = "remove")]
+    removals: Vec<String>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct ConditionRow {
+    key: String,
+    #[serde(rename = "rev")]
+    revision: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct SetRow {
+    key: String,
+    value: Bytes,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lease: Option<u64>,
+}
+
+impl Transaction {
+    /// The most rows that the store takes in one transaction.
+    pub const MOST_ROWS: usize = 32;
+
+    /// Requires that the key was last changed at this revision; 0: it does not exist.
+    pub fn require(mut self, key: &str, revision: u64) -> Self {
+        let key = key.to_owned();
+        self.conditions.push(ConditionRow { key, revision });
+        self
+    }
+
+    /// Writes a key.
+    pub fn set(mut self, key: &str, value: Vec<u8>) -> Self {
+        self.sets.push(SetRow {
+            key: key.to_owned(),
+            value: Bytes(value),
+            lease: None,
+        });
+        self
+    }
+
+    /// Writes a key that is removed when the lease ends.
+    pub fn set_leased(mut self, key: &str, value: Vec<u8>, lease: u64) -> Self {
+        self.sets.push(SetRow {
+            key: key.to_owned(),
+            value: Bytes(value),
+            lease: Some(lease),
+        });
+        self
+    }
+
+    /// Removes a key.
+    pub fn remove(mut self, key: &str) -> Self {
+        self.removals.push(key.to_owned());
+        self
+    }
+
+    /// How many rows it has.
+    pub fn rows(&self) -> usize {
+        self.conditions.len() + self.sets.len() + self.removals.len()
+    }
+}
+
+#[derive(Deserialize)]
+struct RangeAnswer {
+    items: Vec<Item>,
+    #[serde(default)]
+    has_more: bool,
+    #[serde(rename = "current_rev")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct WatchAnswer {
+    events: Vec<Change>,
+    #[serde(rename = "current_rev")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct CommitAnswer {
+    #[serde(rename = "rev")]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct ConflictAnswer {
+    #[serde(default)]
+    items: Vec<Item>,
+}
+
+#[derive(Serialize)]
+struct LeaseBody {
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct LeaseAnswer {
+    lease: u64,
+}
+
+/// A client of the store; its connections are shared by all tasks.
+#[derive(Debug)]
+pub struct Store {
+    client: Client,
+    base: RwLock<String>,
+    silence: Duration,
+}
+
+type Answer<T> = Result<T, StoreFault>;
+
+impl Store {
+    /// A store at `address`. Calls without an answer fail after `silence`.
+    pub fn new(address: SocketAddr, silence: Duration) -> Self {
+        let client = Client::builder()
+            .connect_timeout(silence)
+            .pool_idle_timeout(IDLE)
+            .tcp_nodelay(true)
+            .build()
+            .expect("a client without TLS needs nothing that can fail");
+        Self {
+            client,
+            base: RwLock::new(format!("http://{address}")),
+            silence,
+        }
+    }
+
+    /// Sends the following calls to another address.
+    pub fn move_to(&self, address: SocketAddr) {
+        *self.base.write().expect("no holder panics") = format!("http://{address}");
+    }
+
+    /// Reads one key; the answer is as new as the call.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refused or did not answer.
+    pub async fn get(&self, key: &str) -> Answer<Option<Item>> {
+        let call = self.client.get(self.url("kv-key")).query(&[("key", key)]);
+        let (status, body) = self.send(call, self.silence).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        read(&accept(status, body)?).map(Some)
+    }
+
+    /// Reads all items under a prefix, page by page. A `stale` read costs less
+    /// and may be seconds old.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refused or did not answer.
+    pub async fn range(&self, prefix: &str, stale: bool) -> Answer<Page> {
+        let mut page = Page::default();
+        let mut after = String::new();
+        loop {
+            let mut call = self
+                .client
+                .get(self.url("kv-range"))
+                .query(&[("prefix", prefix)]);
+            if stale {
+                call = call.query(&[("serializable", "1")]);
+            }
+            if !after.is_empty() {
+                call = call.query(&[("after", after.as_str())]);
+            }
+            let (status, body) = self.send(call, self.silence).await?;
+            let answer: RangeAnswer = read(&accept(status, body)?)?;
+            if page.revision == 0 {
+                page.revision = answer.revision;
+            }
+            page.items.extend(answer.items);
+            match page.items.last() {
+                Some(last) if answer.has_more => after = last.key.clone(),
+                _ => return Ok(page),
+            }
+        }
+    }
+
+    /// Waits up to `wait` for changes under a prefix after a revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refused, cut the watch or did not answer.
+    pub async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
+        let after = after.to_string();
+        let wait_ms = wait.as_millis().to_string();
+        let query = [
+            ("prefix", prefix),
+            ("after", after.as_str()),
+            ("wait_ms", wait_ms.as_str()),
+        ];
+        let call = self.client.get(self.url("kv-watch")).query(&query);
+        let (status, body) = self.send(call, wait + WATCH_MARGIN).await?;
+        if status == StatusCode::GONE {
+            return Ok(Watched::Forgotten);
+        }
+        let answer: WatchAnswer = read(&accept(status, body)?)?;
+        Ok(Watched::Changes(answer.events, answer.revision))
+    }
+
+    /// Carries out a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refused or did not answer; after
+    /// [`StoreFault::Unanswered`] it may have taken effect, or may do so later.
+    pub async fn commit(&self, transaction: &Transaction) -> Answer<Commit> {
+        let call = self.client.post(self.url("kv-txn")).json(transaction);
+        let (status, body) = self.send(call, self.silence).await?;
+        match status {
+            StatusCode::PRECONDITION_FAILED => {
+                read::<ConflictAnswer>(&body).map(|answer| Commit::Conflict(answer.items))
+            }
+            StatusCode::NOT_FOUND => Ok(Commit::LeaseGone),
+            _ => {
+                let answer: CommitAnswer = read(&accept(status, body)?)?;
+                Ok(Commit::Done(answer.revision))
+            }
+        }
+    }
+
+    /// Grants a lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refused or did not answer.
+    pub async fn grant(&self, ttl: Duration) -> Answer<u64> {
+        let ttl_ms = ttl.as_millis() as u64;
+        let call = self
+            .client
+            .post(self.url("kv-lease"))
+            .json(&LeaseBody { ttl_ms });
+        let (status, body) = self.send(call, self.silence).await?;
+        let answer: LeaseAnswer = read(&accept(status, body)?)?;
+        Ok(answer.lease)
+    }
+
+    /// Renews a lease; says whether it still stood.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refused or did not answer.
+    pub async fn renew(&self, lease: u64) -> Answer<bool> {
+        let call = self.client.post(self.url(&format!("kv-keep/{lease}")));
+        let (status, body) = self.send(call, self.silence).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(false);
+        }
+        accept(status, body).map(|_| true)
+    }
+
+    /// Ends a lease and removes its keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store refused or did not answer.
+    pub async fn end(&self, lease: u64) -> Answer<()> {
+        let call = self
+            .client
+            .delete(self.url(&format!("kv-lease-end/{lease}")));
+        let (status, body) = self.send(call, self.silence).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(());
+        }
+        accept(status, body).map(|_| ())
+    }
+
+    fn url(&self, path: &str) -> String {
+        let base = self.base.read().expect("no holder panics");
+        format!("{base}/{path}")
+    }
+
+    async fn send(&self, call: RequestBuilder, silence: Duration) -> Answer<(StatusCode, Vec<u8>)> {
+        let unanswered = |error: reqwest::Error| {
+            if error.is_connect() {
+                StoreFault::Refused(error.to_string())
+            } else {
+                StoreFault::Unanswered(error.to_string())
+            }
+        };
+        let response = call.timeout(silence).send().await.map_err(unanswered)?;
+        let status = response.status();
+        let body = response
+            .bytes()
+            .await
+            .map_err(|error| StoreFault::Unanswered(error.to_string()))?;
+        Ok((status, body.to_vec()))
+    }
+}
+
+fn accept(status: StatusCode, body: Vec<u8>) -> Answer<Vec<u8>> {
+    if status.is_success() {
+        return Ok(body);
+    }
+    Err(StoreFault::Refused(format!("status {status}")))
+}
+
+fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Answer<T> {
+    serde_json::from_slice(body).map_err(|error| StoreFault::Unreadable(error.to_string()))
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! knowing how they are sent.
 
 mod client;
+pub mod fleet;
 mod messages;
 
 pub use client::{Platform, StoreFailure};
--- /dev/null
+++ b/src/schedule/ends.rs
@@ -0,0 +1,345 @@
+//! What a look at a worker says about the runs there.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use super::{Note, Order, Scheduler};
+use crate::fleet::{Clock, EndedRun, Ending, LiveRun, Look, Standing, StopOrder, WorkerKey};
+use crate::moment::Moment;
+use crate::workflow::{FlowKey, Stage, TaskKey, Verdict};
+
+/// The most ends that a worker lists at once; a full list may not be complete.
+const FULL_LIST: usize = 500;
+/// How long after a stop the same run is stopped once more.
+const STOP_AGAIN: Duration = Duration::from_millis(600);
+
+impl Scheduler {
+    /// Takes in what a worker reports; the look was sent at `sent`.
+    pub fn on_look(&mut self, key: WorkerKey, sent: Moment, look: &Look, now: Moment) {
+        if !self.workers.contains_key(key) {
+            return;
+        }
+        self.check_life(key, look.born, now);
+        let worker = &mut self.workers[key];
+        worker.clock = Some(Clock::new(look.clock, now));
+        worker.contact = now;
+        let first = !std::mem::replace(&mut worker.synced, true);
+        let complete = look.ended.len() < FULL_LIST;
+        self.take_ends(key, &look.ended, now);
+        self.take_running(key, &look.running, now);
+        if complete {
+            self.find_missing(key, sent, look, now);
+        }
+        self.adjust_pace(key, look, now);
+        let written = self.writes.written();
+        self.workers[key].acknowledge(written);
+        if first {
+            self.former.remove(&key);
+            self.settle(now);
+        }
+    }
+
+    /// Takes in that a worker has carried out a stop: the run ends, or will
+    /// never begin.
+    pub fn on_stop(&mut self, key: WorkerKey, order: &StopOrder, now: Moment) {
+        let Some(task) = self.ledger.find_task(order.task) else {
+            return;
+        };
+        let known = &mut self.ledger.tasks[task];
+        if known.stage == Stage::Stopping(key) && known.run == order.run && !known.confirmed {
+            known.confirmed = true;
+            known.since = now;
+        }
+    }
+
+    /// Whether a stop still has to be carried out.
+    pub fn wants_stop(&self, key: WorkerKey, order: &StopOrder) -> bool {
+        let Some(worker) = self.workers.get(key) else {
+            return false;
+        };
+        let stopping = |task: TaskKey| {
+            let known = &self.ledger.tasks[task];
+            known.stage == Stage::Stopping(key) && known.run == order.run
+        };
+        let ours = self.ledger.find_task(order.task).is_some_and(stopping);
+        ours || worker.strangers.contains_key(&(order.task, order.run))
+    }
+
+    /// Takes in that a look failed. `unreached` says that no connection was made.
+    pub fn on_look_failed(&mut self, key: WorkerKey, unreached: bool, now: Moment) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let left = unreached && !worker.listed && worker.entry.standing == Standing::Draining;
+        if left {
+            self.lose_all(key, "the worker left", now);
+            self.remove_worker(key, "left", now);
+        }
+    }
+
+    /// Gives up the runs of workers whose leases have all ended.
+    pub(super) fn drop_lapsed(&mut self, now: Moment) {
+        let lapsed = self.workers.iter().filter(|(_, worker)| {
+            worker.synced && worker.lapse < now && now > worker.contact + crate::fleet::LEASE
+        });
+        let keys: Vec<WorkerKey> = lapsed.map(|(key, _)| key).collect();
+        for key in keys {
+            if !self.workers[key].tasks.is_empty() {
+                self.lose_all(key, "its lease has ended on a silent worker", now);
+            }
+            self.workers[key].strangers.clear();
+            if !self.workers[key].listed {
+                self.remove_worker(key, "lost", now);
+            }
+        }
+    }
+
+    /// Lets tasks of a former owner start again once no run of them can exist.
+    pub(super) fn settle(&mut self, now: Moment) {
+        if !self.settling {
+            return;
+        }
+        let answered = self.former.is_empty() && self.roster_read();
+        let lapsed = self.term.settles.is_some_and(|settles| now >= settles);
+        if !answered && !lapsed {
+            return;
+        }
+        self.settling = false;
+        let unsettled = self
+            .ledger
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.stage == Stage::Unsettled);
+        let keys: Vec<TaskKey> = unsettled.map(|(key, _)| key).collect();
+        self.note(Note::Settled {
+            tasks: keys.len(),
+            answered,
+        });
+        let mut flows = HashSet::new();
+        for key in keys {
+            flows.insert(self.ledger.tasks[key].flow);
+            self.ledger.release(key, now);
+        }
+        for flow in flows {
+            self.enqueue(flow, now);
+        }
+    }
+
+    pub(super) fn mistrust(&mut self, key: WorkerKey, flow: FlowKey, now: Moment) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.trust.failed(flow, now) {
+            self.note_worker(key, "its results are not trusted for a time");
+        }
+    }
+
+    pub(super) fn lose_all(&mut self, key: WorkerKey, reason: &'static str, now: Moment) {
+        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
+        for task in tasks {
+            self.lose(task, reason, now);
+        }
+    }
+
+    fn check_life(&mut self, key: WorkerKey, born: u64, now: Moment) {
+        let worker = &self.workers[key];
+        if worker.entry.born == born || born == 0 {
+            return;
+        }
+        let known = worker.synced;
+        if known {
+            self.lose_all(key, "the worker started anew", now);
+        }
+        self.workers[key].entry.born = born;
+        self.workers[key].reset(now);
+        self.note_worker(key, "started anew");
+    }
+
+    fn take_ends(&mut self, key: WorkerKey, ends: &[EndedRun], now: Moment) {
+        for end in ends {
+            if end.number <= self.workers[key].seen {
+                continue;
+            }
+            self.workers[key].seen = end.number;
+            self.workers[key].strangers.remove(&(end.task, end.run));
+            let kept = self.take_end(key, end, now);
+            let write = if kept { self.writes.next() } else { 0 };
+            self.workers[key].pending.push_back((end.number, write));
+        }
+    }
+
+    /// Takes in one end. Returns whether the store must know of it before the
+    /// worker may forget it.
+    fn take_end(&mut self, key: WorkerKey, end: &EndedRun, now: Moment) -> bool {
+        let Some(task) = self.ledger.find_task(end.task) else {
+            return false;
+        };
+        let current = self.ledger.tasks[task].run == end.run;
+        let unsettled = self.ledger.tasks[task].stage == Stage::Unsettled;
+        let ours = current && self.ledger.tasks[task].stage.worker() == Some(key);
+        if !ours && !unsettled && end.ending != Ending::Done {
+            return false;
+        }
+        self.note_end(key, task, end, now);
+        self.settle_end(key, task, end, now)
+    }
+
+    fn note_end(&mut self, key: WorkerKey, task: TaskKey, end: &EndedRun, now: Moment) {
+        let since = self.ledger.tasks[task].since;
+        let worker = self.worker_name(key);
+        self.note(Note::RunEnded {
+            task: end.task.to_string(),
+            run: end.run,
+            worker,
+            ending: end.ending,
+            ran: (now - since).as_millis() as u64,
+        });
+    }
+
+    fn settle_end(&mut self, key: WorkerKey, task: TaskKey, end: &EndedRun, now: Moment) -> bool {
+        let flow = self.ledger.tasks[task].flow;
+        let lasting = self.ledger.flows[flow].step(end.task).lasting;
+        self.unassign(task);
+        if !end.checkpoint.is_empty() {
+            self.ledger.tasks[task]
+                .checkpoint
+                .clone_from(&end.checkpoint);
+        }
+        let verdict = match end.ending {
+            Ending::Done if !lasting => {
+                self.workers[key].trust.succeeded();
+                self.finish(task, now)
+            }
+            Ending::Failed => {
+                self.mistrust(key, flow, now);
+                self.ledger.fail(task, now)
+            }
+            _ => {
+                self.ledger.release(task, now);
+                Verdict::GoesOn
+            }
+        };
+        self.note_verdict(flow, verdict, now);
+        self.forget_ended(flow);
+        if !lasting && self.ledger.flows.contains_key(flow) {
+            self.writes.touch(flow);
+        }
+        !lasting
+    }
+
+    /// Notes that a task is done; one member's end is that of its whole gang.
+    fn finish(&mut self, task: TaskKey, now: Moment) -> Verdict {
+        if !self.is_gang(task) {
+            return self.ledger.finish(task, now);
+        }
+        let mut verdict = Verdict::GoesOn;
+        for member in self.members(task) {
+            self.unassign(member);
+            let ended = self.ledger.finish(member, now);
+            verdict = if ended == Verdict::GoesOn {
+                verdict
+            } else {
+                ended
+            };
+        }
+        verdict
+    }
+
+    fn take_running(&mut self, key: WorkerKey, running: &[LiveRun], now: Moment) {
+        for run in running {
+            match self.ledger.find_task(run.task) {
+                Some(task) => self.take_run(key, task, run, now),
+                None => self.stop_stranger(key, run, now),
+            }
+        }
+        let live: HashSet<_> = running.iter().map(|run| (run.task, run.run)).collect();
+        self.workers[key]
+            .strangers
+            .retain(|run, _| live.contains(run));
+    }
+
+    fn take_run(&mut self, key: WorkerKey, task: TaskKey, run: &LiveRun, now: Moment) {
+        let known = &self.ledger.tasks[task];
+        let (stage, number, flow) = (known.stage, known.run, known.flow);
+        let ended = self.ledger.flows[flow].state.is_final();
+        match stage {
+            Stage::Unsettled => self.adopt(key, task, run, now),
+            Stage::Starting(worker) if worker == key && number == run.run => {
+                self.ledger.enter(task, Stage::Running(key), now);
+                self.note_started(flow);
+            }
+            Stage::Running(worker) if worker == key && number == run.run => {}
+            Stage::Stopping(worker) if worker == key && number == run.run => {
+                self.stop_again(key, task, now);
+                return;
+            }
+            _ => return self.stop_stranger(key, run, now),
+        }
+        let known = &mut self.ledger.tasks[task];
+        known.at_work = run.progress >= crate::workflow::FULL_SPEED;
+        if known.checkpoint != run.checkpoint && !run.checkpoint.is_empty() {
+            known.checkpoint.clone_from(&run.checkpoint);
+        }
+        if ended && self.ledger.tasks[task].stage == Stage::Running(key) {
+            self.stop(task, "the job has ended", now);
+        }
+    }
+
+    fn adopt(&mut self, key: WorkerKey, task: TaskKey, run: &LiveRun, now: Moment) {
+        self.ledger.tasks[task].run = run.run;
+        self.ledger.enter(task, Stage::Running(key), now);
+        self.count_in(task, key);
+        let flow = self.ledger.tasks[task].flow;
+        self.note_started(flow);
+        let worker = self.worker_name(key);
+        self.note(Note::Adopted {
+            task: run.task.to_string(),
+            run: run.run,
+            worker,
+        });
+    }
+
+    fn stop_again(&mut self, key: WorkerKey, task: TaskKey, now: Moment) {
+        if now - self.ledger.tasks[task].since < STOP_AGAIN {
+            return;
+        }
+        self.ledger.tasks[task].since = now;
+        let order = self.stop_order(task);
+        self.order(key, Order::Stop(order));
+    }
+
+    /// Stops a run that this owner does not want.
+    fn stop_stranger(&mut self, key: WorkerKey, run: &LiveRun, now: Moment) {
+        let stopped = self.workers[key].strangers.get(&(run.task, run.run));
+        if stopped.is_some_and(|at| now - *at < STOP_AGAIN) {
+            return;
+        }
+        self.workers[key].strangers.insert((run.task, run.run), now);
+        let worker = self.worker_name(key);
+        self.note(Note::Stopping {
+            task: run.task.to_string(),
+            run: run.run,
+            worker,
+            reason: "the run is not wanted",
+        });
+        let order = StopOrder {
+            task: run.task,
+            run: run.run,
+            fence: self.term.fence,
+        };
+        self.order(key, Order::Stop(order));
+    }
+
+    /// Finds runs that were there before the look was sent and are not listed.
+    fn find_missing(&mut self, key: WorkerKey, sent: Moment, look: &Look, now: Moment) {
+        let live: HashSet<_> = look.running.iter().map(|run| (run.task, run.run)).collect();
+        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
+        for task in tasks {
+            let known = &self.ledger.tasks[task];
+            let confirmed = known.confirmed && known.since < sent;
+            if confirmed && !live.contains(&(known.name, known.run)) {
+                self.lose(task, "the worker does not list it", now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/schedule/mod.rs
@@ -0,0 +1,19 @@
+//! Decides for the owner of a shard which task runs where, and when.
+
+mod ends;
+mod gang;
+mod note;
+mod order;
+mod pace;
+mod place;
+mod rank;
+mod registry;
+mod scheduler;
+#[cfg(test)]
+mod tests;
+mod write;
+
+pub use note::Note;
+pub use order::Order;
+pub use scheduler::{Scheduler, Term};
+pub use write::{Batch, EndedFlow, RosterEntry};
--- /dev/null
+++ b/src/schedule/place.rs
@@ -0,0 +1,112 @@
+//! Chooses a worker for a task.
+
+use crate::fleet::{Capacity, Worker, WorkerKey};
+use crate::moment::Moment;
+use crate::workflow::{Flow, Step, TaskName};
+
+use super::Scheduler;
+
+/// The processors that serving tasks use at their busiest, as a share of what
+/// they declare.
+const SERVING_SHARE: f64 = 0.5;
+/// The share of its processors that a filling task must find idle.
+const FILLING_SHARE: f64 = 0.9;
+/// Memory that filling tasks leave to urgent ones, as a share of the worker's.
+const URGENT_MEMORY: f64 = 0.08;
+/// The tail against its target, in percent, from which a worker gets no
+/// further filling tasks.
+pub(super) const STRAINED: u32 = 75;
+/// What a worker on the rack of the data counts more, in millicores.
+const LOCAL_BONUS: i64 = 1_000_000;
+/// What each task of the same step on the worker counts less, in millicores.
+const CROWDING: i64 = 500;
+
+/// What tasks that could not be placed in this pass asked for.
+#[derive(Debug, Default)]
+pub(super) struct Misses {
+    rows: Vec<(bool, Capacity)>,
+}
+
+impl Misses {
+    /// Whether a task of this step would also find no worker.
+    pub fn covers(&self, step: &Step) -> bool {
+        let larger = |row: &(bool, Capacity)| row.0 == step.fills && step.need.holds(row.1);
+        self.rows.iter().any(larger)
+    }
+
+    /// Notes a step without a worker. Steps with conditions of their own say
+    /// nothing about others.
+    pub fn note(&mut self, step: &Step) {
+        let plain = step.label.is_none() && step.worker_limit.is_none() && !step.gang;
+        if plain {
+            self.rows.push((step.fills, step.need));
+        }
+    }
+}
+
+impl Scheduler {
+    /// The best worker for a task, if any can take it now.
+    pub(super) fn choose(&self, flow: &Flow, name: TaskName, now: Moment) -> Option<WorkerKey> {
+        let step = flow.step(name);
+        let fitting = self.workers.iter().filter(|(_, worker)| {
+            worker.entry.pool == flow.queue.pool && worker.is_open(now) && fits(worker, step, name)
+        });
+        let scored = fitting.map(|(key, worker)| (score(worker, step, name), key));
+        scored.max().map(|(_, key)| key)
+    }
+}
+
+fn fits(worker: &Worker, step: &Step, name: TaskName) -> bool {
+    let labelled = |label: &String| worker.entry.labels.contains(label);
+    step.label.as_ref().is_none_or(labelled)
+        && step
+            .worker_limit
+            .is_none_or(|limit| of_step(worker, name) < limit as usize)
+        && has_room(worker, step)
+}
+
+fn has_room(worker: &Worker, step: &Step) -> bool {
+    let free = worker.free();
+    if !step.fills {
+        return free.holds(step.need);
+    }
+    let reserve = f64::from(worker.entry.capacity.memory) * URGENT_MEMORY;
+    let memory = f64::from(free.memory) - reserve >= f64::from(step.need.memory);
+    let idle = idle(worker) as f64 >= f64::from(step.need.millicores) * FILLING_SHARE;
+    let calm = worker.strain < STRAINED && worker.pace == crate::workflow::FULL_SPEED;
+    memory && idle && calm && free.accelerators >= step.need.accelerators
+}
+
+/// The processors, in millicores, that a further filling task would find.
+fn idle(worker: &Worker) -> i64 {
+    let declared = i64::from(worker.used.millicores);
+    let serving = i64::from(worker.serving);
+    let busy = declared - serving + (serving as f64 * SERVING_SHARE) as i64;
+    i64::from(worker.entry.capacity.millicores) - busy - i64::from(worker.filling)
+}
+
+fn score(worker: &Worker, step: &Step, name: TaskName) -> i64 {
+    let room = if step.fills || !step.lasting {
+        idle(worker)
+    } else {
+        i64::from(worker.free().millicores)
+    };
+    let local = step.data_rack.is_some() && step.data_rack.as_deref() == worker.rack();
+    let bonus = if local { LOCAL_BONUS } else { 0 };
+    let crowd = if step.lasting {
+        of_step(worker, name) as i64
+    } else {
+        0
+    };
+    room + bonus - crowd * CROWDING
+}
+
+/// How many tasks of the same step and repetition the worker may be running.
+fn of_step(worker: &Worker, name: TaskName) -> usize {
+    let first = TaskName { index: 0, ..name };
+    let last = TaskName {
+        index: u32::MAX,
+        ..name
+    };
+    worker.tasks.range(first..=last).count()
+}
--- /dev/null
+++ b/src/schedule/rank.rs
@@ -0,0 +1,74 @@
+//! The order in which waiting tasks are placed.
+
+use std::time::Duration;
+
+use crate::moment::Moment;
+use crate::workflow::{Flow, Task, TaskKey};
+
+/// A job is worth nothing once it takes this many times its allowed time.
+const WORTHLESS_AFTER: u32 = 3;
+
+/// How much the caller still gains if the task starts now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Prospect {
+    /// The job can still end in time.
+    InTime,
+    /// The job will be late.
+    Late,
+    /// The job is too late to be of use.
+    Overdue,
+}
+
+/// The place of a task in the queue; the smallest comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// The operator's priority, 0 first.
+    pub priority: u32,
+    /// What the caller still gains.
+    pub prospect: Prospect,
+    /// The latest start that ends the job in time.
+    pub latest: Moment,
+    /// Keeps ranks apart.
+    pub task: TaskKey,
+}
+
+/// Ranks a waiting task.
+pub fn rank(flow: &Flow, key: TaskKey, task: &Task, now: Moment) -> Rank {
+    let due = flow.occurrences[task.name.occurrence as usize].due;
+    let begin = flow.accepted.max(due);
+    let allowed = flow.objective() - flow.accepted;
+    let rest = rest_of_chain(flow, task.name.step as usize);
+    let end = begin + allowed;
+    let prospect = if now + rest <= end {
+        Prospect::InTime
+    } else if now + rest <= begin + allowed * WORTHLESS_AFTER {
+        Prospect::Late
+    } else {
+        Prospect::Overdue
+    };
+    Rank {
+        priority: flow.queue.priority,
+        prospect: if flow.step(task.name).lasting {
+            Prospect::InTime
+        } else {
+            prospect
+        },
+        latest: Moment::default() + (end - Moment::default()).saturating_sub(rest),
+        task: key,
+    }
+}
+
+/// The estimated work from the begin of a step to the end of the job.
+fn rest_of_chain(flow: &Flow, step: usize) -> Duration {
+    let steps = &flow.workflow.steps;
+    let mut rest = vec![Duration::ZERO; steps.len()];
+    for number in (step..steps.len()).rev() {
+        let later = steps[number + 1..].iter().enumerate();
+        let longest = later
+            .filter(|(_, later)| later.after.contains(&number))
+            .map(|(offset, _)| rest[number + 1 + offset])
+            .max();
+        rest[number] = steps[number].estimate + longest.unwrap_or_default();
+    }
+    rest[step]
+}
--- /dev/null
+++ b/src/schedule/registry.rs
@@ -0,0 +1,115 @@
+//! The workers that the registry lists.
+
+use std::collections::HashSet;
+
+use super::{Note, RosterEntry, Scheduler};
+use crate::fleet::{Registration, Standing, Worker, WorkerKey};
+use crate::moment::Moment;
+use crate::workflow::TaskKey;
+
+impl Scheduler {
+    /// Takes in the registry's entries for this shard. Returns new workers.
+    pub fn on_registry(&mut self, entries: Vec<Registration>, now: Moment) -> Vec<WorkerKey> {
+        let listed: HashSet<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let mut added = Vec::new();
+        for entry in entries {
+            match self.by_id.get(&entry.id).copied() {
+                Some(key) => self.update_worker(key, entry, now),
+                None => added.push(self.add_worker(entry, now)),
+            }
+        }
+        let gone: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.listed && !listed.contains(&worker.entry.id))
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.workers[key].listed = false;
+            self.note_worker(key, "no longer registered");
+        }
+        added
+    }
+
+    /// Takes in the workers that a former owner may have used. Returns them.
+    pub fn on_roster(&mut self, roster: Vec<RosterEntry>, now: Moment) -> Vec<WorkerKey> {
+        let mut added = Vec::new();
+        for entry in roster {
+            let key = match self.by_id.get(&entry.id).copied() {
+                Some(key) => key,
+                None => {
+                    let key = self.add_worker(entry.registration(), now);
+                    self.workers[key].listed = false;
+                    added.push(key);
+                    key
+                }
+            };
+            self.workers[key].enrolled = true;
+            self.former.insert(key);
+        }
+        self.writes.roster_read();
+        added
+    }
+
+    pub(super) fn roster_read(&self) -> bool {
+        self.writes.has_roster()
+    }
+
+    pub(super) fn note_worker(&mut self, key: WorkerKey, change: &'static str) {
+        let worker = &self.workers[key];
+        let note = Note::WorkerChanged {
+            worker: worker.entry.id.clone(),
+            change,
+            tasks: worker.tasks.len(),
+        };
+        self.note(note);
+    }
+
+    pub(super) fn remove_worker(&mut self, key: WorkerKey, change: &'static str, now: Moment) {
+        self.note_worker(key, change);
+        if let Some(worker) = self.workers.remove(key) {
+            self.by_id.remove(&worker.entry.id);
+        }
+        self.former.remove(&key);
+        self.settle(now);
+    }
+
+    fn add_worker(&mut self, entry: Registration, now: Moment) -> WorkerKey {
+        let id = entry.id.clone();
+        let key = self.workers.insert(Worker::new(entry, now));
+        self.by_id.insert(id, key);
+        self.writes.enrol();
+        self.note_worker(key, "registered");
+        key
+    }
+
+    fn update_worker(&mut self, key: WorkerKey, entry: Registration, now: Moment) {
+        let worker = &mut self.workers[key];
+        let leaving =
+            worker.entry.standing == Standing::Ready && entry.standing == Standing::Draining;
+        let returned = !worker.listed;
+        let born = worker.entry.born;
+        worker.listed = true;
+        // The worker itself says when its former runs are gone.
+        worker.entry = Registration { born, ..entry };
+        if returned {
+            self.note_worker(key, "registered again");
+        }
+        if leaving {
+            self.note_worker(key, "draining");
+            self.evacuate(key, now);
+        }
+    }
+
+    /// Moves lasting tasks away from a worker that is about to leave.
+    fn evacuate(&mut self, key: WorkerKey, now: Moment) {
+        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
+        for task in tasks {
+            let known = &self.ledger.tasks[task];
+            let flow = &self.ledger.flows[known.flow];
+            if flow.step(known.name).lasting {
+                self.stop(task, "the worker is draining", now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/schedule/scheduler.rs
@@ -0,0 +1,497 @@
+//! The state of a shard's owner, and the pass that places waiting tasks.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use super::place::Misses;
+use super::rank::{Rank, rank};
+use super::write::Writes;
+use super::{Note, Order};
+use crate::fleet::{LEASE, LookOrder, StartOrder, StartReply, Worker, WorkerKey};
+use crate::moment::Moment;
+use crate::routing::{Queue, Queues};
+use crate::workflow::{
+    Flow, FlowKey, Ledger, Progress, Stage, TaskKey, Verdict, WorkflowId, WorkflowState,
+};
+
+/// Runs of one owner; an owner's numbers are above those of its predecessors.
+const RUNS_PER_TERM: u64 = 1_000_000;
+/// How long a worker waits for an end before it answers a look.
+const LOOK_WAIT: Duration = Duration::from_millis(1000);
+/// A worker that was silent for longer than this keeps its leases as they are.
+const RENEWS: Duration = Duration::from_millis(1500);
+/// How often waiting tasks are ranked anew.
+const RERANK: Duration = Duration::from_millis(500);
+
+/// One ownership of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Term {
+    /// The fencing token: the revision of the claim.
+    pub fence: u64,
+    /// When every lease that a former owner could give has ended; none if
+    /// there was no former owner.
+    pub settles: Option<Moment>,
+}
+
+/// The state of a shard's owner.
+#[derive(Debug)]
+pub struct Scheduler {
+    /// The jobs and tasks.
+    pub ledger: Ledger,
+    /// The workers.
+    pub workers: SlotMap<WorkerKey, Worker>,
+    pub(super) by_id: HashMap<String, WorkerKey>,
+    pub(super) term: Term,
+    pub(super) settling: bool,
+    pub(super) former: HashSet<WorkerKey>,
+    pub(super) waiting: BTreeMap<Rank, TaskKey>,
+    pub(super) recurring: BTreeSet<FlowKey>,
+    pub(super) writes: Writes,
+    ranked: Moment,
+    runs: u64,
+    orders: Vec<(WorkerKey, Order)>,
+    notes: Vec<Note>,
+}
+
+impl Scheduler {
+    /// The state at the begin of an ownership.
+    pub fn new(term: Term) -> Self {
+        Self {
+            ledger: Ledger::default(),
+            workers: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            term,
+            settling: term.settles.is_some(),
+            former: HashSet::new(),
+            waiting: BTreeMap::new(),
+            recurring: BTreeSet::new(),
+            writes: Writes::default(),
+            ranked: Moment::default(),
+            runs: 0,
+            orders: Vec::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// This ownership.
+    pub const fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Takes in an accepted job. A job that is known already changes nothing.
+    pub fn submit(&mut self, flow: Flow, progress: Option<&Progress>, now: Moment) {
+        if self.ledger.find(flow.id).is_some() {
+            return;
+        }
+        let (id, queue, revision) = (flow.id, flow.queue.name.clone(), flow.revision);
+        let inherited = self.settling && revision < self.term.fence;
+        let recurring = flow.workflow.recurrence.is_some();
+        let key = self.ledger.add(flow);
+        if recurring {
+            self.recurring.insert(key);
+        }
+        let mut opened = self.ledger.unblock(key, inherited, now);
+        if let Some(progress) = progress {
+            let verdict = self.ledger.restore(key, progress, now);
+            self.note_verdict(key, verdict, now);
+            opened.extend(self.ledger.unblock(key, inherited, now));
+        }
+        self.note(Note::Queued {
+            id: id.to_string(),
+            queue,
+            revision,
+            tasks: opened.len(),
+        });
+        self.enqueue(key, now);
+    }
+
+    /// Ends a job because a caller cancelled it.
+    pub fn cancel(&mut self, id: WorkflowId, now: Moment) {
+        let Some(key) = self.ledger.find(id) else {
+            return;
+        };
+        if self.ledger.flows[key].state.is_final() {
+            return;
+        }
+        self.ledger.cancel(key);
+        self.end_flow(key, now);
+    }
+
+    /// Uses the terms of newer queues for the jobs that are known.
+    pub fn configure(&mut self, queues: &Queues) {
+        let shared: HashMap<&str, Arc<Queue>> = queues
+            .list
+            .iter()
+            .map(|queue| (queue.name.as_str(), Arc::new(queue.clone())))
+            .collect();
+        for flow in self.ledger.flows.values_mut() {
+            if let Some(queue) = shared.get(flow.queue.name.as_str()) {
+                flow.queue = queue.clone();
+            }
+        }
+    }
+
+    /// Places what can be placed and returns the orders to send.
+    pub fn plan(&mut self, now: Moment) -> Vec<(WorkerKey, Order)> {
+        self.drop_lapsed(now);
+        self.settle(now);
+        self.start_recurring(now);
+        if now - self.ranked >= RERANK {
+            self.rank_again(now);
+        }
+        self.place_waiting(now);
+        std::mem::take(&mut self.orders)
+    }
+
+    /// What was decided since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// The order to send for a start, unless it is not wanted any more.
+    pub fn start_order(
+        &mut self,
+        worker: WorkerKey,
+        key: TaskKey,
+        run: u64,
+        now: Moment,
+    ) -> Option<StartOrder> {
+        let task = self.ledger.tasks.get(key)?;
+        if task.stage != Stage::Starting(worker) || task.run != run {
+            return None;
+        }
+        let flow = &self.ledger.flows[task.flow];
+        let target = self.workers.get_mut(worker)?;
+        let clock = target.clock?;
+        let until = clock.lease_end(now, LEASE);
+        target.lapse = target.lapse.max(clock.passed(until));
+        Some(StartOrder {
+            task: task.name,
+            run,
+            payload: flow.workflow.payload.clone(),
+            until,
+            fence: self.term.fence,
+            checkpoint: task.checkpoint.clone(),
+        })
+    }
+
+    /// Takes in the answer to a start.
+    pub fn on_start(
+        &mut self,
+        worker: WorkerKey,
+        key: TaskKey,
+        run: u64,
+        reply: StartReply,
+        now: Moment,
+    ) {
+        let Some(task) = self.ledger.tasks.get(key) else {
+            return;
+        };
+        if task.stage != Stage::Starting(worker) || task.run != run {
+            return;
+        }
+        match reply {
+            // The next look says whether a superseded run ended, and how.
+            StartReply::Running | StartReply::Superseded => {
+                self.ledger.enter(key, Stage::Running(worker), now);
+                let flow = self.ledger.tasks[key].flow;
+                self.note_started(flow);
+            }
+            StartReply::Late(_) | StartReply::NoRoom => {
+                self.lose(key, "the worker did not start it", now);
+            }
+        }
+    }
+
+    /// Takes in that a worker refused to start a run and did nothing.
+    pub fn on_start_refused(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
+        let Some(task) = self.ledger.tasks.get(key) else {
+            return;
+        };
+        if task.stage != Stage::Starting(worker) || task.run != run {
+            return;
+        }
+        let flow = task.flow;
+        self.lose(key, "the worker refused it", now);
+        self.mistrust(worker, flow, now);
+    }
+
+    /// Takes in that a start never reached its worker.
+    pub fn on_start_unreached(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
+        if let Some(target) = self.workers.get_mut(worker) {
+            target.contact = Moment::default();
+        }
+        let Some(task) = self.ledger.tasks.get(key) else {
+            return;
+        };
+        if task.stage == Stage::Starting(worker) && task.run == run {
+            self.lose(key, "the worker was not reached", now);
+        }
+    }
+
+    /// The next look at a worker.
+    pub fn look_order(&mut self, key: WorkerKey, now: Moment) -> Option<LookOrder> {
+        let worker = self.workers.get_mut(key)?;
+        let renews = worker.synced && now - worker.contact < RENEWS;
+        let until = match worker.clock {
+            Some(clock) if renews => {
+                let until = clock.lease_end(now, LEASE);
+                worker.lapse = worker.lapse.max(clock.passed(until));
+                Some(until)
+            }
+            _ => None,
+        };
+        Some(LookOrder {
+            until,
+            fence: self.term.fence,
+            acknowledged: worker.acknowledged,
+            wait: if renews { LOOK_WAIT } else { Duration::ZERO },
+        })
+    }
+
+    pub(super) fn note(&mut self, note: Note) {
+        self.notes.push(note);
+    }
+
+    pub(super) fn order(&mut self, worker: WorkerKey, order: Order) {
+        self.orders.push((worker, order));
+    }
+
+    pub(super) fn next_run(&mut self) -> u64 {
+        self.runs += 1;
+        self.term.fence * RUNS_PER_TERM + self.runs
+    }
+
+    /// Opens steps whose predecessors are done, and queues all that may start.
+    pub(super) fn enqueue(&mut self, key: FlowKey, now: Moment) {
+        let inherited = self.settling && self.ledger.flows[key].revision < self.term.fence;
+        self.ledger.unblock(key, inherited, now);
+        let flow = &self.ledger.flows[key];
+        if flow.state.is_final() {
+            return;
+        }
+        let waiting: Vec<Rank> = self
+            .ledger
+            .all_tasks(key)
+            .filter(|task| self.ledger.tasks[*task].stage == Stage::Waiting)
+            .map(|task| rank(flow, task, &self.ledger.tasks[task], now))
+            .collect();
+        self.waiting
+            .extend(waiting.into_iter().map(|rank| (rank, rank.task)));
+    }
+
+    fn rank_again(&mut self, now: Moment) {
+        self.ranked = now;
+        let tasks: BTreeSet<TaskKey> = self.waiting.values().copied().collect();
+        self.waiting.clear();
+        for key in tasks {
+            let Some(task) = self.ledger.tasks.get(key) else {
+                continue;
+            };
+            let flow = &self.ledger.flows[task.flow];
+            if task.stage == Stage::Waiting && !flow.state.is_final() {
+                let rank = rank(flow, key, task, now);
+                self.waiting.insert(rank, key);
+            }
+        }
+    }
+
+    fn place_waiting(&mut self, now: Moment) {
+        let mut misses = Misses::default();
+        let queue: Vec<(Rank, TaskKey)> = self
+            .waiting
+            .iter()
+            .map(|(rank, key)| (*rank, *key))
+            .collect();
+        for (rank, key) in queue {
+            let Some(task) = self.ledger.tasks.get(key) else {
+                self.waiting.remove(&rank);
+                continue;
+            };
+            let flow = &self.ledger.flows[task.flow];
+            if task.stage != Stage::Waiting || flow.state.is_final() {
+                self.waiting.remove(&rank);
+                continue;
+            }
+            if misses.covers(flow.step(task.name)) {
+                continue;
+            }
+            if self.place_one(key, now) {
+                self.waiting.remove(&rank);
+            } else {
+                let task = &self.ledger.tasks[key];
+                misses.note(self.ledger.flows[task.flow].step(task.name));
+            }
+        }
+    }
+
+    fn place_one(&mut self, key: TaskKey, now: Moment) -> bool {
+        if self.is_gang(key) {
+            return self.place_gang(key, now);
+        }
+        let Some(worker) = self.choose_for(key, now) else {
+            return false;
+        };
+        let run = self.next_run();
+        self.assign(key, worker, run, now);
+        self.send_start(key, now);
+        true
+    }
+
+    pub(super) fn choose_for(&self, key: TaskKey, now: Moment) -> Option<WorkerKey> {
+        let task = &self.ledger.tasks[key];
+        self.choose(&self.ledger.flows[task.flow], task.name, now)
+    }
+
+    /// Gives a task to a worker and counts what it uses there.
+    pub(super) fn assign(&mut self, key: TaskKey, worker: WorkerKey, run: u64, now: Moment) {
+        let waited = self.ledger.tasks[key].since;
+        self.ledger.tasks[key].run = run;
+        self.ledger.enter(key, Stage::Starting(worker), now);
+        self.ledger.tasks[key].pace = crate::workflow::FULL_SPEED;
+        let task = &self.ledger.tasks[key];
+        let target = &self.workers[worker];
+        let note = Note::Placed {
+            task: task.name.to_string(),
+            run,
+            worker: target.entry.id.clone(),
+            waited: (now - waited).as_millis() as u64,
+            report_age: (now - target.contact).as_millis() as u64,
+            free: target.free().millicores,
+        };
+        self.note(note);
+        self.count_in(key, worker);
+    }
+
+    pub(super) fn send_start(&mut self, key: TaskKey, _now: Moment) {
+        let task = &self.ledger.tasks[key];
+        if let Stage::Starting(worker) = task.stage {
+            let run = task.run;
+            self.order(worker, Order::Start { task: key, run });
+        }
+    }
+
+    /// Counts what a task uses on a worker.
+    pub(super) fn count_in(&mut self, key: TaskKey, worker: WorkerKey) {
+        let task = &self.ledger.tasks[key];
+        let step = self.ledger.flows[task.flow].step(task.name);
+        let target = &mut self.workers[worker];
+        if target.tasks.insert(task.name, key).is_some() {
+            return;
+        }
+        let mut need = step.need;
+        if step.fills {
+            target.filling += need.millicores;
+            need.millicores = 0;
+        } else if step.lasting {
+            target.serving += need.millicores;
+        }
+        target.used += need;
+    }
+
+    /// Gives back what a task used on its worker.
+    pub(super) fn unassign(&mut self, key: TaskKey) {
+        let task = &self.ledger.tasks[key];
+        let Some(worker) = task.stage.worker() else {
+            return;
+        };
+        let step = self.ledger.flows[task.flow].step(task.name);
+        let Some(target) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if target.tasks.remove(&task.name).is_none() {
+            return;
+        }
+        let mut need = step.need;
+        if step.fills {
+            target.filling = target.filling.saturating_sub(need.millicores);
+            need.millicores = 0;
+        } else if step.lasting {
+            target.serving = target.serving.saturating_sub(need.millicores);
+        }
+        target.used -= need;
+    }
+
+    fn start_recurring(&mut self, now: Moment) {
+        let due = |key: &FlowKey| self.ledger.next_due(*key).is_some_and(|due| due <= now);
+        let flows: Vec<FlowKey> = self.recurring.iter().copied().filter(due).collect();
+        for key in flows {
+            self.enqueue(key, now);
+        }
+    }
+
+    /// Notes what the end of a run means for its job.
+    pub(super) fn note_verdict(&mut self, key: FlowKey, verdict: Verdict, now: Moment) {
+        match verdict {
+            Verdict::GoesOn => self.enqueue(key, now),
+            Verdict::Ended(_) => self.end_flow(key, now),
+        }
+    }
+
+    /// Stops what a job that has ended still runs, and has its end written.
+    pub(super) fn end_flow(&mut self, key: FlowKey, now: Moment) {
+        let flow = &self.ledger.flows[key];
+        let (id, state, accepted) = (flow.id, flow.state, flow.accepted);
+        self.note(Note::JobEnded {
+            id: id.to_string(),
+            state,
+            after: (now - accepted).as_millis() as u64,
+        });
+        let reason = match state {
+            WorkflowState::Cancelled => "the job was cancelled",
+            _ => "the job has ended",
+        };
+        for task in self.ledger.live_tasks(key) {
+            self.stop(task, reason, now);
+        }
+        self.recurring.remove(&key);
+        self.writes.end(key);
+    }
+
+    /// Tells a worker to stop a run.
+    pub(super) fn stop(&mut self, key: TaskKey, reason: &'static str, now: Moment) {
+        let Some(worker) = self.ledger.tasks[key].stage.worker() else {
+            return;
+        };
+        let order = self.stop_order(key);
+        self.ledger.enter(key, Stage::Stopping(worker), now);
+        let name = self.worker_name(worker);
+        self.note(Note::Stopping {
+            task: order.task.to_string(),
+            run: order.run,
+            worker: name,
+            reason,
+        });
+        self.order(worker, Order::Stop(order));
+    }
+
+    /// Notes that no run of a task exists any more; it starts again.
+    pub(super) fn lose(&mut self, key: TaskKey, reason: &'static str, now: Moment) {
+        let task = &self.ledger.tasks[key];
+        let (flow, name, run) = (task.flow, task.name, task.run);
+        let worker = task.stage.worker();
+        let worker = worker
+            .map(|worker| self.worker_name(worker))
+            .unwrap_or_default();
+        self.note(Note::RunLost {
+            task: name.to_string(),
+            run,
+            worker,
+            reason,
+        });
+        self.unassign(key);
+        self.ledger.release(key, now);
+        self.enqueue(flow, now);
+        self.forget_ended(flow);
+    }
+
+    pub(super) fn worker_name(&self, worker: WorkerKey) -> String {
+        let worker = self.workers.get(worker);
+        worker
+            .map(|worker| worker.entry.id.clone())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/schedule/write.rs
@@ -0,0 +1,296 @@
+//! What the store must be told, and which ends that covers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::Scheduler;
+use crate::fleet::{Capacity, Registration, Standing};
+use crate::workflow::{FlowKey, Progress, WorkflowId, WorkflowState};
+
+/// A worker that an owner may have used.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// Its id.
+    pub id: String,
+    /// Where it takes orders.
+    pub address: String,
+    /// Its availability zone.
+    pub zone: String,
+}
+
+impl RosterEntry {
+    /// A worker of which only this is known.
+    pub fn registration(&self) -> Registration {
+        Registration {
+            id: self.id.clone(),
+            born: 0,
+            pool: String::new(),
+            address: self.address.clone(),
+            zone: self.zone.clone(),
+            labels: Vec::new(),
+            capacity: Capacity::default(),
+            standing: Standing::Draining,
+            remaining: None,
+        }
+    }
+}
+
+/// A job whose state is to be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndedFlow {
+    /// The job.
+    pub flow: FlowKey,
+    /// Its id.
+    pub id: WorkflowId,
+    /// Its state.
+    pub state: WorkflowState,
+    /// The revision of its record as this owner knows it.
+    pub revision: u64,
+}
+
+/// What is to be written next.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// The number of the write.
+    pub number: u64,
+    /// Jobs that ended.
+    pub ended: Vec<EndedFlow>,
+    /// Jobs that started to run.
+    pub started: Vec<EndedFlow>,
+    /// The progress of jobs that go on.
+    pub progress: Vec<(FlowKey, WorkflowId, Progress)>,
+    /// The workers that may be used, if they changed.
+    pub roster: Option<Vec<RosterEntry>>,
+    /// How many jobs of each queue have not started, if that changed.
+    pub pending: Option<BTreeMap<String, u64>>,
+}
+
+impl Batch {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.ended.is_empty()
+            && self.started.is_empty()
+            && self.progress.is_empty()
+            && self.roster.is_none()
+            && self.pending.is_none()
+    }
+}
+
+/// What was not written yet.
+#[derive(Debug, Default)]
+pub(super) struct Writes {
+    ended: BTreeSet<FlowKey>,
+    started: BTreeSet<FlowKey>,
+    touched: BTreeSet<FlowKey>,
+    roster: Enrolment,
+    counts: BTreeMap<String, u64>,
+    begun: u64,
+    written: u64,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Enrolment {
+    /// The former owner's roster was not read yet.
+    #[default]
+    Unread,
+    /// The store has the roster.
+    Written,
+    /// The roster grew.
+    Changed,
+}
+
+impl Writes {
+    /// The number of the write that covers what happens now.
+    pub const fn next(&self) -> u64 {
+        self.begun + 1
+    }
+
+    /// All up to this number are written.
+    pub const fn written(&self) -> u64 {
+        self.written
+    }
+
+    pub fn end(&mut self, flow: FlowKey) {
+        self.ended.insert(flow);
+    }
+
+    pub fn touch(&mut self, flow: FlowKey) {
+        self.touched.insert(flow);
+    }
+
+    pub fn enrol(&mut self) {
+        if self.roster == Enrolment::Written {
+            self.roster = Enrolment::Changed;
+        }
+    }
+
+    pub fn roster_read(&mut self) {
+        self.roster = Enrolment::Changed;
+    }
+
+    pub fn has_roster(&self) -> bool {
+        self.roster != Enrolment::Unread
+    }
+
+    pub fn forget(&mut self, flow: FlowKey) {
+        self.ended.remove(&flow);
+        self.started.remove(&flow);
+        self.touched.remove(&flow);
+    }
+}
+
+impl Scheduler {
+    /// Whether something waits that callers would like to know at once.
+    pub fn is_urgent(&self) -> bool {
+        !self.writes.ended.is_empty() || self.writes.roster == Enrolment::Changed
+    }
+
+    /// What is to be written now. Only a `whole` batch covers the ends that
+    /// were taken in before.
+    pub fn collect(&mut self, whole: bool) -> Batch {
+        let ended: Vec<FlowKey> = self.writes.ended.iter().copied().collect();
+        let mut batch = Batch {
+            ended: ended
+                .into_iter()
+                .filter_map(|key| self.ended(key))
+                .collect(),
+            ..Batch::default()
+        };
+        if self.writes.roster == Enrolment::Changed {
+            batch.roster = Some(self.roster());
+        }
+        if whole {
+            self.writes.begun += 1;
+            self.collect_rest(&mut batch);
+        }
+        batch.number = self.writes.begun;
+        batch
+    }
+
+    /// Takes in that all of a batch is in the store.
+    pub fn on_written(&mut self, batch: &Batch, whole: bool) {
+        if let Some(roster) = &batch.roster {
+            self.enrol(roster);
+        }
+        if let Some(counts) = &batch.pending {
+            self.writes.counts.clone_from(counts);
+        }
+        if !whole {
+            return;
+        }
+        self.writes.written = batch.number;
+        for worker in self.workers.values_mut() {
+            worker.acknowledge(batch.number);
+        }
+    }
+
+    /// Takes in that a job's end is in the store, or that another end was
+    /// there before.
+    pub fn on_end_written(&mut self, key: FlowKey) {
+        self.writes.ended.remove(&key);
+        self.writes.touched.remove(&key);
+        self.forget_ended(key);
+    }
+
+    /// Takes in that a job's record now has this revision.
+    pub fn on_start_written(&mut self, key: FlowKey, revision: u64) {
+        self.writes.started.remove(&key);
+        if let Some(flow) = self.ledger.flows.get_mut(key) {
+            flow.revision = revision;
+        }
+    }
+
+    /// Takes in that a job's progress is in the store, as of that batch.
+    pub fn on_progress_written(&mut self, key: FlowKey, progress: &Progress) {
+        if self.ledger.flows.contains_key(key) && self.ledger.progress(key) == *progress {
+            self.writes.touched.remove(&key);
+        }
+    }
+
+    /// Forgets a job whose end is written and of which nothing runs.
+    pub(super) fn forget_ended(&mut self, key: FlowKey) {
+        let Some(flow) = self.ledger.flows.get(key) else {
+            return;
+        };
+        let written = flow.state.is_final() && !self.writes.ended.contains(&key);
+        if written && self.ledger.live_tasks(key).is_empty() {
+            self.ledger.forget(key);
+            self.writes.forget(key);
+        }
+    }
+
+    /// Notes that a task of a job has started.
+    pub(super) fn note_started(&mut self, key: FlowKey) {
+        let flow = &mut self.ledger.flows[key];
+        if flow.state == WorkflowState::Queued {
+            flow.state = WorkflowState::Running;
+            self.writes.started.insert(key);
+        }
+    }
+
+    fn ended(&self, key: FlowKey) -> Option<EndedFlow> {
+        let flow = self.ledger.flows.get(key)?;
+        Some(EndedFlow {
+            flow: key,
+            id: flow.id,
+            state: flow.state,
+            revision: flow.revision,
+        })
+    }
+
+    fn roster(&self) -> Vec<RosterEntry> {
+        let rows = self.workers.values().map(|worker| RosterEntry {
+            id: worker.entry.id.clone(),
+            address: worker.entry.address.clone(),
+            zone: worker.entry.zone.clone(),
+        });
+        rows.collect()
+    }
+
+    fn enrol(&mut self, roster: &[RosterEntry]) {
+        for entry in roster {
+            if let Some(key) = self.by_id.get(&entry.id) {
+                self.workers[*key].enrolled = true;
+            }
+        }
+        let all = self.workers.values().all(|worker| worker.enrolled);
+        self.writes.roster = if all {
+            Enrolment::Written
+        } else {
+            Enrolment::Changed
+        };
+    }
+
+    fn collect_rest(&mut self, batch: &mut Batch) {
+        let started = std::mem::take(&mut self.writes.started);
+        batch.started = started.iter().filter_map(|key| self.ended(*key)).collect();
+        batch.started.retain(|flow| !flow.state.is_final());
+        self.writes.started = batch.started.iter().map(|flow| flow.flow).collect();
+        let touched: Vec<FlowKey> = self.writes.touched.iter().copied().collect();
+        for key in touched {
+            let Some(flow) = self.ledger.flows.get(key) else {
+                self.writes.touched.remove(&key);
+                continue;
+            };
+            if !flow.state.is_final() {
+                batch
+                    .progress
+                    .push((key, flow.id, self.ledger.progress(key)));
+            }
+        }
+        let counts = self.pending_counts();
+        if counts != self.writes.counts {
+            batch.pending = Some(counts);
+        }
+    }
+
+    fn pending_counts(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        for flow in self.ledger.flows.values() {
+            let waits = flow.state == WorkflowState::Queued;
+            *counts.entry(flow.queue.name.clone()).or_default() += u64::from(waits);
+        }
+        counts
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod fault;
+mod fleet;
 pub mod form;
 mod source;
 mod standin;
@@ -10,5 +11,6 @@
 
 pub use entry::{EntrySettings, Limits, Timing};
 pub use fault::Fault;
+pub use fleet::FleetSettings;
 pub use source::{Section, Source};
 pub use standin::{PlatformSettings, WorkerSettings};
--- /dev/null
+++ b/src/shards/claim.rs
@@ -0,0 +1,129 @@
+//! Decides whether and when to claim a shard.
+
+use std::time::Duration;
+
+use crate::fleet::SLOWEST;
+use crate::ids::stable_hash;
+use crate::moment::Moment;
+
+/// An owner that the store has not confirmed for this long gives up.
+pub const GIVES_UP: Duration = Duration::from_secs(16);
+/// The longest lease that any owner gives to a run.
+pub const LONGEST_LEASE: Duration = Duration::from_secs(5);
+/// Hosts of the shard's own zone claim within this span, each after its own delay.
+const HOME_SPREAD: Duration = Duration::from_millis(120);
+/// How much later hosts of other zones claim, and how far they spread.
+const AWAY_DELAY: Duration = Duration::from_millis(1500);
+const AWAY_SPREAD: Duration = Duration::from_millis(800);
+/// How much later a host claims for each shard that it owns already.
+const BUSY_DELAY: Duration = Duration::from_millis(400);
+
+/// When no run that a former owner started can exist any more, if nobody can
+/// be asked: the owner was cut off right after its last confirmation.
+///
+/// ```
+/// use lycheelock::moment::Moment;
+/// use lycheelock::shards::{GIVES_UP, settles};
+///
+/// assert!(settles(Moment::default()) > Moment::default() + GIVES_UP);
+/// ```
+pub fn settles(claimed: Moment) -> Moment {
+    claimed + GIVES_UP + LONGEST_LEASE.mul_f64(SLOWEST)
+}
+
+/// The hint that a shard's owner lives.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hint {
+    /// The name of the owner's host.
+    pub host: String,
+    /// Which life of its process.
+    pub life: u64,
+    /// The revision of the hint.
+    pub revision: u64,
+}
+
+/// What is known of a shard's ownership.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct View {
+    /// The revision of the epoch; 0 before the first claim.
+    pub epoch: u64,
+    /// The hint, if there is one.
+    pub hint: Option<Hint>,
+    /// Since when there has been no hint.
+    pub vacant: Moment,
+}
+
+/// Who might claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The name of the host.
+    pub host: String,
+    /// This life of its process.
+    pub life: u64,
+    /// Its availability zone.
+    pub zone: String,
+    /// How many shards it owns.
+    pub owned: u32,
+}
+
+/// What to do about a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Somebody owns it; wait for a change.
+    Follow,
+    /// Claim it at that moment, if nothing changes before.
+    ClaimAt(Moment),
+    /// Claim it now, if hint and epoch still have these revisions.
+    Claim {
+        /// The revision of the hint; 0: there is none.
+        hint: u64,
+        /// The revision of the epoch; 0: there is none.
+        epoch: u64,
+    },
+}
+
+impl Candidate {
+    /// What this host does about a shard.
+    ///
+    /// ```
+    /// use lycheelock::moment::Moment;
+    /// use lycheelock::shards::{Candidate, Hint, Step, View};
+    ///
+    /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), owned: 0 };
+    /// let former = Hint { host: "a1".into(), life: 1, revision: 9 };
+    /// let view = View { epoch: 8, hint: Some(former), ..View::default() };
+    /// let step = me.step("a", &view, Moment::default());
+    /// assert_eq!(step, Step::Claim { hint: 9, epoch: 8 });
+    /// ```
+    pub fn step(&self, shard: &str, view: &View, now: Moment) -> Step {
+        let epoch = view.epoch;
+        match &view.hint {
+            // An earlier life of this process has ended.
+            Some(hint) if hint.host == self.host && hint.life != self.life => Step::Claim {
+                hint: hint.revision,
+                epoch,
+            },
+            Some(_) => Step::Follow,
+            None => {
+                let at = view.vacant + self.delay(shard);
+                if at <= now {
+                    Step::Claim { hint: 0, epoch }
+                } else {
+                    Step::ClaimAt(at)
+                }
+            }
+        }
+    }
+
+    fn delay(&self, shard: &str) -> Duration {
+        const STEPS: u64 = 1000;
+        let place = stable_hash(format!("{}/{shard}", self.host).as_bytes()) % STEPS;
+        let share = place as f64 / STEPS as f64;
+        let spread = if self.zone == shard {
+            HOME_SPREAD.mul_f64(share)
+        } else {
+            AWAY_DELAY + AWAY_SPREAD.mul_f64(share)
+        };
+        spread + BUSY_DELAY * self.owned
+    }
+}
--- /dev/null
+++ b/src/shards/keys.rs
@@ -0,0 +1,117 @@
+//! The keys that lycheelock keeps in the store.
+
+use crate::workflow::WorkflowId;
+
+/// The epochs and hints of all shards.
+pub const SHARD_PREFIX: &str = "shard/";
+
+/// A key under [`SHARD_PREFIX`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShardKey<'a> {
+    /// The shard's epoch.
+    Epoch(&'a str),
+    /// The hint that the shard's owner lives.
+    Hint(&'a str),
+}
+
+/// A key of the work of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobKey {
+    /// An accepted job.
+    Job(WorkflowId),
+    /// The mark that a caller cancelled it.
+    Cancelled(WorkflowId),
+}
+
+/// Who owns the shard; its revision is the fencing token.
+pub fn epoch_key(shard: &str) -> String {
+    format!("{SHARD_PREFIX}{shard}/epoch")
+}
+
+/// A leased key: the owner lives.
+pub fn hint_key(shard: &str) -> String {
+    format!("{SHARD_PREFIX}{shard}/hint")
+}
+
+/// Reads a key under [`SHARD_PREFIX`].
+///
+/// ```
+/// use lycheelock::shards::{ShardKey, read_shard_key};
+///
+/// assert_eq!(read_shard_key("shard/gt-a/epoch"), Some(ShardKey::Epoch("gt-a")));
+/// assert_eq!(read_shard_key("job/1"), None);
+/// ```
+pub fn read_shard_key(key: &str) -> Option<ShardKey<'_>> {
+    let (shard, kind) = key.strip_prefix(SHARD_PREFIX)?.split_once('/')?;
+    match kind {
+        "epoch" => Some(ShardKey::Epoch(shard)),
+        "hint" => Some(ShardKey::Hint(shard)),
+        _ => None,
+    }
+}
+
+/// The record of a job: its shard and its state.
+pub fn job_key(id: WorkflowId) -> String {
+    format!("job/{id}")
+}
+
+/// The accepted jobs of a shard that have not ended.
+pub fn work_prefix(shard: &str) -> String {
+    format!("work/{shard}/")
+}
+
+/// An accepted job, as it was submitted.
+pub fn work_key(shard: &str, id: WorkflowId) -> String {
+    format!("work/{shard}/{id}")
+}
+
+/// The mark that a caller cancelled a job.
+pub fn cancel_key(shard: &str, id: WorkflowId) -> String {
+    format!("work/{shard}/{id}/cancelled")
+}
+
+/// Reads a key under a shard's [`work_prefix`].
+///
+/// ```
+/// use lycheelock::shards::{JobKey, cancel_key, read_job_key};
+/// use lycheelock::workflow::WorkflowId;
+///
+/// let key = cancel_key("gt-a", WorkflowId(7));
+/// assert_eq!(read_job_key("gt-a", &key), Some(JobKey::Cancelled(WorkflowId(7))));
+/// ```
+pub fn read_job_key(shard: &str, key: &str) -> Option<JobKey> {
+    let rest = key
+        .strip_prefix("work/")?
+        .strip_prefix(shard)?
+        .strip_prefix('/')?;
+    match rest.split_once('/') {
+        None => rest.parse().ok().map(JobKey::Job),
+        Some((id, "cancelled")) => id.parse().ok().map(JobKey::Cancelled),
+        Some(_) => None,
+    }
+}
+
+/// The progress of a shard's jobs.
+pub fn progress_prefix(shard: &str) -> String {
+    format!("progress/{shard}/")
+}
+
+/// The progress of a job.
+pub fn progress_key(shard: &str, id: WorkflowId) -> String {
+    format!("progress/{shard}/{id}")
+}
+
+/// The workers that a shard's owner may use.
+pub fn roster_key(shard: &str) -> String {
+    format!("roster/{shard}")
+}
+
+/// The counts of jobs that have not started, of all shards.
+pub const fn waiting_prefix() -> &'static str {
+    "waiting/"
+}
+
+/// The counts of jobs that have not started, of one shard.
+pub fn waiting_key(shard: &str) -> String {
+    format!("{}{shard}", waiting_prefix())
+}
--- /dev/null
+++ b/src/shards/mod.rs
@@ -0,0 +1,19 @@
+//! Which entry host commands the workers of an availability zone.
+//!
+//! A claim is a conditional write of the shard's epoch; its revision is the
+//! fencing token that workers compare. A leased key beside it only hints that
+//! the owner lives.
+
+mod claim;
+mod keys;
+mod record;
+#[cfg(test)]
+mod tests;
+
+pub use claim::{Candidate, GIVES_UP, Hint, LONGEST_LEASE, Step, View, settles};
+pub use keys::{
+    JobKey, SHARD_PREFIX, ShardKey, cancel_key, epoch_key, hint_key, job_key, progress_key,
+    progress_prefix, read_job_key, read_shard_key, roster_key, waiting_key, waiting_prefix,
+    work_key, work_prefix,
+};
+pub use record::{Accepted, JobRecord, OwnerRecord, RecordError, decode, encode};
--- /dev/null
+++ b/src/shards/tests.rs
@@ -0,0 +1,59 @@
+use std::time::Duration;
+
+use super::{Candidate, Hint, Step, View};
+use crate::moment::Moment;
+
+fn host(name: &str, zone: &str) -> Candidate {
+    Candidate {
+        host: name.to_owned(),
+        life: 1,
+        zone: zone.to_owned(),
+        owned: 0,
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_micros(millis * 1000)
+}
+
+#[test]
+fn a_shard_with_an_owner_is_left_alone() {
+    let hint = Hint {
+        host: "a2".to_owned(),
+        life: 5,
+        revision: 3,
+    };
+    let view = View {
+        hint: Some(hint),
+        ..View::default()
+    };
+    assert_eq!(host("a1", "a").step("a", &view, at(60_000)), Step::Follow);
+}
+
+#[test]
+fn hosts_of_the_zone_claim_before_all_others() {
+    let view = View::default();
+    let begin = |name: &str, zone: &str| match host(name, zone).step("a", &view, at(0)) {
+        Step::ClaimAt(at) => at,
+        Step::Claim { .. } => at(0),
+        Step::Follow => panic!("nobody owns the shard"),
+    };
+    let home = (0..8).map(|n| begin(&format!("a{n}"), "a")).max().unwrap();
+    let away = (0..8).map(|n| begin(&format!("b{n}"), "b")).min().unwrap();
+    assert!(home < away);
+}
+
+#[test]
+fn a_host_with_a_shard_claims_another_later() {
+    let busy = Candidate {
+        owned: 1,
+        ..host("a1", "a")
+    };
+    let view = View::default();
+    let late = at(0) + Duration::from_millis(200);
+    assert!(matches!(busy.step("a", &view, late), Step::ClaimAt(_)));
+    assert!(matches!(
+        host("a1", "a").step("a", &view, late),
+        Step::Claim { .. }
+    ));
+}
