Learn which images disturb each other; pause what harms; read ends in groups

The reports show it is pairs of images: with 70843b beside 1f1f16 the median tail is 13 ms against 7, the 90th percentile 106; most pairs change nothing. Ruled out: the worker's load alone (tails of clean workers stay under 15 ms). Change: evidence for each pair, placement by it, serving tasks of one image together, a pause after 1.2 s over the target; looks 120 ms apart while ends are listed.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -20,7 +20,10 @@
 /// Between looks at a worker that does not answer.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
 /// The shortest time between two looks: ends that come together are read together.
-const GATHER: Duration = Duration::from_millis(20);
+const GATHER: Duration = Duration::from_millis(30);
+/// The same while the worker lists ends that it may not forget yet; it answers
+/// at once then.
+const LISTED: Duration = Duration::from_millis(120);
 
 /// Sends a worker its orders, one after the other.
 pub(super) async fn carry_orders(
@@ -111,10 +114,13 @@
         let sent = Moment::now();
         match api.look(&order).await {
             Ok(look) => {
-                reign.decide(|scheduler, now| scheduler.on_look(key, sent, &look, now));
+                let listed = reign.decide(|scheduler, now| {
+                    scheduler.on_look(key, sent, &look, now);
+                    scheduler.has_listed_ends(key)
+                });
                 reign.wake();
                 note_reach(&api, &mut answers, None);
-                sleep(GATHER).await;
+                sleep(if listed { LISTED } else { GATHER }).await;
             }
             Err(WorkerFault::Deposed) => return reign.lose("a worker follows a newer owner"),
             Err(fault) => {
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -16,7 +16,7 @@
 use crate::workflow::{FlowKey, Progress, WorkflowState};
 
 /// Between two writes of all progress.
-const WHOLE: Duration = Duration::from_millis(500);
+const WHOLE: Duration = Duration::from_millis(150);
 /// Ends of jobs that come within this time are written together.
 const GATHER: Duration = Duration::from_millis(12);
 /// Between tries while the store does not answer.
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -6,6 +6,7 @@
 use slotmap::new_key_type;
 
 use super::{Capacity, Clock, Registration, Standing};
+use crate::interference::ImageKey;
 use crate::moment::Moment;
 use crate::workflow::{FlowKey, TaskKey, TaskName};
 
@@ -92,12 +93,16 @@
     pub pending: VecDeque<(u64, u64)>,
     /// Whether its results speak for it.
     pub trust: Trust,
-    /// The worst tail against its target, in percent, and when it was seen.
+    /// The worst tail against its target, in percent.
     pub strain: u32,
-    /// The share of their speed that filling tasks may work at, in percent.
-    pub pace: u8,
-    /// When the pace was changed last.
+    /// When its tails were judged last.
+    pub observed: Moment,
+    /// When no tail was over its target.
+    pub calm: Moment,
+    /// When the pace of a filling task was changed last.
     pub paced: Moment,
+    /// How many of its tasks are of each serving image.
+    pub serves: BTreeMap<ImageKey, u32>,
 }
 
 impl Worker {
@@ -121,8 +126,10 @@
             pending: VecDeque::new(),
             trust: Trust::default(),
             strain: 0,
-            pace: 100,
+            observed: Moment::default(),
+            calm: now,
             paced: Moment::default(),
+            serves: BTreeMap::new(),
         }
     }
 
--- /dev/null
+++ b/src/interference/mod.rs
@@ -0,0 +1,12 @@
+//! Learns which filling tasks disturb which serving tasks.
+//!
+//! Tasks of one image behave alike, so the evidence is kept for each pair of
+//! images: a serving one and a filling one.
+
+mod image;
+mod pairs;
+#[cfg(test)]
+mod tests;
+
+pub use image::{ImageKey, Images};
+pub use pairs::{Neighbour, Observation, Pairs, Tail};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fleet;
 pub mod front;
 pub mod ids;
+pub mod interference;
 pub mod jobs;
 pub mod journal;
 pub mod kind;
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -65,6 +65,12 @@
         ours || worker.strangers.contains_key(&(order.task, order.run))
     }
 
+    /// Whether a worker lists ends that it may not forget yet.
+    pub fn has_listed_ends(&self, key: WorkerKey) -> bool {
+        let worker = self.workers.get(key);
+        worker.is_some_and(|worker| !worker.pending.is_empty())
+    }
+
     /// Takes in that a look failed. `unreached` says that no connection was made.
     pub fn on_look_failed(&mut self, key: WorkerKey, unreached: bool, now: Moment) {
         let Some(worker) = self.workers.get(key) else {
--- a/src/schedule/note.rs
+++ b/src/schedule/note.rs
@@ -103,8 +103,6 @@
         worker: String,
         /// The worst tail against its target, in percent.
         strain: u32,
-        /// The new share of their speed, in percent.
-        percent: u8,
     },
     /// Tasks of a former owner that no worker runs may start again.
     Settled {
--- a/src/schedule/pace.rs
+++ b/src/schedule/pace.rs
@@ -1,71 +1,141 @@
 //! Slows filling tasks down where serving tasks suffer from them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{Note, Order, Scheduler};
-use crate::fleet::{Look, StopOrder, WorkerKey};
+use crate::fleet::{LiveRun, Look, StopOrder, WorkerKey};
+use crate::interference::{ImageKey, Neighbour, Observation, Tail};
 use crate::moment::Moment;
-use crate::workflow::{FULL_SPEED, Stage, TaskKey};
+use crate::workflow::{FULL_SPEED, Stage, Step, TaskKey};
 
-/// A change shows in the reports after this time.
+/// A change of pace shows in the reports after this time.
 const SETTLES: Duration = Duration::from_millis(700);
-/// The tail against its target, in percent, at which filling tasks are slowed.
-const HARMED: u32 = 90;
-/// The tail against its target, in percent, below which they are speeded up.
-const RELAXED: u32 = 65;
+/// A tail over its target for this long stops all filling tasks beside it,
+/// whichever is the cause.
+const ALARM: Duration = Duration::from_millis(1200);
+/// Reports cover this time; evidence is taken once in it.
+const REPORT_SPAN: Duration = Duration::from_millis(500);
 /// Below this share of its speed a filling task is paused.
-const SLOWEST_PACE: u8 = 20;
+const SLOWEST_PACE: u8 = 25;
 /// By how much the share rises at a time, in percent.
 const RISE: u8 = 25;
 
+/// A task that a worker reports, with its step.
+struct Reported<'a> {
+    run: &'a LiveRun,
+    task: TaskKey,
+    image: ImageKey,
+    step: Step,
+}
+
 impl Scheduler {
-    /// Takes in the tails that a worker reports, and changes the pace of its
-    /// filling tasks.
+    /// Learns from the tails that a worker reports, and changes the pace of the
+    /// filling tasks that disturb its serving ones.
     pub(super) fn adjust_pace(&mut self, key: WorkerKey, look: &Look, now: Moment) {
-        let strain = self.strain(look);
+        if now - self.workers[key].observed < REPORT_SPAN {
+            return;
+        }
+        self.workers[key].observed = now;
+        let reported = self.reported(look);
+        let neighbours = self.neighbours(key, &reported);
+        let mut strained = Vec::new();
+        let mut strain = 0;
+        for row in &reported {
+            let Some(target) = row.step.tail_target else {
+                continue;
+            };
+            let percent = row.run.figure * 100 / (target.as_millis() as u32).max(1);
+            strain = strain.max(percent);
+            let tail = Tail::of(percent);
+            self.pairs.learn(&Observation {
+                serving: row.image,
+                tail,
+                neighbours: &neighbours,
+            });
+            if tail == Tail::Strained {
+                strained.push(row.image);
+            }
+        }
         let worker = &mut self.workers[key];
         worker.strain = strain;
-        if now - worker.paced < SETTLES {
-            return;
+        if strained.is_empty() {
+            worker.calm = now;
         }
-        let pace = next_pace(worker.pace, strain);
-        if pace == worker.pace {
+        self.pace_all(key, &reported, &strained, now);
+    }
+
+    /// Paces each filling task by whether it disturbs a strained neighbour.
+    fn pace_all(
+        &mut self,
+        key: WorkerKey,
+        rows: &[Reported<'_>],
+        strained: &[ImageKey],
+        now: Moment,
+    ) {
+        let alarm = now - self.workers[key].calm >= ALARM;
+        if !alarm && now - self.workers[key].paced < SETTLES {
             return;
         }
-        worker.pace = pace;
-        worker.paced = now;
-        let worker_name = worker.entry.id.clone();
-        self.note(Note::Paced {
-            worker: worker_name,
-            strain,
-            percent: pace,
-        });
-        for task in self.filling_tasks(key) {
-            self.ledger.tasks[task].pace = pace;
-            let order = self.stop_order(task);
-            self.order(key, Order::Pace(order, pace));
+        let mut changed = false;
+        let filling = rows.iter().filter(|row| row.step.fills);
+        for row in filling {
+            let pace = self.ledger.tasks[row.task].pace;
+            let harmful = |serving: &ImageKey| self.pairs.is_harmful(*serving, row.image);
+            let next = if alarm {
+                0
+            } else {
+                next_pace(pace, strained.iter().any(harmful))
+            };
+            if next != pace && self.ledger.tasks[row.task].stage == Stage::Running(key) {
+                self.ledger.tasks[row.task].pace = next;
+                let order = self.stop_order(row.task);
+                self.order(key, Order::Pace(order, next));
+                changed = true;
+            }
+        }
+        if changed {
+            let worker = &mut self.workers[key];
+            worker.paced = now;
+            let note = Note::Paced {
+                worker: worker.entry.id.clone(),
+                strain: worker.strain,
+            };
+            self.note(note);
         }
     }
 
-    /// The worst tail against its target, in percent.
-    fn strain(&self, look: &Look) -> u32 {
-        let ratios = look.running.iter().filter_map(|run| {
-            let task = self.ledger.find_task(run.task)?;
-            let flow = self.ledger.flows.get(self.ledger.tasks[task].flow)?;
-            let target = flow.step(run.task).tail_target?.as_millis() as u32;
-            Some(run.figure * 100 / target.max(1))
-        });
-        ratios.max().unwrap_or_default()
+    fn reported<'a>(&mut self, look: &'a Look) -> Vec<Reported<'a>> {
+        let mut rows = Vec::with_capacity(look.running.len());
+        for run in &look.running {
+            let Some(task) = self.ledger.find_task(run.task) else {
+                continue;
+            };
+            let flow = &self.ledger.flows[self.ledger.tasks[task].flow];
+            let step = flow.step(run.task).clone();
+            let image = self.images.key(&step.image);
+            rows.push(Reported {
+                run,
+                task,
+                image,
+                step,
+            });
+        }
+        rows
     }
 
-    fn filling_tasks(&self, key: WorkerKey) -> Vec<TaskKey> {
-        let tasks = self.workers[key].tasks.values().copied();
-        let filling = tasks.filter(|task| {
-            let task = &self.ledger.tasks[*task];
-            let flow = self.ledger.flows.get(task.flow);
-            task.stage == Stage::Running(key) && flow.is_some_and(|flow| flow.step(task.name).fills)
+    /// The filling images among what a worker reports, with their shares.
+    fn neighbours(&self, key: WorkerKey, reported: &[Reported<'_>]) -> Vec<Neighbour> {
+        let whole = f64::from(self.workers[key].entry.capacity.millicores.max(1));
+        let mut used: BTreeMap<ImageKey, u32> = BTreeMap::new();
+        for row in reported.iter().filter(|row| row.step.fills) {
+            *used.entry(row.image).or_default() += row.run.figure;
+        }
+        let shares = used.into_iter().map(|(image, millicores)| Neighbour {
+            image,
+            share: f64::from(millicores) / whole,
         });
-        filling.collect()
+        shares.collect()
     }
 
     /// Names the current run of a task.
@@ -79,13 +149,10 @@
     }
 }
 
-fn next_pace(pace: u8, strain: u32) -> u8 {
-    if strain > HARMED {
-        let halved = pace / 2;
-        return if halved < SLOWEST_PACE { 0 } else { halved };
-    }
-    if strain < RELAXED {
+fn next_pace(pace: u8, harms: bool) -> u8 {
+    if !harms {
         return (pace + RISE).min(FULL_SPEED);
     }
-    pace
+    let halved = pace / 2;
+    if halved < SLOWEST_PACE { 0 } else { halved }
 }
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -1,6 +1,7 @@
 //! Chooses a worker for a task.
 
 use crate::fleet::{Capacity, Worker, WorkerKey};
+use crate::interference::ImageKey;
 use crate::moment::Moment;
 use crate::workflow::{Flow, Step, TaskName};
 
@@ -13,9 +14,10 @@
 const FILLING_SHARE: f64 = 0.9;
 /// Memory that filling tasks leave to urgent ones, as a share of the worker's.
 const URGENT_MEMORY: f64 = 0.08;
-/// The tail against its target, in percent, from which a worker gets no
-/// further filling tasks.
-pub(super) const STRAINED: u32 = 75;
+/// What a worker that serves only the task's own image counts more, and what
+/// each other serving image there counts less, in millicores.
+const SAME_IMAGE: i64 = 20_000;
+const OTHER_IMAGE: i64 = 8_000;
 /// What a worker on the rack of the data counts more, in millicores.
 const LOCAL_BONUS: i64 = 1_000_000;
 /// What each task of the same step on the worker counts less, in millicores.
@@ -48,12 +50,40 @@
     /// The best worker for a task, if any can take it now.
     pub(super) fn choose(&self, flow: &Flow, name: TaskName, now: Moment) -> Option<WorkerKey> {
         let step = flow.step(name);
+        let image = self.images.find(&step.image);
         let fitting = self.workers.iter().filter(|(_, worker)| {
-            worker.entry.pool == flow.queue.pool && worker.is_open(now) && fits(worker, step, name)
+            worker.entry.pool == flow.queue.pool
+                && worker.is_open(now)
+                && fits(worker, step, name)
+                && !(step.fills && self.harms(worker, image))
+        });
+        let scored = fitting.map(|(key, worker)| {
+            let company = company(worker, step, image);
+            (score(worker, step, name) + company, key)
         });
-        let scored = fitting.map(|(key, worker)| (score(worker, step, name), key));
         scored.max().map(|(_, key)| key)
     }
+
+    /// Whether a filling image probably disturbs what a worker serves.
+    fn harms(&self, worker: &Worker, image: Option<ImageKey>) -> bool {
+        let Some(image) = image else {
+            return false;
+        };
+        let mut served = worker.serves.keys();
+        served.any(|serving| self.pairs.is_harmful(*serving, image))
+    }
+}
+
+/// Serving tasks of one image go together, so that filling tasks find workers
+/// that serve nothing they would disturb.
+fn company(worker: &Worker, step: &Step, image: Option<ImageKey>) -> i64 {
+    if step.tail_target.is_none() {
+        return 0;
+    }
+    let served = worker.serves.keys();
+    let others = served.filter(|served| Some(**served) != image).count() as i64;
+    let same = image.is_some_and(|image| worker.serves.contains_key(&image));
+    i64::from(same) * SAME_IMAGE - others * OTHER_IMAGE
 }
 
 fn fits(worker: &Worker, step: &Step, name: TaskName) -> bool {
@@ -73,8 +103,7 @@
     let reserve = f64::from(worker.entry.capacity.memory) * URGENT_MEMORY;
     let memory = f64::from(free.memory) - reserve >= f64::from(step.need.memory);
     let idle = idle(worker) as f64 >= f64::from(step.need.millicores) * FILLING_SHARE;
-    let calm = worker.strain < STRAINED && worker.pace == crate::workflow::FULL_SPEED;
-    memory && idle && calm && free.accelerators >= step.need.accelerators
+    memory && idle && free.accelerators >= step.need.accelerators
 }
 
 /// The processors, in millicores, that a further filling task would find.
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -11,6 +11,7 @@
 use super::write::Writes;
 use super::{Note, Order};
 use crate::fleet::{LEASE, LookOrder, StartOrder, StartReply, Worker, WorkerKey};
+use crate::interference::{Images, Pairs};
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
 use crate::workflow::{
@@ -50,6 +51,8 @@
     pub(super) waiting: BTreeMap<Rank, TaskKey>,
     pub(super) recurring: BTreeSet<FlowKey>,
     pub(super) writes: Writes,
+    pub(super) images: Images,
+    pub(super) pairs: Pairs,
     ranked: Moment,
     runs: u64,
     orders: Vec<(WorkerKey, Order)>,
@@ -69,6 +72,8 @@
             waiting: BTreeMap::new(),
             recurring: BTreeSet::new(),
             writes: Writes::default(),
+            images: Images::default(),
+            pairs: Pairs::default(),
             ranked: Moment::default(),
             runs: 0,
             orders: Vec::new(),
@@ -389,6 +394,12 @@
         } else if step.lasting {
             target.serving += need.millicores;
         }
+        if step.tail_target.is_some() {
+            *target
+                .serves
+                .entry(self.images.key(&step.image))
+                .or_default() += 1;
+        }
         target.used += need;
     }
 
@@ -412,6 +423,13 @@
         } else if step.lasting {
             target.serving = target.serving.saturating_sub(need.millicores);
         }
+        if step.tail_target.is_some() {
+            let image = self.images.key(&step.image);
+            if let Some(count) = target.serves.get_mut(&image) {
+                *count -= 1;
+            }
+            target.serves.retain(|_, count| *count > 0);
+        }
         target.used -= need;
     }
 
