Takeovers: count a failure once a run, free a task only by its current run

A former owner's ends were taken for the end of the task although a later run was going on elsewhere; a failure that progress had counted was counted again; a roster entry that could not be reached counted as left. Ruled out: fences (workers refused the former owner each time). Change: the last counted run is kept; unsettled tasks wait for the settling; only a refused connection of a worker that had answered means it left. An owner writes that it gave a shard up, and each process announces its life, so that the wait for a former owner is 5 s instead of 21 s when it has ended.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -12,6 +12,7 @@
 use crate::platform::fleet::{Store, WorkerApi};
 use crate::routing::Queues;
 use crate::settings::FleetSettings;
+use crate::shards::{Candidate, OwnerRecord};
 
 /// Orders to workers without an answer fail after this time.
 const ORDER_SILENCE: Duration = Duration::from_millis(250);
@@ -83,6 +84,25 @@
         let _ = stop.wait_for(|stop| *stop).await;
     }
 
+    /// This life of the process, as it is written to the store.
+    pub(super) fn owner_record(&self, released: bool) -> OwnerRecord {
+        OwnerRecord {
+            host: self.settings.name.clone(),
+            life: self.life,
+            released,
+        }
+    }
+
+    /// This host as a candidate for shards, if it owns `owned` already.
+    pub(super) fn candidate(&self, owned: u32) -> Candidate {
+        Candidate {
+            host: self.settings.name.clone(),
+            life: self.life,
+            zone: self.settings.zone.clone(),
+            owned,
+        }
+    }
+
     /// How many shards this host owns.
     pub(super) fn owned(&self) -> u32 {
         self.owned.load(Ordering::Relaxed)
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -16,8 +16,8 @@
 use crate::moment::Moment;
 use crate::platform::fleet::{Change, Commit, Item, StoreFault, Transaction, Watched};
 use crate::shards::{
-    Candidate, Hint, OwnerRecord, SHARD_PREFIX, ShardKey, Step, View, decode, encode, epoch_key,
-    hint_key, read_shard_key,
+    Candidate, Hint, Owner, OwnerRecord, SHARD_PREFIX, ShardKey, Step, View, decode, encode,
+    epoch_key, hint_key, life_key, read_shard_key,
 };
 
 /// How long a watch waits for a change.
@@ -32,6 +32,8 @@
     /// The revision that the views are as of; none if they must be read anew.
     revision: Option<u64>,
     owned: Vec<String>,
+    lives: HashMap<String, u64>,
+    ends: watch::Sender<HashMap<String, u64>>,
     terms: JoinSet<()>,
     ended: mpsc::UnboundedSender<String>,
 }
@@ -45,21 +47,37 @@
         node: node.clone(),
         revision: None,
         owned: Vec::new(),
+        lives: HashMap::new(),
+        ends: watch::Sender::new(HashMap::new()),
         terms: JoinSet::new(),
         ended,
     };
+    tokio::spawn(announce(node.clone()));
     loop {
         let wait = follower.claim_due().await;
         tokio::select! {
             () = node.stopped() => break,
             Some(shard) = endings.recv() => follower.release(&shard),
             () = sleep(wait) => {}
-            changed = watch(&node, follower.revision) => follower.take(changed).await,
+            changed = next_news(&node, follower.revision) => follower.take(changed).await,
         }
     }
     while follower.terms.join_next().await.is_some() {}
 }
 
+/// Tells the other hosts that earlier lives of this process have ended.
+async fn announce(node: Arc<Node>) {
+    let record = encode(&node.owner_record(false));
+    let transaction = Transaction::default().set(&life_key(&node.settings.name), record);
+    while node
+        .health
+        .note(node.store.commit(&transaction).await)
+        .is_err()
+    {
+        sleep(PAUSE).await;
+    }
+}
+
 /// The next changes; all views if the history is gone.
 enum News {
     All(Vec<Item>, u64),
@@ -67,7 +85,7 @@
     Forgotten,
 }
 
-async fn watch(node: &Node, revision: Option<u64>) -> Result<News, StoreFault> {
+async fn next_news(node: &Node, revision: Option<u64>) -> Result<News, StoreFault> {
     let Some(after) = revision else {
         let page = node
             .health
@@ -104,12 +122,7 @@
     }
 
     fn candidate(&self) -> Candidate {
-        Candidate {
-            host: self.node.settings.name.clone(),
-            life: self.node.life,
-            zone: self.node.settings.zone.clone(),
-            owned: self.owned.len() as u32,
-        }
+        self.node.candidate(self.owned.len() as u32)
     }
 
     async fn claim(&mut self, shard: &str, hint: u64, epoch: u64) {
@@ -117,10 +130,7 @@
         let Ok(lease) = self.node.store.grant(self.node.settings.session).await else {
             return sleep(PAUSE).await;
         };
-        let owner = encode(&OwnerRecord {
-            host: self.node.settings.name.clone(),
-            life: self.node.life,
-        });
+        let owner = encode(&self.node.owner_record(false));
         let transaction = Transaction::default()
             .require(&hint_key(shard), hint)
             .require(&epoch_key(shard), epoch)
@@ -140,7 +150,7 @@
                 let claim = Claim {
                     shard: shard.to_owned(),
                     fence,
-                    former: epoch,
+                    former: self.views[shard].owner.clone(),
                     lease,
                     begun,
                 };
@@ -160,8 +170,9 @@
         self.count_owned();
         let node = self.node.clone();
         let ended = self.ended.clone();
+        let lives = self.ends.subscribe();
         self.terms.spawn(async move {
-            reign(node, claim).await;
+            reign(node, claim, lives).await;
             // The receiver is gone only when the daemon stops.
             let _ = ended.send(shard);
         });
@@ -209,34 +220,46 @@
     fn apply(&mut self, change: &Change) {
         let now = Moment::now();
         let known = read_shard_key(change.key());
-        let (Some(ShardKey::Epoch(shard)) | Some(ShardKey::Hint(shard))) = known else {
-            return;
-        };
-        let Some(view) = self.views.get_mut(shard) else {
-            return;
-        };
-        match (known, change) {
-            (Some(ShardKey::Epoch(_)), Change::Written(item)) => view.epoch = item.revision,
-            (Some(ShardKey::Hint(_)), Change::Written(item)) => {
-                match decode::<OwnerRecord>(&item.value.0) {
-                    Ok(owner) => {
-                        view.hint = Some(Hint {
-                            host: owner.host,
-                            life: owner.life,
-                            revision: item.revision,
-                        });
-                    }
-                    Err(error) => journal::line(&DaemonLine::ValueIgnored {
+        let record = match change {
+            Change::Written(item) => match decode::<OwnerRecord>(&item.value.0) {
+                Ok(owner) => Some((owner, item.revision)),
+                Err(error) => {
+                    return journal::line(&DaemonLine::ValueIgnored {
                         key: &item.key,
                         reason: error.to_string(),
-                    }),
+                    });
+                }
+            },
+            Change::Removed { .. } => None,
+        };
+        match (known, record) {
+            (Some(ShardKey::Life(host)), Some((owner, _))) => self.take_life(host, owner.life),
+            (Some(ShardKey::Epoch(shard)), Some((owner, revision))) => {
+                if let Some(view) = self.views.get_mut(shard) {
+                    view.epoch = revision;
+                    view.owner = Some(Owner {
+                        host: owner.host,
+                        life: owner.life,
+                        released: owner.released,
+                    });
                 }
             }
-            (Some(ShardKey::Hint(_)), Change::Removed { .. }) => {
-                view.hint = None;
-                view.vacant = now;
+            (Some(ShardKey::Hint(shard)), record) => {
+                if let Some(view) = self.views.get_mut(shard) {
+                    view.vacant = now;
+                    view.hint = record.map(|(owner, revision)| Hint {
+                        host: owner.host,
+                        life: owner.life,
+                        revision,
+                    });
+                }
             }
             _ => {}
         }
     }
+
+    fn take_life(&mut self, host: &str, life: u64) {
+        self.lives.insert(host.to_owned(), life);
+        self.ends.send_replace(self.lives.clone());
+    }
 }
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -17,7 +17,7 @@
 use crate::moment::Moment;
 use crate::platform::fleet::{Commit, Transaction};
 use crate::schedule::{Order, Scheduler, Term};
-use crate::shards::{GIVES_UP, OwnerRecord, encode, epoch_key, hint_key, settles};
+use crate::shards::{Former, GIVES_UP, Owner, encode, epoch_key, hint_key, settles};
 
 /// The longest time between two passes over the waiting tasks.
 const TICK: Duration = Duration::from_millis(250);
@@ -34,8 +34,8 @@
     pub shard: String,
     /// The fencing token: the revision of the claim.
     pub fence: u64,
-    /// The revision of the former claim; 0 if there was none.
-    pub former: u64,
+    /// The owner before; none if there was none.
+    pub former: Option<Owner>,
     /// The lease of the hint.
     pub lease: u64,
     /// When the claim was sent.
@@ -58,11 +58,20 @@
 }
 
 /// Owns a shard until it is lost or the daemon stops.
-pub(super) async fn reign(node: Arc<Node>, claim: Claim) {
-    let former = claim.former > 0;
+///
+/// `lives` are the newest lives of all hosts that are known.
+pub(super) async fn reign(
+    node: Arc<Node>,
+    claim: Claim,
+    lives: watch::Receiver<HashMap<String, u64>>,
+) {
+    let settling = claim.former.as_ref().map(|owner| {
+        let life = lives.borrow().get(&owner.host).copied();
+        settles(node.candidate(0).former(owner, life), Moment::now())
+    });
     let term = Term {
         fence: claim.fence,
-        settles: former.then(|| settles(Moment::now())),
+        settles: settling,
     };
     let reign = Arc::new(Reign {
         write: Notify::new(),
@@ -79,6 +88,7 @@
     reign.spawn(renew(reign.clone()));
     reign.spawn(restore::run(reign.clone()));
     reign.spawn(plan(reign.clone()));
+    reign.spawn(watch_former(reign.clone(), lives));
     let reason = tokio::select! {
         reason = reign.wait_lost() => reason,
         () = reign.node.stopped() => "planned stop",
@@ -163,6 +173,13 @@
             .fetch_max(sent.as_micros(), Ordering::Relaxed);
     }
 
+    /// Waits until this host may command the workers.
+    pub async fn wait_confirmed(&self) {
+        while !self.is_confirmed() {
+            sleep(PAUSE).await;
+        }
+    }
+
     /// Whether this host may still command the workers.
     pub fn is_confirmed(&self) -> bool {
         let confirmed = Moment::from_micros(self.confirmed.load(Ordering::Relaxed));
@@ -182,12 +199,15 @@
             fence: self.claim.fence,
             reason,
         });
-        let lease = self.lease.load(Ordering::Relaxed);
-        if let Err(fault) = self.node.store.end(lease).await {
-            log::warn!(
-                "the hint of shard {:?} was left to lapse: {fault}",
-                self.claim.shard
-            );
+        let (shard, fence) = (&self.claim.shard, self.claim.fence);
+        let record = encode(&self.node.owner_record(true));
+        let transaction = Transaction::default()
+            .require(&epoch_key(shard), fence)
+            .set(&epoch_key(shard), record)
+            .remove(&hint_key(shard));
+        match self.node.store.commit(&transaction).await {
+            Ok(_) => {}
+            Err(fault) => log::warn!("shard {shard:?} was not given up in the store: {fault}"),
         }
     }
 }
@@ -197,10 +217,7 @@
     loop {
         // A pass after the tick finds leases that have ended.
         let _ = timeout(TICK, reign.plan.notified()).await;
-        if !reign.is_confirmed() {
-            reign.lose("the store has not confirmed it for too long");
-            return;
-        }
+        reign.wait_confirmed().await;
         if let Some(queues) = reign.node.queues() {
             reign.decide(|scheduler, _| scheduler.configure(&queues));
         }
@@ -216,6 +233,24 @@
     }
 }
 
+/// Shortens the wait for runs of the former owner once it is known to have ended.
+async fn watch_former(reign: Arc<Reign>, mut lives: watch::Receiver<HashMap<String, u64>>) {
+    let Some(owner) = reign.claim.former.clone() else {
+        return;
+    };
+    let candidate = reign.node.candidate(0);
+    loop {
+        let life = lives.borrow_and_update().get(&owner.host).copied();
+        if candidate.former(&owner, life) == Former::Ended {
+            let settles = settles(Former::Ended, Moment::now());
+            return reign.decide(|scheduler, _| scheduler.settle_by(settles));
+        }
+        if lives.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Keeps the hint alive.
 async fn renew(reign: Arc<Reign>) {
     let pause = reign.node.settings.session / RENEWALS;
@@ -238,10 +273,7 @@
     let Ok(lease) = node.store.grant(node.settings.session).await else {
         return;
     };
-    let owner = OwnerRecord {
-        host: node.settings.name.clone(),
-        life: node.life,
-    };
+    let owner = node.owner_record(false);
     let transaction = Transaction::default()
         .require(&epoch_key(&claim.shard), claim.fence)
         .set_leased(&hint_key(&claim.shard), encode(&owner), lease);
--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -47,7 +47,8 @@
 
 async fn start(reign: &Reign, key: WorkerKey, api: &WorkerApi, task: TaskKey, run: u64) {
     let mut doubtful = false;
-    while reign.is_confirmed() {
+    loop {
+        reign.wait_confirmed().await;
         let order = reign.decide(|scheduler, now| scheduler.start_order(key, task, run, now));
         let Some(order) = order else {
             return;
@@ -63,7 +64,7 @@
                 reign.decide(|scheduler, now| scheduler.on_start_refused(key, task, run, now));
                 return reign.wake();
             }
-            Err(WorkerFault::Unreached(_)) if !doubtful => {
+            Err(WorkerFault::Unreached(_) | WorkerFault::NobodyThere(_)) if !doubtful => {
                 reign.decide(|scheduler, now| scheduler.on_start_unreached(key, task, run, now));
                 return reign.wake();
             }
@@ -107,8 +108,10 @@
 /// Looks at a worker again and again, and prolongs its leases.
 pub(super) async fn keep_looking(reign: Arc<Reign>, key: WorkerKey, api: WorkerApi) {
     let mut answers = true;
-    while reign.is_confirmed() {
-        let Some(order) = reign.decide(|scheduler, now| scheduler.look_order(key, now)) else {
+    loop {
+        let renew = reign.is_confirmed();
+        let order = reign.decide(|scheduler, now| scheduler.look_order(key, renew, now));
+        let Some(order) = order else {
             return;
         };
         let sent = Moment::now();
@@ -124,8 +127,8 @@
             }
             Err(WorkerFault::Deposed) => return reign.lose("a worker follows a newer owner"),
             Err(fault) => {
-                let unreached = matches!(fault, WorkerFault::Unreached(_));
-                reign.decide(|scheduler, now| scheduler.on_look_failed(key, unreached, now));
+                let refused = matches!(fault, WorkerFault::NobodyThere(_));
+                reign.decide(|scheduler, now| scheduler.on_look_failed(key, refused, now));
                 note_reach(&api, &mut answers, Some(&fault));
                 sleep(SILENT_PAUSE).await;
             }
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -21,9 +21,12 @@
 /// Why a call to a worker has no result.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum WorkerFault {
-    /// The worker was not reached; nothing was done.
+    /// No connection was made; nothing was done.
     #[error("not reached: {0}")]
     Unreached(String),
+    /// Nothing listens at the worker's address; nothing was done.
+    #[error("connection refused: {0}")]
+    NobodyThere(String),
     /// No answer came; the order may be carried out now or later.
     #[error("no answer: {0}")]
     Unanswered(String),
@@ -325,8 +328,10 @@
             .header(INSTANCE_HEADER, &self.id)
             .json(body);
         let response = call.timeout(silence).send().await.map_err(|error| {
-            if error.is_connect() {
+            if error.is_connect() && error.is_timeout() {
                 WorkerFault::Unreached(error.to_string())
+            } else if error.is_connect() {
+                WorkerFault::NobodyThere(error.to_string())
             } else {
                 WorkerFault::Unanswered(error.to_string())
             }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -71,12 +71,13 @@
         worker.is_some_and(|worker| !worker.pending.is_empty())
     }
 
-    /// Takes in that a look failed. `unreached` says that no connection was made.
-    pub fn on_look_failed(&mut self, key: WorkerKey, unreached: bool, now: Moment) {
+    /// Takes in that a look failed. `refused` says that nothing listens there.
+    pub fn on_look_failed(&mut self, key: WorkerKey, refused: bool, now: Moment) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        let left = unreached && !worker.listed && worker.entry.standing == Standing::Draining;
+        let gone = refused && worker.synced && !worker.listed;
+        let left = gone && worker.entry.standing == Standing::Draining;
         if left {
             self.lose_all(key, "the worker left", now);
             self.remove_worker(key, "left", now);
@@ -121,6 +122,7 @@
             tasks: keys.len(),
             answered,
         });
+        self.forget_former(now);
         let mut flows = HashSet::new();
         for key in keys {
             flows.insert(self.ledger.tasks[key].flow);
@@ -131,6 +133,22 @@
         }
     }
 
+    /// Shortens the time until which runs of the former owner may exist.
+    pub fn settle_by(&mut self, settles: Moment) {
+        if let Some(known) = &mut self.term.settles {
+            *known = settles.min(*known);
+        }
+    }
+
+    /// Removes workers that only the former owner knew and that never answered.
+    fn forget_former(&mut self, now: Moment) {
+        for key in std::mem::take(&mut self.former) {
+            if self.workers.get(key).is_some_and(|worker| !worker.listed) {
+                self.remove_worker(key, "never answered", now);
+            }
+        }
+    }
+
     pub(super) fn mistrust(&mut self, key: WorkerKey, flow: FlowKey, now: Moment) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
@@ -181,13 +199,14 @@
             return false;
         };
         let current = self.ledger.tasks[task].run == end.run;
-        let unsettled = self.ledger.tasks[task].stage == Stage::Unsettled;
-        let ours = current && self.ledger.tasks[task].stage.worker() == Some(key);
+        let stage = self.ledger.tasks[task].stage;
+        let ours = current && stage.worker() == Some(key);
+        let unsettled = stage == Stage::Unsettled;
         if !ours && !unsettled && end.ending != Ending::Done {
             return false;
         }
         self.note_end(key, task, end, now);
-        self.settle_end(key, task, end, now)
+        self.settle_end(key, task, end, ours, now)
     }
 
     fn note_end(&mut self, key: WorkerKey, task: TaskKey, end: &EndedRun, now: Moment) {
@@ -202,10 +221,22 @@
         });
     }
 
-    fn settle_end(&mut self, key: WorkerKey, task: TaskKey, end: &EndedRun, now: Moment) -> bool {
+    /// Draws the consequences of an end. Only the end of the current run frees
+    /// the task: a former owner may have started a later run elsewhere.
+    fn settle_end(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        end: &EndedRun,
+        ours: bool,
+        now: Moment,
+    ) -> bool {
         let flow = self.ledger.tasks[task].flow;
         let lasting = self.ledger.flows[flow].step(end.task).lasting;
-        self.unassign(task);
+        if ours {
+            self.unassign(task);
+            self.ledger.release(task, now);
+        }
         if !end.checkpoint.is_empty() {
             self.ledger.tasks[task]
                 .checkpoint
@@ -214,16 +245,14 @@
         let verdict = match end.ending {
             Ending::Done if !lasting => {
                 self.workers[key].trust.succeeded();
+                self.unassign(task);
                 self.finish(task, now)
             }
             Ending::Failed => {
                 self.mistrust(key, flow, now);
-                self.ledger.fail(task, now)
-            }
-            _ => {
-                self.ledger.release(task, now);
-                Verdict::GoesOn
+                self.ledger.fail(task, end.run)
             }
+            _ => Verdict::GoesOn,
         };
         self.note_verdict(flow, verdict, now);
         self.forget_ended(flow);
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -118,7 +118,8 @@
     let room = if step.fills || !step.lasting {
         idle(worker)
     } else {
-        i64::from(worker.free().millicores)
+        // The tightest fit leaves room for wide tasks elsewhere.
+        -i64::from(worker.free().millicores)
     };
     let local = step.data_rack.is_some() && step.data_rack.as_deref() == worker.rack();
     let bonus = if local { LOCAL_BONUS } else { 0 };
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -237,10 +237,10 @@
         }
     }
 
-    /// The next look at a worker.
-    pub fn look_order(&mut self, key: WorkerKey, now: Moment) -> Option<LookOrder> {
+    /// The next look at a worker. Without `renew` the leases stay as they are.
+    pub fn look_order(&mut self, key: WorkerKey, renew: bool, now: Moment) -> Option<LookOrder> {
         let worker = self.workers.get_mut(key)?;
-        let renews = worker.synced && now - worker.contact < RENEWS;
+        let renews = renew && worker.synced && now - worker.contact < RENEWS;
         let until = match worker.clock {
             Some(clock) if renews => {
                 let until = clock.lease_end(now, LEASE);
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -6,8 +6,8 @@
 use crate::ids::stable_hash;
 use crate::moment::Moment;
 
-/// An owner that the store has not confirmed for this long gives up.
-pub const GIVES_UP: Duration = Duration::from_secs(16);
+/// An owner that the store has not confirmed for this long gives no orders.
+pub const GIVES_UP: Duration = Duration::from_secs(6);
 /// The longest lease that any owner gives to a run.
 pub const LONGEST_LEASE: Duration = Duration::from_secs(5);
 /// Hosts of the shard's own zone claim within this span, each after its own delay.
@@ -18,17 +18,43 @@
 /// How much later a host claims for each shard that it owns already.
 const BUSY_DELAY: Duration = Duration::from_millis(400);
 
-/// When no run that a former owner started can exist any more, if nobody can
-/// be asked: the owner was cut off right after its last confirmation.
+/// What is known of the owner before a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Former {
+    /// It has ended, or has given the shard up.
+    Ended,
+    /// It may be cut off and go on until it gives up.
+    Unknown,
+}
+
+/// When no run that a former owner started can exist any more, if its workers
+/// cannot be asked.
 ///
 /// ```
 /// use lycheelock::moment::Moment;
-/// use lycheelock::shards::{GIVES_UP, settles};
+/// use lycheelock::shards::{Former, GIVES_UP, settles};
 ///
-/// assert!(settles(Moment::default()) > Moment::default() + GIVES_UP);
+/// let claimed = Moment::default();
+/// let ended = settles(Former::Ended, claimed);
+/// assert_eq!(settles(Former::Unknown, claimed), ended + GIVES_UP);
 /// ```
-pub fn settles(claimed: Moment) -> Moment {
-    claimed + GIVES_UP + LONGEST_LEASE.mul_f64(SLOWEST)
+pub fn settles(former: Former, claimed: Moment) -> Moment {
+    let lapsed = claimed + LONGEST_LEASE.mul_f64(SLOWEST);
+    match former {
+        Former::Ended => lapsed,
+        Former::Unknown => lapsed + GIVES_UP,
+    }
+}
+
+/// The last owner of a shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Owner {
+    /// The name of its host.
+    pub host: String,
+    /// Which life of its process.
+    pub life: u64,
+    /// Whether it gave the shard up.
+    pub released: bool,
 }
 
 /// The hint that a shard's owner lives.
@@ -47,6 +73,8 @@
 pub struct View {
     /// The revision of the epoch; 0 before the first claim.
     pub epoch: u64,
+    /// The last owner; none before the first claim.
+    pub owner: Option<Owner>,
     /// The hint, if there is one.
     pub hint: Option<Hint>,
     /// Since when there has been no hint.
@@ -115,6 +143,27 @@
         }
     }
 
+    /// What this host knows of the owner before it; `life` is the newest life
+    /// of the owner's host that is known.
+    ///
+    /// ```
+    /// use lycheelock::shards::{Candidate, Former, Owner};
+    ///
+    /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), owned: 0 };
+    /// let owner = Owner { host: "a2".into(), life: 7, released: false };
+    /// assert_eq!(me.former(&owner, Some(7)), Former::Unknown);
+    /// assert_eq!(me.former(&owner, Some(8)), Former::Ended);
+    /// ```
+    pub fn former(&self, owner: &Owner, life: Option<u64>) -> Former {
+        let here = owner.host == self.host;
+        let replaced = life.is_some_and(|life| life != owner.life);
+        if owner.released || here || replaced {
+            Former::Ended
+        } else {
+            Former::Unknown
+        }
+    }
+
     fn delay(&self, shard: &str) -> Duration {
         const STEPS: u64 = 1000;
         let place = stable_hash(format!("{}/{shard}", self.host).as_bytes()) % STEPS;
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -12,6 +12,8 @@
     Epoch(&'a str),
     /// The hint that the shard's owner lives.
     Hint(&'a str),
+    /// The newest life of a host's process.
+    Life(&'a str),
 }
 
 /// A key of the work of a shard.
@@ -33,6 +35,11 @@
     format!("{SHARD_PREFIX}{shard}/hint")
 }
 
+/// The newest life of a host's process.
+pub fn life_key(host: &str) -> String {
+    format!("{SHARD_PREFIX}{host}/life")
+}
+
 /// Reads a key under [`SHARD_PREFIX`].
 ///
 /// ```
@@ -46,6 +53,7 @@
     match kind {
         "epoch" => Some(ShardKey::Epoch(shard)),
         "hint" => Some(ShardKey::Hint(shard)),
+        "life" => Some(ShardKey::Life(shard)),
         _ => None,
     }
 }
--- a/src/shards/record.rs
+++ b/src/shards/record.rs
@@ -19,6 +19,8 @@
     pub host: String,
     /// Tells one life of its process from the next.
     pub life: u64,
+    /// Whether it gave the shard up.
+    pub released: bool,
 }
 
 /// The record of a job that callers are answered from.
@@ -59,7 +61,7 @@
 /// ```
 /// use lycheelock::shards::{OwnerRecord, decode, encode};
 ///
-/// let owner = OwnerRecord { host: "a1".to_owned(), life: 3 };
+/// let owner = OwnerRecord { host: "a1".to_owned(), life: 3, released: false };
 /// assert_eq!(decode::<OwnerRecord>(&encode(&owner)).unwrap(), owner);
 /// assert!(decode::<OwnerRecord>(b"?").is_err());
 /// ```
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -60,6 +60,8 @@
     pub run: u64,
     /// How often it failed.
     pub failures: u32,
+    /// The last run whose failure was counted; a worker may list it again.
+    pub counted: u64,
     /// The last checkpoint; empty if there is none.
     pub checkpoint: String,
     /// Since when it has been in this stage.
@@ -220,6 +222,7 @@
                     stage,
                     run: 0,
                     failures: 0,
+                    counted: 0,
                     checkpoint: String::new(),
                     since: now,
                     pace: FULL_SPEED,
@@ -291,14 +294,14 @@
         Verdict::Ended(WorkflowState::Done)
     }
 
-    /// Notes that a run of the task failed by itself.
-    pub fn fail(&mut self, key: TaskKey, now: Moment) -> Verdict {
-        self.enter(key, Stage::Blocked, now);
+    /// Counts that a run of the task failed by itself.
+    pub fn fail(&mut self, key: TaskKey, run: u64) -> Verdict {
         let task = &mut self.tasks[key];
         let flow = &mut self.flows[task.flow];
-        if flow.step(task.name).lasting {
+        if flow.step(task.name).lasting || run <= task.counted {
             return Verdict::GoesOn;
         }
+        task.counted = run;
         task.failures += 1;
         if task.failures < flow.queue.attempts || flow.state.is_final() {
             return Verdict::GoesOn;
@@ -343,6 +346,7 @@
             index: task.name.index,
             done: task.stage == Stage::Done,
             failures: task.failures,
+            counted: task.counted,
             checkpoint: task.checkpoint.clone(),
         });
         Progress {
@@ -364,6 +368,7 @@
                 continue;
             };
             self.tasks[task].failures = record.failures;
+            self.tasks[task].counted = record.counted;
             self.tasks[task].checkpoint.clone_from(&record.checkpoint);
             if record.done {
                 let ended = self.finish(task, now);
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -22,6 +22,8 @@
     pub done: bool,
     /// How often it failed.
     pub failures: u32,
+    /// The last run whose failure was counted.
+    pub counted: u64,
     /// The last checkpoint; empty if there is none.
     pub checkpoint: String,
 }
