One shard of all workers on small fleets; evidence by a neighbour's share

Change: the layout is fixed when the first workers have registered: one shard up to 100 workers, above that the racks of each zone in groups of about 60.

--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -40,7 +40,7 @@
         workflow: Workflow,
         deadline: Moment,
     ) -> Result<(), Refusal> {
-        let shard = &self.settings.zone;
+        let shard = &self.choose_shard(id)?;
         let accepted = Accepted {
             queue: queue.clone(),
             workflow,
@@ -74,6 +74,16 @@
         }
     }
 
+    /// The shard that carries out a job: one of this host's zone.
+    fn choose_shard(&self, id: WorkflowId) -> Result<String, Refusal> {
+        let unknown = || Refusal::new(ErrorKind::NotReady, "the workers are not known yet");
+        let layout = self.layout().ok_or_else(unknown)?;
+        let mut shards = layout.shards(&self.settings.zones);
+        shards.retain(|shard| layout.is_home(shard, &self.settings.zone));
+        let place = id.0 as usize % shards.len().max(1);
+        shards.into_iter().nth(place).ok_or_else(unknown)
+    }
+
     /// The state of a job; none if there is no such job.
     pub(super) async fn state(&self, id: WorkflowId) -> Result<Option<WorkflowState>, Refusal> {
         let found = self.record(id).await?;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -12,7 +12,7 @@
 use crate::platform::fleet::{Store, WorkerApi};
 use crate::routing::Queues;
 use crate::settings::FleetSettings;
-use crate::shards::{Candidate, OwnerRecord};
+use crate::shards::{Candidate, Layout, OwnerRecord};
 
 /// Orders to workers without an answer fail after this time.
 const ORDER_SILENCE: Duration = Duration::from_millis(250);
@@ -31,6 +31,7 @@
     pub(super) owned: AtomicU32,
     client: reqwest::Client,
     queues: RwLock<Option<Arc<Queues>>>,
+    layout: RwLock<Option<Layout>>,
 }
 
 impl Node {
@@ -46,6 +47,7 @@
             owned: AtomicU32::new(0),
             client: WorkerApi::pool(ORDER_SILENCE),
             queues: RwLock::default(),
+            layout: RwLock::default(),
             settings,
         })
     }
@@ -67,6 +69,16 @@
         newer
     }
 
+    /// How the workers are divided, once that is known.
+    pub(super) fn layout(&self) -> Option<Layout> {
+        *self.layout.read().expect("no holder panics")
+    }
+
+    /// Takes in how the workers are divided.
+    pub(super) fn divide(&self, layout: Layout) {
+        *self.layout.write().expect("no holder panics") = Some(layout);
+    }
+
     /// A client of the worker at this address.
     pub(super) fn worker(&self, id: &str, address: &str) -> WorkerApi {
         WorkerApi::new(self.client.clone(), id, address, ORDER_SILENCE)
@@ -99,6 +111,7 @@
             host: self.settings.name.clone(),
             life: self.life,
             zone: self.settings.zone.clone(),
+            layout: self.layout().unwrap_or(Layout::Whole),
             owned,
         }
     }
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -14,14 +14,18 @@
 use super::term::{Claim, reign};
 use crate::journal;
 use crate::moment::Moment;
-use crate::platform::fleet::{Change, Commit, Item, StoreFault, Transaction, Watched};
+use crate::platform::fleet::{
+    Change, Commit, Item, REGISTRY_PREFIX, StoreFault, Transaction, Watched,
+};
 use crate::shards::{
-    Candidate, Hint, Owner, OwnerRecord, SHARD_PREFIX, ShardKey, Step, View, decode, encode,
-    epoch_key, hint_key, life_key, read_shard_key,
+    Candidate, Hint, LAYOUT_KEY, Layout, Owner, OwnerRecord, SHARD_PREFIX, ShardKey, Step, View,
+    decode, encode, epoch_key, hint_key, life_key, read_shard_key,
 };
 
 /// How long a watch waits for a change.
 const WAIT: Duration = Duration::from_secs(20);
+/// The workers have registered when two readings this far apart are alike.
+const REGISTRATION: Duration = Duration::from_millis(400);
 /// Between calls while the store does not answer.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -41,9 +45,8 @@
 /// Follows the shards until a planned stop has handed this host's over.
 pub(super) async fn follow(node: Arc<Node>) {
     let (ended, mut endings) = mpsc::unbounded_channel();
-    let views = node.settings.zones.iter().cloned();
     let mut follower = Follower {
-        views: views.map(|zone| (zone, View::default())).collect(),
+        views: HashMap::new(),
         node: node.clone(),
         revision: None,
         owned: Vec::new(),
@@ -53,6 +56,7 @@
         ended,
     };
     tokio::spawn(announce(node.clone()));
+    tokio::spawn(lay_out(node.clone()));
     loop {
         let wait = follower.claim_due().await;
         tokio::select! {
@@ -78,6 +82,30 @@
     }
 }
 
+/// Divides the workers into shards once the first of them have registered.
+async fn lay_out(node: Arc<Node>) {
+    let mut seen = 0;
+    while node.layout().is_none() {
+        sleep(REGISTRATION).await;
+        let Ok(page) = node
+            .health
+            .note(node.store.range(REGISTRY_PREFIX, true).await)
+        else {
+            continue;
+        };
+        let workers = page.items.len();
+        if workers == 0 || workers != std::mem::replace(&mut seen, workers) {
+            continue;
+        }
+        let layout = Layout::of(workers, node.settings.zones.len());
+        let transaction = Transaction::default()
+            .require(LAYOUT_KEY, 0)
+            .set(LAYOUT_KEY, encode(&layout));
+        // Whoever was first, the watch tells it to all.
+        let _ = node.health.note(node.store.commit(&transaction).await);
+    }
+}
+
 /// The next changes; all views if the history is gone.
 enum News {
     All(Vec<Item>, u64),
@@ -220,6 +248,9 @@
     fn apply(&mut self, change: &Change) {
         let now = Moment::now();
         let known = read_shard_key(change.key());
+        if known == Some(ShardKey::Layout) {
+            return self.take_layout(change);
+        }
         let record = match change {
             Change::Written(item) => match decode::<OwnerRecord>(&item.value.0) {
                 Ok(owner) => Some((owner, item.revision)),
@@ -235,29 +266,49 @@
         match (known, record) {
             (Some(ShardKey::Life(host)), Some((owner, _))) => self.take_life(host, owner.life),
             (Some(ShardKey::Epoch(shard)), Some((owner, revision))) => {
-                if let Some(view) = self.views.get_mut(shard) {
-                    view.epoch = revision;
-                    view.owner = Some(Owner {
-                        host: owner.host,
-                        life: owner.life,
-                        released: owner.released,
-                    });
-                }
+                let view = self.views.entry(shard.to_owned()).or_default();
+                view.epoch = revision;
+                view.owner = Some(Owner {
+                    host: owner.host,
+                    life: owner.life,
+                    released: owner.released,
+                });
             }
             (Some(ShardKey::Hint(shard)), record) => {
-                if let Some(view) = self.views.get_mut(shard) {
-                    view.vacant = now;
-                    view.hint = record.map(|(owner, revision)| Hint {
-                        host: owner.host,
-                        life: owner.life,
-                        revision,
-                    });
-                }
+                let view = self.views.entry(shard.to_owned()).or_default();
+                view.vacant = now;
+                view.hint = record.map(|(owner, revision)| Hint {
+                    host: owner.host,
+                    life: owner.life,
+                    revision,
+                });
             }
             _ => {}
         }
     }
 
+    fn take_layout(&mut self, change: &Change) {
+        let Change::Written(item) = change else {
+            return;
+        };
+        match decode::<Layout>(&item.value.0) {
+            Ok(layout) => {
+                self.node.divide(layout);
+                for shard in layout.shards(&self.node.settings.zones) {
+                    let vacant = View {
+                        vacant: Moment::now(),
+                        ..View::default()
+                    };
+                    self.views.entry(shard).or_insert(vacant);
+                }
+            }
+            Err(error) => journal::line(&DaemonLine::ValueIgnored {
+                key: &item.key,
+                reason: error.to_string(),
+            }),
+        }
+    }
+
     fn take_life(&mut self, host: &str, life: u64) {
         self.lives.insert(host.to_owned(), life);
         self.ends.send_replace(self.lives.clone());
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -151,12 +151,17 @@
                 None
             }
         })
-        .filter(|entry| entry.zone == reign.claim.shard)
+        .filter(|entry| shard_of(reign, entry) == Some(reign.claim.shard.clone()))
         .collect();
     let added = reign.decide(|scheduler, now| scheduler.on_registry(entries, now));
     added.into_iter().for_each(|key| reign.attend(key));
 }
 
+fn shard_of(reign: &Reign, entry: &Registration) -> Option<String> {
+    let layout = reign.node.layout()?;
+    Some(layout.shard_of(&entry.zone, entry.rack()))
+}
+
 fn take_roster(reign: &Arc<Reign>, item: Option<Item>) {
     let roster = item.as_ref().and_then(readable).unwrap_or_default();
     let added = reign.decide(|scheduler, now| scheduler.on_roster(roster, now));
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -37,6 +37,13 @@
     pub remaining: Option<Duration>,
 }
 
+impl Registration {
+    /// The rack; empty if the worker names none.
+    pub fn rack(&self) -> &str {
+        self.labels.get(1).map(String::as_str).unwrap_or_default()
+    }
+}
+
 /// An order to start a run of a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartOrder {
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -158,11 +158,6 @@
         self.entry.capacity.minus(self.used)
     }
 
-    /// The rack, if the worker names one.
-    pub fn rack(&self) -> Option<&str> {
-        self.entry.labels.get(1).map(String::as_str)
-    }
-
     /// Notes which ends a completed write covers.
     pub fn acknowledge(&mut self, written: u64) {
         while let Some((number, write)) = self.pending.front().copied() {
--- a/src/interference/pairs.rs
+++ b/src/interference/pairs.rs
@@ -5,15 +5,16 @@
 
 use super::ImageKey;
 
-/// How likely a strained tail is beside an image that disturbs, and beside none.
-const STRAINED_IF_HARMFUL: f64 = 0.35;
-const STRAINED_IF_HARMLESS: f64 = 0.02;
+/// How likely a strained tail is beside an image that disturbs, for each unit
+/// of the share that it uses, and at most.
+const STRAINED_BY_SHARE: f64 = 4.0;
+const STRAINED_AT_MOST: f64 = 0.6;
+/// How likely a strained tail is beside none.
+const STRAINED_IF_HARMLESS: f64 = 0.005;
 /// The share of pairs that disturb, before any evidence.
 const PRIOR: f64 = 0.15;
 /// Bounds of the evidence, so that a pair whose nature changes is learned anew.
 const STRONGEST: f64 = 5.0;
-/// A neighbour that uses this share of the worker counts as fully present.
-const FULL_SHARE: f64 = 0.1;
 
 /// What a tail says, by its ratio to the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,27 +118,26 @@
     }
 
     fn acquit(&mut self, seen: &Observation<'_>) {
-        let ratio = (1.0 - STRAINED_IF_HARMFUL) / (1.0 - STRAINED_IF_HARMLESS);
         for neighbour in seen.neighbours {
-            let presence = (neighbour.share / FULL_SHARE).min(1.0);
-            self.add(seen.serving, neighbour.image, ratio.ln() * presence);
+            let ratio = (1.0 - strained_if_harmful(neighbour)) / (1.0 - STRAINED_IF_HARMLESS);
+            self.add(seen.serving, neighbour.image, ratio.ln());
         }
     }
 
     /// Divides the blame by how likely each neighbour is to be the cause.
     fn blame(&mut self, seen: &Observation<'_>) {
         let weight = |neighbour: &Neighbour| {
-            let presence = (neighbour.share / FULL_SHARE).min(1.0);
-            self.odds(seen.serving, neighbour.image).exp() * presence
+            self.odds(seen.serving, neighbour.image).exp() * strained_if_harmful(neighbour)
         };
         let weights: Vec<f64> = seen.neighbours.iter().map(weight).collect();
         let whole: f64 = weights.iter().sum();
         if whole <= 0.0 {
             return;
         }
-        let ratio = STRAINED_IF_HARMFUL / STRAINED_IF_HARMLESS;
         for (neighbour, weight) in seen.neighbours.iter().zip(weights) {
-            self.add(seen.serving, neighbour.image, ratio.ln() * weight / whole);
+            let ratio = strained_if_harmful(neighbour) / STRAINED_IF_HARMLESS;
+            let evidence = ratio.ln().max(0.0) * weight / whole;
+            self.add(seen.serving, neighbour.image, evidence);
         }
     }
 
@@ -147,3 +147,7 @@
         self.odds.insert((serving, filling), odds);
     }
 }
+
+fn strained_if_harmful(neighbour: &Neighbour) -> f64 {
+    (neighbour.share * STRAINED_BY_SHARE).clamp(STRAINED_IF_HARMLESS, STRAINED_AT_MOST)
+}
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -119,9 +119,9 @@
         idle(worker)
     } else {
         // The tightest fit leaves room for wide tasks elsewhere.
-        -i64::from(worker.free().millicores)
+        i64::from(worker.free().millicores)
     };
-    let local = step.data_rack.is_some() && step.data_rack.as_deref() == worker.rack();
+    let local = step.data_rack.as_deref() == Some(worker.entry.rack());
     let bonus = if local { LOCAL_BONUS } else { 0 };
     let crowd = if step.lasting {
         of_step(worker, name) as i64
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -51,7 +51,7 @@
             metrics: local(8083),
             platform: local(7000),
             grace: Duration::from_secs(6),
-            session: Duration::from_secs(2),
+            session: Duration::from_millis(1500),
             silence: Duration::from_millis(1500),
         }
     }
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Layout;
 use crate::fleet::SLOWEST;
 use crate::ids::stable_hash;
 use crate::moment::Moment;
@@ -90,6 +91,8 @@
     pub life: u64,
     /// Its availability zone.
     pub zone: String,
+    /// How the workers are divided.
+    pub layout: Layout,
     /// How many shards it owns.
     pub owned: u32,
 }
@@ -115,9 +118,10 @@
     ///
     /// ```
     /// use lycheelock::moment::Moment;
-    /// use lycheelock::shards::{Candidate, Hint, Step, View};
+    /// use lycheelock::shards::{Candidate, Hint, Layout, Step, View};
     ///
-    /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), owned: 0 };
+    /// let layout = Layout::Whole;
+    /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), layout, owned: 0 };
     /// let former = Hint { host: "a1".into(), life: 1, revision: 9 };
     /// let view = View { epoch: 8, hint: Some(former), ..View::default() };
     /// let step = me.step("a", &view, Moment::default());
@@ -147,9 +151,10 @@
     /// of the owner's host that is known.
     ///
     /// ```
-    /// use lycheelock::shards::{Candidate, Former, Owner};
+    /// use lycheelock::shards::{Candidate, Former, Layout, Owner};
     ///
-    /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), owned: 0 };
+    /// let layout = Layout::Whole;
+    /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), layout, owned: 0 };
     /// let owner = Owner { host: "a2".into(), life: 7, released: false };
     /// assert_eq!(me.former(&owner, Some(7)), Former::Unknown);
     /// assert_eq!(me.former(&owner, Some(8)), Former::Ended);
@@ -168,7 +173,7 @@
         const STEPS: u64 = 1000;
         let place = stable_hash(format!("{}/{shard}", self.host).as_bytes()) % STEPS;
         let share = place as f64 / STEPS as f64;
-        let spread = if self.zone == shard {
+        let spread = if self.layout.is_home(shard, &self.zone) {
             HOME_SPREAD.mul_f64(share)
         } else {
             AWAY_DELAY + AWAY_SPREAD.mul_f64(share)
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -5,6 +5,9 @@
 /// The epochs and hints of all shards.
 pub const SHARD_PREFIX: &str = "shard/";
 
+/// How the workers are divided into shards.
+pub const LAYOUT_KEY: &str = "shard/layout";
+
 /// A key under [`SHARD_PREFIX`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShardKey<'a> {
@@ -14,6 +17,8 @@
     Hint(&'a str),
     /// The newest life of a host's process.
     Life(&'a str),
+    /// The layout of the shards.
+    Layout,
 }
 
 /// A key of the work of a shard.
@@ -49,6 +54,9 @@
 /// assert_eq!(read_shard_key("job/1"), None);
 /// ```
 pub fn read_shard_key(key: &str) -> Option<ShardKey<'_>> {
+    if key == LAYOUT_KEY {
+        return Some(ShardKey::Layout);
+    }
     let (shard, kind) = key.strip_prefix(SHARD_PREFIX)?.split_once('/')?;
     match kind {
         "epoch" => Some(ShardKey::Epoch(shard)),
--- /dev/null
+++ b/src/shards/layout.rs
@@ -0,0 +1,78 @@
+//! How the workers are divided into shards.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::stable_hash;
+
+/// The most workers that one owner commands over all zones.
+const MOST_TOGETHER: usize = 100;
+/// The workers of a zone are divided into groups of about this size.
+const GROUP: usize = 60;
+/// The shard of all workers.
+const WHOLE: &str = "all";
+
+/// How the workers are divided into shards. It is fixed when the first
+/// workers have registered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Layout {
+    /// One owner commands all workers.
+    Whole,
+    /// The racks of each zone are divided into this many shards.
+    Zones(u32),
+}
+
+impl Layout {
+    /// The layout for a number of workers in a number of zones.
+    ///
+    /// ```
+    /// use lycheelock::shards::Layout;
+    ///
+    /// assert_eq!(Layout::of(48, 3), Layout::Whole);
+    /// assert_eq!(Layout::of(350, 3), Layout::Zones(2));
+    /// ```
+    pub fn of(workers: usize, zones: usize) -> Self {
+        if workers <= MOST_TOGETHER {
+            return Self::Whole;
+        }
+        let each = workers.div_ceil(zones.max(1));
+        Self::Zones(each.div_ceil(GROUP) as u32)
+    }
+
+    /// The names of all shards.
+    ///
+    /// ```
+    /// use lycheelock::shards::Layout;
+    ///
+    /// let zones = ["a".to_owned(), "b".to_owned()];
+    /// assert_eq!(Layout::Whole.shards(&zones), ["all"]);
+    /// assert_eq!(Layout::Zones(1).shards(&zones), ["a.0", "b.0"]);
+    /// ```
+    pub fn shards(self, zones: &[String]) -> Vec<String> {
+        match self {
+            Self::Whole => vec![WHOLE.to_owned()],
+            Self::Zones(groups) => {
+                let of_zone = |zone| (0..groups).map(move |group| format!("{zone}.{group}"));
+                zones.iter().flat_map(of_zone).collect()
+            }
+        }
+    }
+
+    /// The shard of a worker.
+    pub fn shard_of(self, zone: &str, rack: &str) -> String {
+        match self {
+            Self::Whole => WHOLE.to_owned(),
+            Self::Zones(groups) => {
+                let group = stable_hash(rack.as_bytes()) % u64::from(groups.max(1));
+                format!("{zone}.{group}")
+            }
+        }
+    }
+
+    /// Whether a shard belongs to a zone.
+    pub fn is_home(self, shard: &str, zone: &str) -> bool {
+        match self {
+            Self::Whole => true,
+            Self::Zones(_) => shard.rsplit_once('.').is_some_and(|(home, _)| home == zone),
+        }
+    }
+}
--- a/src/shards/tests.rs
+++ b/src/shards/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{Candidate, Hint, Step, View};
+use super::{Candidate, Hint, Layout, Step, View};
 use crate::moment::Moment;
 
 fn host(name: &str, zone: &str) -> Candidate {
@@ -8,6 +8,7 @@
         host: name.to_owned(),
         life: 1,
         zone: zone.to_owned(),
+        layout: Layout::Zones(1),
         owned: 0,
     }
 }
@@ -27,13 +28,13 @@
         hint: Some(hint),
         ..View::default()
     };
-    assert_eq!(host("a1", "a").step("a", &view, at(60_000)), Step::Follow);
+    assert_eq!(host("a1", "a").step("a.0", &view, at(60_000)), Step::Follow);
 }
 
 #[test]
 fn hosts_of_the_zone_claim_before_all_others() {
     let view = View::default();
-    let begin = |name: &str, zone: &str| match host(name, zone).step("a", &view, at(0)) {
+    let begin = |name: &str, zone: &str| match host(name, zone).step("a.0", &view, at(0)) {
         Step::ClaimAt(at) => at,
         Step::Claim { .. } => at(0),
         Step::Follow => panic!("nobody owns the shard"),
@@ -51,9 +52,9 @@
     };
     let view = View::default();
     let late = at(0) + Duration::from_millis(200);
-    assert!(matches!(busy.step("a", &view, late), Step::ClaimAt(_)));
+    assert!(matches!(busy.step("a.0", &view, late), Step::ClaimAt(_)));
     assert!(matches!(
-        host("a1", "a").step("a", &view, late),
+        host("a1", "a").step("a.0", &view, late),
         Step::Claim { .. }
     ));
 }
