A run believed lost starts again only after a later confirmation

Change: what is inferred (lapse, settling, a worker's new life) counts only once the store has confirmed the ownership to a call sent after it.

--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -180,10 +180,14 @@
         }
     }
 
+    /// When the last call that confirmed this ownership was sent.
+    pub fn confirmed(&self) -> Moment {
+        Moment::from_micros(self.confirmed.load(Ordering::Relaxed))
+    }
+
     /// Whether this host may still command the workers.
     pub fn is_confirmed(&self) -> bool {
-        let confirmed = Moment::from_micros(self.confirmed.load(Ordering::Relaxed));
-        Moment::now() - confirmed < GIVES_UP
+        Moment::now() - self.confirmed() < GIVES_UP
     }
 
     async fn wait_lost(&self) -> &'static str {
@@ -221,7 +225,8 @@
         if let Some(queues) = reign.node.queues() {
             reign.decide(|scheduler, _| scheduler.configure(&queues));
         }
-        let orders = reign.decide(|scheduler, now| scheduler.plan(now));
+        let confirmed = reign.confirmed();
+        let orders = reign.decide(|scheduler, now| scheduler.plan(confirmed, now));
         let senders = reign.orders.lock().expect("no holder panics").clone();
         for (worker, order) in orders {
             if let Some(sender) = senders.get(&worker) {
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -87,7 +87,8 @@
     /// Gives up the runs of workers whose leases have all ended.
     pub(super) fn drop_lapsed(&mut self, now: Moment) {
         let lapsed = self.workers.iter().filter(|(_, worker)| {
-            worker.synced && worker.lapse < now && now > worker.contact + crate::fleet::LEASE
+            let silent = now > worker.contact + crate::fleet::LEASE;
+            worker.synced && silent && worker.lapse < self.confirmed
         });
         let keys: Vec<WorkerKey> = lapsed.map(|(key, _)| key).collect();
         for key in keys {
@@ -107,7 +108,10 @@
             return;
         }
         let answered = self.former.is_empty() && self.roster_read();
-        let lapsed = self.term.settles.is_some_and(|settles| now >= settles);
+        let lapsed = self
+            .term
+            .settles
+            .is_some_and(|settles| self.confirmed >= settles);
         if !answered && !lapsed {
             return;
         }
@@ -126,6 +130,7 @@
         let mut flows = HashSet::new();
         for key in keys {
             flows.insert(self.ledger.tasks[key].flow);
+            self.ledger.tasks[key].gate = now;
             self.ledger.release(key, now);
         }
         for flow in flows {
@@ -161,6 +166,7 @@
     pub(super) fn lose_all(&mut self, key: WorkerKey, reason: &'static str, now: Moment) {
         let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
         for task in tasks {
+            self.ledger.tasks[task].gate = now;
             self.lose(task, reason, now);
         }
     }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -53,6 +53,7 @@
     pub(super) writes: Writes,
     pub(super) images: Images,
     pub(super) pairs: Pairs,
+    pub(super) confirmed: Moment,
     ranked: Moment,
     runs: u64,
     orders: Vec<(WorkerKey, Order)>,
@@ -74,6 +75,7 @@
             writes: Writes::default(),
             images: Images::default(),
             pairs: Pairs::default(),
+            confirmed: Moment::default(),
             ranked: Moment::default(),
             runs: 0,
             orders: Vec::new(),
@@ -139,8 +141,10 @@
         }
     }
 
-    /// Places what can be placed and returns the orders to send.
-    pub fn plan(&mut self, now: Moment) -> Vec<(WorkerKey, Order)> {
+    /// Places what can be placed and returns the orders to send. The store has
+    /// confirmed this ownership to a call sent at `confirmed`.
+    pub fn plan(&mut self, confirmed: Moment, now: Moment) -> Vec<(WorkerKey, Order)> {
+        self.confirmed = confirmed;
         self.drop_lapsed(now);
         self.settle(now);
         self.start_recurring(now);
@@ -321,7 +325,7 @@
                 self.waiting.remove(&rank);
                 continue;
             }
-            if misses.covers(flow.step(task.name)) {
+            if task.gate > self.confirmed || misses.covers(flow.step(task.name)) {
                 continue;
             }
             if self.place_one(key, now) {
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -70,6 +70,9 @@
     pub pace: u8,
     /// Whether a worker has reported it as fully at work.
     pub at_work: bool,
+    /// It starts again only once the store has confirmed the ownership after
+    /// this moment: a newer owner could have prolonged the run believed lost.
+    pub gate: Moment,
     /// Whether the worker has confirmed the order that led to this stage.
     pub confirmed: bool,
 }
@@ -227,6 +230,7 @@
                     since: now,
                     pace: FULL_SPEED,
                     at_work: false,
+                    gate: Moment::default(),
                     confirmed: false,
                 })
             });
