--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -251,7 +251,7 @@
         let verdict = match end.ending {
             Ending::Done if !lasting => {
                 self.workers[key].trust.succeeded();
-                self.unassign(task);
+                self.stop_later_run(task, now);
                 self.finish(task, now)
             }
             Ending::Failed => {
@@ -268,6 +268,19 @@
         !lasting
     }
 
+    /// Stops the run of a task of which an earlier run has turned out done.
+    fn stop_later_run(&mut self, task: TaskKey, now: Moment) {
+        let Some(worker) = self.ledger.tasks[task].stage.worker() else {
+            return;
+        };
+        let order = self.stop_order(task);
+        self.unassign(task);
+        if let Some(target) = self.workers.get_mut(worker) {
+            target.strangers.insert((order.task, order.run), now);
+            self.order(worker, Order::Stop(order));
+        }
+    }
+
     /// Notes that a task is done; one member's end is that of its whole gang.
     fn finish(&mut self, task: TaskKey, now: Moment) -> Verdict {
         if !self.is_gang(task) {
