Takeovers wait only for what a silent worker may run

Cause: one dead worker at a takeover held 1392 waiting tasks back for 11 s; a start that was repeated to a dead worker prolonged its lease for ever (LOST); a reading of the store begun before the end of a job brought it back (TWICE). Change: the roster closes silent workers and names their tasks; a repeated start keeps its lease; ended jobs are remembered for 60 s; failures are counted by run number; what is known of interference is kept in the store.

--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -14,8 +14,9 @@
 use crate::journal;
 use crate::moment::Moment;
 use crate::platform::fleet::{Change, Item, REGISTRY_PREFIX, StoreFault, Watched, read_worker};
+use crate::schedule::PairRecord;
 use crate::shards::{
-    Accepted, JobKey, decode, progress_prefix, read_job_key, roster_key, work_prefix,
+    Accepted, JobKey, decode, pairs_key, progress_prefix, read_job_key, roster_key, work_prefix,
 };
 use crate::workflow::{Flow, Progress, WorkflowId, WorkflowState, dues};
 
@@ -68,21 +69,22 @@
 async fn read_state(reign: &Arc<Reign>) -> Result<u64, StoreFault> {
     let shard = &reign.claim.shard;
     let store = &reign.node.store;
-    let (progress_place, work_place, roster_place) = (
-        progress_prefix(shard),
-        work_prefix(shard),
-        roster_key(shard),
-    );
-    let (progress, work, roster, registry) = tokio::try_join!(
+    let (progress_place, work_place) = (progress_prefix(shard), work_prefix(shard));
+    let (roster_place, pairs_place) = (roster_key(shard), pairs_key(shard));
+    let (progress, work, roster, pairs, registry) = tokio::try_join!(
         store.range(&progress_place, false),
         store.range(&work_place, false),
         store.get(&roster_place),
+        store.get(&pairs_place),
         store.range(REGISTRY_PREFIX, false),
     )?;
     let progress = read_progress(&progress_place, &progress.items);
     take_jobs(reign, &work.items, &progress);
     take_registry(reign, &registry.items);
     take_roster(reign, roster);
+    if let Some(records) = pairs.as_ref().and_then(readable::<Vec<PairRecord>>) {
+        reign.decide(|scheduler, _| scheduler.on_pairs(&records));
+    }
     Ok(work.revision)
 }
 
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -10,7 +10,7 @@
 use crate::platform::fleet::{Commit, Item, StoreFault, Transaction};
 use crate::schedule::{Batch, EndedFlow};
 use crate::shards::{
-    JobRecord, cancel_key, decode, encode, epoch_key, job_key, progress_key, roster_key,
+    JobRecord, cancel_key, decode, encode, epoch_key, job_key, pairs_key, progress_key, roster_key,
     waiting_key, work_key,
 };
 use crate::workflow::{FlowKey, Progress, WorkflowState};
@@ -30,6 +30,7 @@
     Progress(FlowKey, Progress, crate::workflow::WorkflowId),
     Roster(Vec<u8>),
     Pending(Vec<u8>),
+    Pairs(Vec<u8>),
 }
 
 /// Writes as long as the ownership lasts.
@@ -40,7 +41,7 @@
         let _ = timeout(WHOLE, reign.write.notified()).await;
         sleep(GATHER).await;
         let whole = Moment::now() - last >= WHOLE;
-        let batch = reign.decide(|scheduler, _| scheduler.collect(whole));
+        let batch = reign.decide(|scheduler, now| scheduler.collect(whole, now));
         match write(&reign, &batch).await {
             Ok(()) => {
                 reign.decide(|scheduler, _| scheduler.on_written(&batch, whole));
@@ -89,11 +90,13 @@
         .pending
         .iter()
         .map(|counts| Entry::Pending(encode(counts)));
+    let pairs = batch.pairs.iter().map(|pairs| Entry::Pairs(encode(pairs)));
     roster
         .chain(ends)
         .chain(starts)
         .chain(progress)
         .chain(pending)
+        .chain(pairs)
         .collect()
 }
 
@@ -108,6 +111,7 @@
         Entry::Progress(_, progress, id) => rows.set(&progress_key(shard, *id), encode(progress)),
         Entry::Roster(roster) => rows.set(&roster_key(shard), roster.clone()),
         Entry::Pending(counts) => rows.set(&waiting_key(shard), counts.clone()),
+        Entry::Pairs(pairs) => rows.set(&pairs_key(shard), pairs.clone()),
     })
 }
 
@@ -167,11 +171,11 @@
 }
 
 fn settle(reign: &Reign, entry: &Entry, revision: u64) {
-    reign.decide(|scheduler, _| match entry {
-        Entry::End(end) => scheduler.on_end_written(end.flow),
+    reign.decide(|scheduler, now| match entry {
+        Entry::End(end) => scheduler.on_end_written(end.flow, now),
         Entry::Start(start) => scheduler.on_start_written(start.flow, revision),
         Entry::Progress(flow, progress, _) => scheduler.on_progress_written(*flow, progress),
-        Entry::Roster(_) | Entry::Pending(_) => {}
+        Entry::Roster(_) | Entry::Pending(_) | Entry::Pairs(_) => {}
     });
 }
 
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -67,6 +67,8 @@
     pub listed: bool,
     /// Whether the store knows that this owner may use it.
     pub enrolled: bool,
+    /// Whether it answered lately; a silent worker is closed in the roster.
+    pub answers: bool,
     /// Whether it has answered this owner, so that no former owner commands it.
     pub synced: bool,
     /// What its tasks use; memory of all, processors of those that do not fill.
@@ -112,6 +114,7 @@
             entry,
             listed: true,
             enrolled: false,
+            answers: true,
             synced: false,
             used: Capacity::default(),
             serving: 0,
--- a/src/interference/pairs.rs
+++ b/src/interference/pairs.rs
@@ -117,6 +117,12 @@
         all
     }
 
+    /// Takes up evidence that a former owner left.
+    pub fn restore(&mut self, serving: ImageKey, filling: ImageKey, odds: f64) {
+        let odds = odds.clamp(-STRONGEST, STRONGEST);
+        self.odds.entry((serving, filling)).or_insert(odds);
+    }
+
     fn acquit(&mut self, seen: &Observation<'_>) {
         for neighbour in seen.neighbours {
             let ratio = (1.0 - strained_if_harmful(neighbour)) / (1.0 - STRAINED_IF_HARMLESS);
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -16,7 +16,7 @@
 /// The worker that a call means; any other at that address does nothing.
 const INSTANCE_HEADER: &str = "X-Lycheelock-Expect-Instance";
 /// How much longer than its wait a look may take.
-const LOOK_MARGIN: Duration = Duration::from_millis(900);
+const LOOK_MARGIN: Duration = Duration::from_millis(500);
 
 /// Why a call to a worker has no result.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -6,7 +6,7 @@
 use super::{Note, Order, Scheduler};
 use crate::fleet::{Clock, EndedRun, Ending, LiveRun, Look, Standing, StopOrder, WorkerKey};
 use crate::moment::Moment;
-use crate::workflow::{FlowKey, Stage, TaskKey, Verdict};
+use crate::workflow::{FlowKey, Stage, Task, TaskKey, TaskName, Verdict};
 
 /// The most ends that a worker lists at once; a full list may not be complete.
 const FULL_LIST: usize = 500;
@@ -23,7 +23,12 @@
         let worker = &mut self.workers[key];
         worker.clock = Some(Clock::new(look.clock, now));
         worker.contact = now;
+        worker.answers = true;
         let first = !std::mem::replace(&mut worker.synced, true);
+        if !worker.enrolled {
+            // The roster opens it with the next write.
+            self.writes.enrol();
+        }
         let complete = look.ended.len() < FULL_LIST;
         self.take_ends(key, &look.ended, now);
         self.take_running(key, &look.running, now);
@@ -35,6 +40,7 @@
         self.workers[key].acknowledge(written);
         if first {
             self.former.remove(&key);
+            self.closed.remove(&key);
             self.settle(now);
         }
     }
@@ -80,7 +86,7 @@
         let left = gone && worker.entry.standing == Standing::Draining;
         if left {
             self.lose_all(key, "the worker left", now);
-            self.remove_worker(key, "left", now);
+            self.remove_worker(key, "left");
         }
     }
 
@@ -97,7 +103,7 @@
             }
             self.workers[key].strangers.clear();
             if !self.workers[key].listed {
-                self.remove_worker(key, "lost", now);
+                self.remove_worker(key, "lost");
             }
         }
     }
@@ -115,18 +121,23 @@
         if !answered && !lapsed {
             return;
         }
-        self.settling = false;
-        let unsettled = self
-            .ledger
-            .tasks
-            .iter()
-            .filter(|(_, task)| task.stage == Stage::Unsettled);
+        if lapsed {
+            self.closed.clear();
+            self.forget_former();
+        }
+        self.settling = !self.closed.is_empty();
+        let kept: HashSet<TaskName> = self.closed.values().flatten().copied().collect();
+        let free = |task: &Task| task.stage == Stage::Unsettled && !kept.contains(&task.name);
+        let unsettled = self.ledger.tasks.iter().filter(|(_, task)| free(task));
         let keys: Vec<TaskKey> = unsettled.map(|(key, _)| key).collect();
+        if keys.is_empty() && self.settling {
+            return;
+        }
         self.note(Note::Settled {
             tasks: keys.len(),
+            kept: kept.len(),
             answered,
         });
-        self.forget_former(now);
         let mut flows = HashSet::new();
         for key in keys {
             flows.insert(self.ledger.tasks[key].flow);
@@ -146,11 +157,15 @@
     }
 
     /// Removes workers that only the former owner knew and that never answered.
-    fn forget_former(&mut self, now: Moment) {
-        for key in std::mem::take(&mut self.former) {
-            if self.workers.get(key).is_some_and(|worker| !worker.listed) {
-                self.remove_worker(key, "never answered", now);
-            }
+    fn forget_former(&mut self) {
+        self.former.clear();
+        let unknown = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.listed && !worker.synced);
+        let keys: Vec<WorkerKey> = unknown.map(|(key, _)| key).collect();
+        for key in keys {
+            self.remove_worker(key, "never answered");
         }
     }
 
@@ -182,6 +197,7 @@
         }
         self.workers[key].entry.born = born;
         self.workers[key].reset(now);
+        self.closed.remove(&key);
         self.note_worker(key, "started anew");
     }
 
@@ -261,7 +277,7 @@
             _ => Verdict::GoesOn,
         };
         self.note_verdict(flow, verdict, now);
-        self.forget_ended(flow);
+        self.forget_ended(flow, now);
         if !lasting && self.ledger.flows.contains_key(flow) {
             self.writes.touch(flow);
         }
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -16,4 +16,4 @@
 pub use note::Note;
 pub use order::Order;
 pub use scheduler::{Scheduler, Term};
-pub use write::{Batch, EndedFlow, RosterEntry};
+pub use write::{Batch, EndedFlow, PairRecord, RosterEntry};
--- a/src/schedule/note.rs
+++ b/src/schedule/note.rs
@@ -108,6 +108,8 @@
     Settled {
         /// How many.
         tasks: usize,
+        /// How many may still run on workers that the former owner closed.
+        kept: usize,
         /// Whether every worker answered, or the time of all leases passed.
         answered: bool,
     },
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -44,8 +44,15 @@
                     key
                 }
             };
-            self.workers[key].enrolled = true;
-            self.former.insert(key);
+            match entry.closed {
+                Some(tasks) => {
+                    self.closed.insert(key, tasks);
+                }
+                None => {
+                    self.workers[key].enrolled = true;
+                    self.former.insert(key);
+                }
+            }
         }
         self.writes.roster_read();
         added
@@ -65,13 +72,13 @@
         self.note(note);
     }
 
-    pub(super) fn remove_worker(&mut self, key: WorkerKey, change: &'static str, now: Moment) {
+    pub(super) fn remove_worker(&mut self, key: WorkerKey, change: &'static str) {
         self.note_worker(key, change);
         if let Some(worker) = self.workers.remove(key) {
             self.by_id.remove(&worker.entry.id);
         }
         self.former.remove(&key);
-        self.settle(now);
+        self.closed.remove(&key);
     }
 
     fn add_worker(&mut self, entry: Registration, now: Moment) -> WorkerKey {
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -15,13 +15,18 @@
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
 use crate::workflow::{
-    Flow, FlowKey, Ledger, Progress, Stage, TaskKey, Verdict, WorkflowId, WorkflowState,
+    Flow, FlowKey, Ledger, Progress, Stage, TaskKey, TaskName, Verdict, WorkflowId, WorkflowState,
 };
 
 /// Runs of one owner; an owner's numbers are above those of its predecessors.
 const RUNS_PER_TERM: u64 = 1_000_000;
 /// How long a worker waits for an end before it answers a look.
-const LOOK_WAIT: Duration = Duration::from_millis(1000);
+const LOOK_WAIT: Duration = Duration::from_millis(800);
+/// A worker that was silent for longer than this is closed in the roster.
+const CLOSES: Duration = Duration::from_millis(1100);
+/// How long a job that has ended is remembered: a reading of the store that
+/// began before the end was written may still show it.
+const REMEMBERED: Duration = Duration::from_secs(60);
 /// A worker that was silent for longer than this keeps its leases as they are.
 const RENEWS: Duration = Duration::from_millis(1500);
 /// How often waiting tasks are ranked anew.
@@ -50,6 +55,8 @@
     pub(super) former: HashSet<WorkerKey>,
     pub(super) waiting: BTreeMap<Rank, TaskKey>,
     pub(super) recurring: BTreeSet<FlowKey>,
+    pub(super) ended: HashMap<WorkflowId, Moment>,
+    pub(super) closed: HashMap<WorkerKey, Vec<TaskName>>,
     pub(super) writes: Writes,
     pub(super) images: Images,
     pub(super) pairs: Pairs,
@@ -72,6 +79,8 @@
             former: HashSet::new(),
             waiting: BTreeMap::new(),
             recurring: BTreeSet::new(),
+            ended: HashMap::new(),
+            closed: HashMap::new(),
             writes: Writes::default(),
             images: Images::default(),
             pairs: Pairs::default(),
@@ -90,7 +99,8 @@
 
     /// Takes in an accepted job. A job that is known already changes nothing.
     pub fn submit(&mut self, flow: Flow, progress: Option<&Progress>, now: Moment) {
-        if self.ledger.find(flow.id).is_some() {
+        let known = self.ledger.find(flow.id).is_some();
+        if known || self.ended.contains_key(&flow.id) {
             return;
         }
         let (id, queue, revision) = (flow.id, flow.queue.name.clone(), flow.revision);
@@ -145,11 +155,13 @@
     /// confirmed this ownership to a call sent at `confirmed`.
     pub fn plan(&mut self, confirmed: Moment, now: Moment) -> Vec<(WorkerKey, Order)> {
         self.confirmed = confirmed;
+        self.close_silent(now);
         self.drop_lapsed(now);
         self.settle(now);
         self.start_recurring(now);
         if now - self.ranked >= RERANK {
             self.rank_again(now);
+            self.ended.retain(|_, at| now - *at < REMEMBERED);
         }
         self.place_waiting(now);
         std::mem::take(&mut self.orders)
@@ -175,8 +187,11 @@
         let flow = &self.ledger.flows[task.flow];
         let target = self.workers.get_mut(worker)?;
         let clock = target.clock?;
-        let until = clock.lease_end(now, LEASE);
+        // A repeated start keeps its lease, so that a silent worker lapses.
+        let until = task.until.unwrap_or_else(|| clock.lease_end(now, LEASE));
         target.lapse = target.lapse.max(clock.passed(until));
+        self.ledger.tasks[key].until = Some(until);
+        let task = &self.ledger.tasks[key];
         Some(StartOrder {
             task: task.name,
             run,
@@ -359,6 +374,7 @@
     pub(super) fn assign(&mut self, key: TaskKey, worker: WorkerKey, run: u64, now: Moment) {
         let waited = self.ledger.tasks[key].since;
         self.ledger.tasks[key].run = run;
+        self.ledger.tasks[key].until = None;
         self.ledger.enter(key, Stage::Starting(worker), now);
         self.ledger.tasks[key].pace = crate::workflow::FULL_SPEED;
         let task = &self.ledger.tasks[key];
@@ -437,6 +453,21 @@
         target.used -= need;
     }
 
+    /// Closes workers that are silent: they get no starts, and the roster says
+    /// which tasks they may be running.
+    fn close_silent(&mut self, now: Moment) {
+        let silent = self.workers.iter().filter(|(_, worker)| {
+            worker.enrolled && worker.synced && now > worker.contact + CLOSES
+        });
+        let keys: Vec<WorkerKey> = silent.map(|(key, _)| key).collect();
+        for key in keys {
+            self.workers[key].enrolled = false;
+            self.workers[key].answers = false;
+            self.writes.enrol();
+            self.note_worker(key, "closed, as it is silent");
+        }
+    }
+
     fn start_recurring(&mut self, now: Moment) {
         let due = |key: &FlowKey| self.ledger.next_due(*key).is_some_and(|due| due <= now);
         let flows: Vec<FlowKey> = self.recurring.iter().copied().filter(due).collect();
@@ -507,7 +538,7 @@
         self.unassign(key);
         self.ledger.release(key, now);
         self.enqueue(flow, now);
-        self.forget_ended(flow);
+        self.forget_ended(flow, now);
     }
 
     pub(super) fn worker_name(&self, worker: WorkerKey) -> String {
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -1,12 +1,14 @@
 //! What the store must be told, and which ends that covers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::Scheduler;
-use crate::fleet::{Capacity, Registration, Standing};
-use crate::workflow::{FlowKey, Progress, WorkflowId, WorkflowState};
+use crate::fleet::{Capacity, Registration, Standing, Worker, WorkerKey};
+use crate::moment::Moment;
+use crate::workflow::{FlowKey, Progress, TaskName, WorkflowId, WorkflowState};
 
 /// A worker that an owner may have used.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +19,8 @@
     pub address: String,
     /// Its availability zone.
     pub zone: String,
+    /// If it gets no further tasks: those that it may still be running.
+    pub closed: Option<Vec<TaskName>>,
 }
 
 impl RosterEntry {
@@ -50,7 +54,7 @@
 }
 
 /// What is to be written next.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Batch {
     /// The number of the write.
     pub number: u64,
@@ -64,8 +68,24 @@
     pub roster: Option<Vec<RosterEntry>>,
     /// How many jobs of each queue have not started, if that changed.
     pub pending: Option<BTreeMap<String, u64>>,
+    /// What is known of interference, now and then.
+    pub pairs: Option<Vec<PairRecord>>,
 }
 
+/// The evidence that a filling image disturbs a serving one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PairRecord {
+    /// The serving image.
+    pub serving: String,
+    /// The filling image.
+    pub filling: String,
+    /// The logarithm of the odds.
+    pub odds: f64,
+}
+
+/// Between two writes of what is known of interference.
+const PAIRS: Duration = Duration::from_secs(3);
+
 impl Batch {
     /// Whether there is nothing to write.
     pub fn is_empty(&self) -> bool {
@@ -74,6 +94,7 @@
             && self.progress.is_empty()
             && self.roster.is_none()
             && self.pending.is_none()
+            && self.pairs.is_none()
     }
 }
 
@@ -85,6 +106,7 @@
     touched: BTreeSet<FlowKey>,
     roster: Enrolment,
     counts: BTreeMap<String, u64>,
+    pairs: Moment,
     begun: u64,
     written: u64,
 }
@@ -148,7 +170,7 @@
 
     /// What is to be written now. Only a `whole` batch covers the ends that
     /// were taken in before.
-    pub fn collect(&mut self, whole: bool) -> Batch {
+    pub fn collect(&mut self, whole: bool, now: Moment) -> Batch {
         let ended: Vec<FlowKey> = self.writes.ended.iter().copied().collect();
         let mut batch = Batch {
             ended: ended
@@ -163,6 +185,10 @@
         if whole {
             self.writes.begun += 1;
             self.collect_rest(&mut batch);
+            if now - self.writes.pairs >= PAIRS {
+                self.writes.pairs = now;
+                batch.pairs = self.pair_records();
+            }
         }
         batch.number = self.writes.begun;
         batch
@@ -187,10 +213,10 @@
 
     /// Takes in that a job's end is in the store, or that another end was
     /// there before.
-    pub fn on_end_written(&mut self, key: FlowKey) {
+    pub fn on_end_written(&mut self, key: FlowKey, now: Moment) {
         self.writes.ended.remove(&key);
         self.writes.touched.remove(&key);
-        self.forget_ended(key);
+        self.forget_ended(key, now);
     }
 
     /// Takes in that a job's record now has this revision.
@@ -209,12 +235,13 @@
     }
 
     /// Forgets a job whose end is written and of which nothing runs.
-    pub(super) fn forget_ended(&mut self, key: FlowKey) {
+    pub(super) fn forget_ended(&mut self, key: FlowKey, now: Moment) {
         let Some(flow) = self.ledger.flows.get(key) else {
             return;
         };
         let written = flow.state.is_final() && !self.writes.ended.contains(&key);
         if written && self.ledger.live_tasks(key).is_empty() {
+            self.ended.insert(flow.id, now);
             self.ledger.forget(key);
             self.writes.forget(key);
         }
@@ -240,21 +267,34 @@
     }
 
     fn roster(&self) -> Vec<RosterEntry> {
-        let rows = self.workers.values().map(|worker| RosterEntry {
+        let rows = self.workers.iter().map(|(key, worker)| RosterEntry {
             id: worker.entry.id.clone(),
             address: worker.entry.address.clone(),
             zone: worker.entry.zone.clone(),
+            closed: self.closed_tasks(key),
         });
         rows.collect()
     }
 
+    /// What a worker that gets no further tasks may be running; none if it is
+    /// to be open.
+    fn closed_tasks(&self, key: WorkerKey) -> Option<Vec<TaskName>> {
+        if let Some(tasks) = self.closed.get(&key) {
+            return Some(tasks.clone());
+        }
+        let worker = &self.workers[key];
+        let silent = worker.synced && !worker.enrolled && !worker.answers;
+        silent.then(|| worker.tasks.keys().copied().collect())
+    }
+
     fn enrol(&mut self, roster: &[RosterEntry]) {
-        for entry in roster {
+        for entry in roster.iter().filter(|entry| entry.closed.is_none()) {
             if let Some(key) = self.by_id.get(&entry.id) {
                 self.workers[*key].enrolled = true;
             }
         }
-        let all = self.workers.values().all(|worker| worker.enrolled);
+        let settled = |worker: &Worker| worker.enrolled || (worker.synced && !worker.answers);
+        let all = self.workers.values().all(settled);
         self.writes.roster = if all {
             Enrolment::Written
         } else {
@@ -285,6 +325,27 @@
         }
     }
 
+    /// Takes up what a former owner knew of interference.
+    pub fn on_pairs(&mut self, records: &[PairRecord]) {
+        for record in records {
+            let serving = self.images.key(&record.serving);
+            let filling = self.images.key(&record.filling);
+            self.pairs.restore(serving, filling, record.odds);
+        }
+    }
+
+    fn pair_records(&self) -> Option<Vec<PairRecord>> {
+        let all = self.pairs.all().into_iter();
+        let records: Vec<PairRecord> = all
+            .map(|(serving, filling, odds)| PairRecord {
+                serving: self.images.name(serving).to_owned(),
+                filling: self.images.name(filling).to_owned(),
+                odds,
+            })
+            .collect();
+        (!records.is_empty()).then_some(records)
+    }
+
     fn pending_counts(&self) -> BTreeMap<String, u64> {
         let mut counts = BTreeMap::new();
         for flow in self.ledger.flows.values() {
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -122,6 +122,11 @@
     format!("roster/{shard}")
 }
 
+/// What a shard's owner knows of interference.
+pub fn pairs_key(shard: &str) -> String {
+    format!("pairs/{shard}")
+}
+
 /// The counts of jobs that have not started, of all shards.
 pub const fn waiting_prefix() -> &'static str {
     "waiting/"
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -58,10 +58,10 @@
     pub stage: Stage,
     /// The number of its last start; 0 before the first.
     pub run: u64,
-    /// How often it failed.
-    pub failures: u32,
-    /// The last run whose failure was counted; a worker may list it again.
-    pub counted: u64,
+    /// The runs that failed; a worker may list their ends again.
+    pub failed: Vec<u64>,
+    /// The end of the lease that its start was sent with, on the worker's clock.
+    pub until: Option<u64>,
     /// The last checkpoint; empty if there is none.
     pub checkpoint: String,
     /// Since when it has been in this stage.
@@ -224,8 +224,8 @@
                     name,
                     stage,
                     run: 0,
-                    failures: 0,
-                    counted: 0,
+                    failed: Vec::new(),
+                    until: None,
                     checkpoint: String::new(),
                     since: now,
                     pace: FULL_SPEED,
@@ -302,12 +302,12 @@
     pub fn fail(&mut self, key: TaskKey, run: u64) -> Verdict {
         let task = &mut self.tasks[key];
         let flow = &mut self.flows[task.flow];
-        if flow.step(task.name).lasting || run <= task.counted {
+        if flow.step(task.name).lasting || task.failed.contains(&run) {
             return Verdict::GoesOn;
         }
-        task.counted = run;
-        task.failures += 1;
-        if task.failures < flow.queue.attempts || flow.state.is_final() {
+        task.failed.push(run);
+        let failures = task.failed.len() as u32;
+        if failures < flow.queue.attempts || flow.state.is_final() {
             return Verdict::GoesOn;
         }
         flow.state = WorkflowState::Failed;
@@ -342,15 +342,14 @@
     pub fn progress(&self, key: FlowKey) -> Progress {
         let tasks = self.all_tasks(key).map(|task| &self.tasks[task]);
         let touched = tasks.filter(|task| {
-            task.stage == Stage::Done || task.failures > 0 || !task.checkpoint.is_empty()
+            task.stage == Stage::Done || !task.failed.is_empty() || !task.checkpoint.is_empty()
         });
         let records = touched.map(|task| TaskRecord {
             occurrence: task.name.occurrence,
             step: task.name.step,
             index: task.name.index,
             done: task.stage == Stage::Done,
-            failures: task.failures,
-            counted: task.counted,
+            failed: task.failed.clone(),
             checkpoint: task.checkpoint.clone(),
         });
         Progress {
@@ -371,8 +370,7 @@
             let Some(task) = self.find_task(name) else {
                 continue;
             };
-            self.tasks[task].failures = record.failures;
-            self.tasks[task].counted = record.counted;
+            self.tasks[task].failed.clone_from(&record.failed);
             self.tasks[task].checkpoint.clone_from(&record.checkpoint);
             if record.done {
                 let ended = self.finish(task, now);
--- a/src/workflow/name.rs
+++ b/src/workflow/name.rs
@@ -57,7 +57,7 @@
 /// assert_eq!((name.step, name.index), (1, 17));
 /// assert_eq!(name.to_string(), "5c0e7a21d94b36f8.0.1.17");
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TaskName {
     /// The job.
     pub workflow: WorkflowId,
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -20,10 +20,8 @@
     pub index: u32,
     /// Whether it ended well.
     pub done: bool,
-    /// How often it failed.
-    pub failures: u32,
-    /// The last run whose failure was counted.
-    pub counted: u64,
+    /// The runs that failed.
+    pub failed: Vec<u64>,
     /// The last checkpoint; empty if there is none.
     pub checkpoint: String,
 }
