--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -224,7 +224,8 @@
         let stage = self.ledger.tasks[task].stage;
         let ours = current && stage.worker() == Some(key);
         let unsettled = stage == Stage::Unsettled;
-        if !ours && !unsettled && end.ending != Ending::Done {
+        let counts = matches!(end.ending, Ending::Done | Ending::Failed);
+        if !ours && !unsettled && !counts {
             return false;
         }
         self.note_end(key, task, end, now);
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -79,6 +79,7 @@
         }
         self.former.remove(&key);
         self.closed.remove(&key);
+        self.writes.enrol();
     }
 
     fn add_worker(&mut self, entry: Registration, now: Moment) -> WorkerKey {
