Calls sent before the store's return are made anew

Cause: CONFIG: a watch sent during the silence hung on its silent connection for 4 s after the store had returned. Change: health counts a failure only if the call was sent after the last answer; watches are renewed when the store is regained, and wait 2 to 3 s.

--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -13,7 +13,7 @@
 };
 
 /// How long a watch waits for a change.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_secs(2);
 /// Between calls while the store does not answer.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -23,7 +23,10 @@
     loop {
         let next = match revision {
             None => read(&node).await,
-            Some(after) => watch(&node, after).await,
+            Some(after) => tokio::select! {
+                next = watch(&node, after) => next,
+                () = node.health.wait_regained() => Ok(None),
+            },
         };
         match next {
             Ok(next) => revision = next,
@@ -35,15 +38,16 @@
 async fn read(node: &Node) -> Result<Option<u64>, ()> {
     let read = node
         .health
-        .note(node.store.range(OPERATOR_PREFIX, false).await);
+        .note(node.store.range(OPERATOR_PREFIX, false))
+        .await;
     let page = read.map_err(|_| ())?;
     page.items.iter().for_each(|item| take(node, item));
     Ok(Some(page.revision))
 }
 
 async fn watch(node: &Node, after: u64) -> Result<Option<u64>, ()> {
-    let watched = node.store.watch(OPERATOR_PREFIX, after, WAIT).await;
-    match node.health.note(watched).map_err(|_| ())? {
+    let watched = node.store.watch(OPERATOR_PREFIX, after, WAIT);
+    match node.health.note(watched).await.map_err(|_| ())? {
         Watched::Forgotten => Ok(None),
         Watched::Changes(changes, revision) => {
             for change in &changes {
--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -125,10 +125,11 @@
 
     /// How many accepted jobs of a queue have not started.
     pub(super) async fn pending(&self, queue: &str) -> Result<u64, Refusal> {
-        let read = self.store.range(waiting_prefix(), false).await;
+        let read = self.store.range(waiting_prefix(), false);
         let page = self
             .health
             .note(read)
+            .await
             .map_err(|fault| refusal(&fault, false))?;
         let count = |item: &Item| -> u64 {
             let counts = decode::<std::collections::BTreeMap<String, u64>>(&item.value.0);
@@ -141,7 +142,7 @@
         let mut tries = 0;
         let item = loop {
             tries += 1;
-            match self.health.note(self.store.get(&job_key(id)).await) {
+            match self.health.note(self.store.get(&job_key(id))).await {
                 Ok(None) => return Ok(None),
                 Ok(Some(item)) => break item,
                 Err(fault) if tries >= TRIES => return Err(refusal(&fault, false)),
@@ -153,7 +154,7 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, StoreFault> {
-        self.health.note(self.store.commit(transaction).await)
+        self.health.note(self.store.commit(transaction)).await
     }
 }
 
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -63,6 +63,7 @@
             () = node.stopped() => break,
             Some(shard) = endings.recv() => follower.release(&shard),
             () = sleep(wait) => {}
+            () = node.health.wait_regained() => follower.revision = None,
             changed = next_news(&node, follower.revision) => follower.take(changed).await,
         }
     }
@@ -75,7 +76,8 @@
     let transaction = Transaction::default().set(&life_key(&node.settings.name), record);
     while node
         .health
-        .note(node.store.commit(&transaction).await)
+        .note(node.store.commit(&transaction))
+        .await
         .is_err()
     {
         sleep(PAUSE).await;
@@ -89,7 +91,8 @@
         sleep(REGISTRATION).await;
         let Ok(page) = node
             .health
-            .note(node.store.range(REGISTRY_PREFIX, true).await)
+            .note(node.store.range(REGISTRY_PREFIX, true))
+            .await
         else {
             continue;
         };
@@ -102,7 +105,7 @@
             .require(LAYOUT_KEY, 0)
             .set(LAYOUT_KEY, encode(&layout));
         // Whoever was first, the watch tells it to all.
-        let _ = node.health.note(node.store.commit(&transaction).await);
+        let _ = node.health.note(node.store.commit(&transaction)).await;
     }
 }
 
@@ -117,11 +120,12 @@
     let Some(after) = revision else {
         let page = node
             .health
-            .note(node.store.range(SHARD_PREFIX, false).await)?;
+            .note(node.store.range(SHARD_PREFIX, false))
+            .await?;
         return Ok(News::All(page.items, page.revision));
     };
-    let watched = node.store.watch(SHARD_PREFIX, after, WAIT).await;
-    Ok(match node.health.note(watched)? {
+    let watched = node.store.watch(SHARD_PREFIX, after, WAIT);
+    Ok(match node.health.note(watched).await? {
         Watched::Forgotten => News::Forgotten,
         Watched::Changes(changes, revision) => News::Changes(changes, revision),
     })
@@ -167,7 +171,8 @@
         match self
             .node
             .health
-            .note(self.node.store.commit(&transaction).await)
+            .note(self.node.store.commit(&transaction))
+            .await
         {
             Ok(Commit::Done(fence)) => {
                 journal::line(&DaemonLine::ShardClaimed {
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -21,7 +21,7 @@
 use crate::workflow::{Flow, Progress, WorkflowId, WorkflowState, dues};
 
 /// How long a watch waits for a change.
-const WAIT: Duration = Duration::from_secs(10);
+const WAIT: Duration = Duration::from_secs(3);
 /// Between calls while the store does not answer.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Between two readings of the registry.
@@ -45,7 +45,11 @@
     reign.spawn(writer::run(reign.clone()));
     reign.spawn(follow_registry(reign.clone()));
     loop {
-        match follow_jobs(&reign, revision).await {
+        let next = tokio::select! {
+            next = follow_jobs(&reign, revision) => next,
+            () = reign.node.health.wait_regained() => read_jobs(&reign).await,
+        };
+        match next {
             Ok(next) => revision = next,
             Err(_) => sleep(PAUSE).await,
         }
@@ -175,7 +179,8 @@
     let node = &reign.node;
     match node
         .health
-        .note(node.store.watch(&prefix, after, WAIT).await)?
+        .note(node.store.watch(&prefix, after, WAIT))
+        .await?
     {
         Watched::Changes(changes, revision) => {
             let written: Vec<Item> = changes
@@ -191,22 +196,26 @@
             }
             Ok(revision)
         }
-        Watched::Forgotten => {
-            let page = node.health.note(node.store.range(&prefix, false).await)?;
-            take_jobs(reign, &page.items, &HashMap::new());
-            reign.wake();
-            Ok(page.revision)
-        }
+        Watched::Forgotten => read_jobs(reign).await,
     }
 }
 
+async fn read_jobs(reign: &Arc<Reign>) -> Result<u64, StoreFault> {
+    let prefix = work_prefix(&reign.claim.shard);
+    let node = &reign.node;
+    let page = node.health.note(node.store.range(&prefix, false)).await?;
+    take_jobs(reign, &page.items, &HashMap::new());
+    reign.wake();
+    Ok(page.revision)
+}
+
 /// Reads the registry again and again.
 async fn follow_registry(reign: Arc<Reign>) {
     let mut attended = HashSet::new();
     loop {
         sleep(REGISTRY_PAUSE).await;
-        let read = reign.node.store.range(REGISTRY_PREFIX, false).await;
-        if let Ok(page) = reign.node.health.note(read) {
+        let read = reign.node.store.range(REGISTRY_PREFIX, false);
+        if let Ok(page) = reign.node.health.note(read).await {
             take_registry(&reign, &page.items);
             let present: HashSet<_> =
                 reign.decide(|scheduler, _| scheduler.workers.keys().collect());
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -263,7 +263,7 @@
         sleep(pause).await;
         let sent = Moment::now();
         let lease = reign.lease.load(Ordering::Relaxed);
-        match reign.node.health.note(reign.node.store.renew(lease).await) {
+        match reign.node.health.note(reign.node.store.renew(lease)).await {
             Ok(true) => reign.confirm(sent),
             Ok(false) => put_back(&reign).await,
             Err(_) => sleep(PAUSE).await,
@@ -282,7 +282,7 @@
     let transaction = Transaction::default()
         .require(&epoch_key(&claim.shard), claim.fence)
         .set_leased(&hint_key(&claim.shard), encode(&owner), lease);
-    match node.health.note(node.store.commit(&transaction).await) {
+    match node.health.note(node.store.commit(&transaction)).await {
         Ok(Commit::Done(_)) => {
             reign.lease.store(lease, Ordering::Relaxed);
             reign.confirm(sent);
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -150,7 +150,8 @@
         match reign
             .node
             .health
-            .note(reign.node.store.commit(&transaction).await)?
+            .note(reign.node.store.commit(&transaction))
+            .await?
         {
             Commit::Done(revision) => {
                 reign.confirm(sent);
--- a/src/platform/fleet/store.rs
+++ b/src/platform/fleet/store.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 /// How much longer than the wait of a watch its answer may take.
-const WATCH_MARGIN: Duration = Duration::from_millis(1500);
+const WATCH_MARGIN: Duration = Duration::from_millis(800);
 /// How long an unused connection to the store is kept.
 const IDLE: Duration = Duration::from_secs(20);
 
