Resignations are announced; owners return first after an outage

Cause: TWICE: a job accepted after a claim was still seen and started by the former owner; LOST: 11 s of waiting for an owner that had noticed its loss. Change: while the former owner may give orders, jobs accepted now wait as well; an owner that loses its shard announces it; after an outage of the store the owner has 700 ms to return before others claim; what needs the store is refused at once while it does not answer.

--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -40,6 +40,7 @@
         workflow: Workflow,
         deadline: Moment,
     ) -> Result<(), Refusal> {
+        self.check_store()?;
         let shard = &self.choose_shard(id)?;
         let accepted = Accepted {
             queue: queue.clone(),
@@ -74,6 +75,15 @@
         }
     }
 
+    /// Refuses at once what needs the store while it does not answer.
+    fn check_store(&self) -> Result<(), Refusal> {
+        if self.health.is_good() {
+            return Ok(());
+        }
+        let message = "the store does not answer this host";
+        Err(Refusal::new(ErrorKind::StoreUnavailable, message))
+    }
+
     /// The shard that carries out a job: one of this host's zone.
     fn choose_shard(&self, id: WorkflowId) -> Result<String, Refusal> {
         let unknown = || Refusal::new(ErrorKind::NotReady, "the workers are not known yet");
@@ -125,6 +135,7 @@
 
     /// How many accepted jobs of a queue have not started.
     pub(super) async fn pending(&self, queue: &str) -> Result<u64, Refusal> {
+        self.check_store()?;
         let read = self.store.range(waiting_prefix(), false);
         let page = self
             .health
@@ -139,6 +150,7 @@
     }
 
     async fn record(&self, id: WorkflowId) -> Result<Option<(JobRecord, u64)>, Refusal> {
+        self.check_store()?;
         let mut tries = 0;
         let item = loop {
             tries += 1;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -102,6 +102,7 @@
             host: self.settings.name.clone(),
             life: self.life,
             released,
+            resigned: 0,
         }
     }
 
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -18,14 +18,16 @@
     Change, Commit, Item, REGISTRY_PREFIX, StoreFault, Transaction, Watched,
 };
 use crate::shards::{
-    Candidate, Hint, LAYOUT_KEY, Layout, Owner, OwnerRecord, SHARD_PREFIX, ShardKey, Step, View,
-    decode, encode, epoch_key, hint_key, life_key, read_shard_key,
+    Candidate, Hint, LAYOUT_KEY, Layout, Life, Lives, Owner, OwnerRecord, SHARD_PREFIX, ShardKey,
+    Step, View, decode, encode, epoch_key, hint_key, life_key, read_shard_key,
 };
 
 /// How long a watch waits for a change.
 const WAIT: Duration = Duration::from_secs(20);
 /// The workers have registered when two readings this far apart are alike.
 const REGISTRATION: Duration = Duration::from_millis(400);
+/// How long the owner of a shard has to return after an outage of the store.
+const RETURN: Duration = Duration::from_millis(700);
 /// Between calls while the store does not answer.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -36,8 +38,9 @@
     /// The revision that the views are as of; none if they must be read anew.
     revision: Option<u64>,
     owned: Vec<String>,
-    lives: HashMap<String, u64>,
-    ends: watch::Sender<HashMap<String, u64>>,
+    /// When the store was regained and its owner may return first.
+    patience: Moment,
+    lives: watch::Sender<Lives>,
     terms: JoinSet<()>,
     ended: mpsc::UnboundedSender<String>,
 }
@@ -50,8 +53,8 @@
         node: node.clone(),
         revision: None,
         owned: Vec::new(),
-        lives: HashMap::new(),
-        ends: watch::Sender::new(HashMap::new()),
+        patience: Moment::default(),
+        lives: watch::Sender::new(Lives::new()),
         terms: JoinSet::new(),
         ended,
     };
@@ -63,7 +66,7 @@
             () = node.stopped() => break,
             Some(shard) = endings.recv() => follower.release(&shard),
             () = sleep(wait) => {}
-            () = node.health.wait_regained() => follower.revision = None,
+            () = node.health.wait_regained() => follower.start_over(),
             changed = next_news(&node, follower.revision) => follower.take(changed).await,
         }
     }
@@ -132,6 +135,13 @@
 }
 
 impl Follower {
+    /// Reads everything anew after an outage, in which leases may have ended
+    /// although their owners live.
+    fn start_over(&mut self) {
+        self.revision = None;
+        self.patience = Moment::now() + RETURN;
+    }
+
     /// Claims what is due. Returns how long nothing else is.
     async fn claim_due(&mut self) -> Duration {
         if self.revision.is_none() {
@@ -147,6 +157,9 @@
             match self.candidate().step(&shard, &self.views[&shard], now) {
                 Step::Follow => {}
                 Step::ClaimAt(at) => wait = wait.min(now.until(at)),
+                Step::Claim { epoch, .. } if epoch > 0 && now < self.patience => {
+                    wait = wait.min(now.until(self.patience));
+                }
                 Step::Claim { hint, epoch } => self.claim(&shard, hint, epoch).await,
             }
         }
@@ -203,7 +216,7 @@
         self.count_owned();
         let node = self.node.clone();
         let ended = self.ended.clone();
-        let lives = self.ends.subscribe();
+        let lives = self.lives.subscribe();
         self.terms.spawn(async move {
             reign(node, claim, lives).await;
             // The receiver is gone only when the daemon stops.
@@ -269,13 +282,22 @@
             Change::Removed { .. } => None,
         };
         match (known, record) {
-            (Some(ShardKey::Life(host)), Some((owner, _))) => self.take_life(host, owner.life),
+            (Some(ShardKey::Life(host)), Some((owner, _))) => {
+                let life = Life {
+                    life: owner.life,
+                    resigned: owner.resigned,
+                };
+                self.lives.send_modify(|lives| {
+                    lives.insert(host.to_owned(), life);
+                });
+            }
             (Some(ShardKey::Epoch(shard)), Some((owner, revision))) => {
                 let view = self.views.entry(shard.to_owned()).or_default();
                 view.epoch = revision;
                 view.owner = Some(Owner {
                     host: owner.host,
                     life: owner.life,
+                    fence: revision,
                     released: owner.released,
                 });
             }
@@ -313,9 +335,4 @@
             }),
         }
     }
-
-    fn take_life(&mut self, host: &str, life: u64) {
-        self.lives.insert(host.to_owned(), life);
-        self.ends.send_replace(self.lives.clone());
-    }
 }
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -15,9 +15,11 @@
 use crate::fleet::WorkerKey;
 use crate::journal;
 use crate::moment::Moment;
-use crate::platform::fleet::{Commit, Transaction};
+use crate::platform::fleet::{Commit, StoreFault, Transaction};
 use crate::schedule::{Order, Scheduler, Term};
-use crate::shards::{Former, GIVES_UP, Owner, encode, epoch_key, hint_key, settles};
+use crate::shards::{
+    Former, GIVES_UP, Lives, Owner, OwnerRecord, encode, epoch_key, hint_key, life_key, settles,
+};
 
 /// The longest time between two passes over the waiting tasks.
 const TICK: Duration = Duration::from_millis(250);
@@ -25,6 +27,8 @@
 const GATHER: Duration = Duration::from_millis(4);
 /// How many times the hint is renewed in its life.
 const RENEWALS: u32 = 4;
+/// A renewal without an answer for this long is made anew.
+const RENEWAL: Duration = Duration::from_millis(700);
 /// Between calls while the store does not answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -60,18 +64,15 @@
 /// Owns a shard until it is lost or the daemon stops.
 ///
 /// `lives` are the newest lives of all hosts that are known.
-pub(super) async fn reign(
-    node: Arc<Node>,
-    claim: Claim,
-    lives: watch::Receiver<HashMap<String, u64>>,
-) {
-    let settling = claim.former.as_ref().map(|owner| {
-        let life = lives.borrow().get(&owner.host).copied();
-        settles(node.candidate(0).former(owner, life), Moment::now())
-    });
+pub(super) async fn reign(node: Arc<Node>, claim: Claim, lives: watch::Receiver<Lives>) {
+    let settling = claim
+        .former
+        .as_ref()
+        .map(|_| settles(Former::Unknown, Moment::now()));
     let term = Term {
         fence: claim.fence,
         settles: settling,
+        contested: claim.former.is_some(),
     };
     let reign = Arc::new(Reign {
         write: Notify::new(),
@@ -210,10 +211,25 @@
             .set(&epoch_key(shard), record)
             .remove(&hint_key(shard));
         match self.node.store.commit(&transaction).await {
-            Ok(_) => {}
+            Ok(Commit::Done(_)) => {}
+            // Another host has claimed it; tell it that this one has stopped.
+            Ok(Commit::Conflict(_)) => self.resign().await,
+            Ok(Commit::LeaseGone) => {}
             Err(fault) => log::warn!("shard {shard:?} was not given up in the store: {fault}"),
         }
     }
+
+    async fn resign(&self) {
+        let record = OwnerRecord {
+            resigned: self.claim.fence,
+            ..self.node.owner_record(false)
+        };
+        let key = life_key(&self.node.settings.name);
+        let transaction = Transaction::default().set(&key, encode(&record));
+        if let Err(fault) = self.node.store.commit(&transaction).await {
+            log::warn!("the end of an ownership was not announced: {fault}");
+        }
+    }
 }
 
 /// Places waiting tasks whenever something has changed.
@@ -239,7 +255,7 @@
 }
 
 /// Shortens the wait for runs of the former owner once it is known to have ended.
-async fn watch_former(reign: Arc<Reign>, mut lives: watch::Receiver<HashMap<String, u64>>) {
+async fn watch_former(reign: Arc<Reign>, mut lives: watch::Receiver<Lives>) {
     let Some(owner) = reign.claim.former.clone() else {
         return;
     };
@@ -260,10 +276,15 @@
 async fn renew(reign: Arc<Reign>) {
     let pause = reign.node.settings.session / RENEWALS;
     loop {
-        sleep(pause).await;
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = reign.node.health.wait_regained() => {}
+        }
         let sent = Moment::now();
         let lease = reign.lease.load(Ordering::Relaxed);
-        match reign.node.health.note(reign.node.store.renew(lease)).await {
+        let renewal = timeout(RENEWAL, reign.node.store.renew(lease));
+        let renewal = async { renewal.await.unwrap_or_else(|_| Err(silent())) };
+        match reign.node.health.note(renewal).await {
             Ok(true) => reign.confirm(sent),
             Ok(false) => put_back(&reign).await,
             Err(_) => sleep(PAUSE).await,
@@ -271,6 +292,10 @@
     }
 }
 
+fn silent() -> StoreFault {
+    StoreFault::Unanswered("a renewal took too long".to_owned())
+}
+
 /// Writes the hint again, if nobody has claimed the shard meanwhile.
 async fn put_back(reign: &Reign) {
     let sent = Moment::now();
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -110,7 +110,7 @@
 
     /// Lets tasks of a former owner start again once no run of them can exist.
     pub(super) fn settle(&mut self, now: Moment) {
-        if !self.settling {
+        if !self.unsettled {
             return;
         }
         let answered = self.former.is_empty() && self.roster_read();
@@ -118,19 +118,20 @@
             .term
             .settles
             .is_some_and(|settles| self.confirmed >= settles);
-        if !answered && !lapsed {
+        if self.settling && !answered && !lapsed {
             return;
         }
         if lapsed {
             self.closed.clear();
             self.forget_former();
         }
-        self.settling = !self.closed.is_empty();
+        self.settling = false;
+        self.unsettled = !self.closed.is_empty();
         let kept: HashSet<TaskName> = self.closed.values().flatten().copied().collect();
         let free = |task: &Task| task.stage == Stage::Unsettled && !kept.contains(&task.name);
         let unsettled = self.ledger.tasks.iter().filter(|(_, task)| free(task));
         let keys: Vec<TaskKey> = unsettled.map(|(key, _)| key).collect();
-        if keys.is_empty() && self.settling {
+        if keys.is_empty() && self.unsettled {
             return;
         }
         self.note(Note::Settled {
@@ -149,8 +150,9 @@
         }
     }
 
-    /// Shortens the time until which runs of the former owner may exist.
+    /// Takes in that the former owner has ended: all its leases end by `settles`.
     pub fn settle_by(&mut self, settles: Moment) {
+        self.term.contested = false;
         if let Some(known) = &mut self.term.settles {
             *known = settles.min(*known);
         }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -40,6 +40,9 @@
     /// When every lease that a former owner could give has ended; none if
     /// there was no former owner.
     pub settles: Option<Moment>,
+    /// Whether the former owner may still give orders, also for jobs that are
+    /// accepted now.
+    pub contested: bool,
 }
 
 /// The state of a shard's owner.
@@ -52,6 +55,7 @@
     pub(super) by_id: HashMap<String, WorkerKey>,
     pub(super) term: Term,
     pub(super) settling: bool,
+    pub(super) unsettled: bool,
     pub(super) former: HashSet<WorkerKey>,
     pub(super) waiting: BTreeMap<Rank, TaskKey>,
     pub(super) recurring: BTreeSet<FlowKey>,
@@ -76,6 +80,7 @@
             by_id: HashMap::new(),
             term,
             settling: term.settles.is_some(),
+            unsettled: term.settles.is_some(),
             former: HashSet::new(),
             waiting: BTreeMap::new(),
             recurring: BTreeSet::new(),
@@ -104,7 +109,7 @@
             return;
         }
         let (id, queue, revision) = (flow.id, flow.queue.name.clone(), flow.revision);
-        let inherited = self.settling && revision < self.term.fence;
+        let inherited = self.is_inherited(revision);
         let recurring = flow.workflow.recurrence.is_some();
         let key = self.ledger.add(flow);
         if recurring {
@@ -125,6 +130,12 @@
         self.enqueue(key, now);
     }
 
+    /// Whether a former owner may have started tasks of a job that was accepted
+    /// at this revision.
+    fn is_inherited(&self, revision: u64) -> bool {
+        self.settling && (self.term.contested || revision < self.term.fence)
+    }
+
     /// Ends a job because a caller cancelled it.
     pub fn cancel(&mut self, id: WorkflowId, now: Moment) {
         let Some(key) = self.ledger.find(id) else {
@@ -291,7 +302,7 @@
 
     /// Opens steps whose predecessors are done, and queues all that may start.
     pub(super) fn enqueue(&mut self, key: FlowKey, now: Moment) {
-        let inherited = self.settling && self.ledger.flows[key].revision < self.term.fence;
+        let inherited = self.is_inherited(self.ledger.flows[key].revision);
         self.ledger.unblock(key, inherited, now);
         let flow = &self.ledger.flows[key];
         if flow.state.is_final() {
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -1,5 +1,6 @@
 //! Decides whether and when to claim a shard.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use super::Layout;
@@ -47,6 +48,18 @@
     }
 }
 
+/// The newest life of each host's process.
+pub type Lives = HashMap<String, Life>;
+
+/// The newest life of a host's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Life {
+    /// Tells it from others.
+    pub life: u64,
+    /// It gives no orders under this fencing token or a lower one any more.
+    pub resigned: u64,
+}
+
 /// The last owner of a shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Owner {
@@ -54,6 +67,8 @@
     pub host: String,
     /// Which life of its process.
     pub life: u64,
+    /// Its fencing token.
+    pub fence: u64,
     /// Whether it gave the shard up.
     pub released: bool,
 }
@@ -151,18 +166,21 @@
     /// of the owner's host that is known.
     ///
     /// ```
-    /// use lycheelock::shards::{Candidate, Former, Layout, Owner};
+    /// use lycheelock::shards::{Candidate, Former, Layout, Life, Owner};
     ///
     /// let layout = Layout::Whole;
     /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), layout, owned: 0 };
-    /// let owner = Owner { host: "a2".into(), life: 7, released: false };
-    /// assert_eq!(me.former(&owner, Some(7)), Former::Unknown);
-    /// assert_eq!(me.former(&owner, Some(8)), Former::Ended);
+    /// let owner = Owner { host: "a2".into(), life: 7, fence: 30, released: false };
+    /// let life = |life, resigned| Some(Life { life, resigned });
+    /// assert_eq!(me.former(&owner, life(7, 0)), Former::Unknown);
+    /// assert_eq!(me.former(&owner, life(7, 30)), Former::Ended);
+    /// assert_eq!(me.former(&owner, life(8, 0)), Former::Ended);
     /// ```
-    pub fn former(&self, owner: &Owner, life: Option<u64>) -> Former {
-        let here = owner.host == self.host;
-        let replaced = life.is_some_and(|life| life != owner.life);
-        if owner.released || here || replaced {
+    pub fn former(&self, owner: &Owner, life: Option<Life>) -> Former {
+        let here = owner.host == self.host && owner.life != self.life;
+        let replaced = life.is_some_and(|life| life.life != owner.life);
+        let resigned = life.is_some_and(|life| life.resigned >= owner.fence);
+        if owner.released || here || replaced || resigned {
             Former::Ended
         } else {
             Former::Unknown
--- a/src/shards/mod.rs
+++ b/src/shards/mod.rs
@@ -11,7 +11,9 @@
 #[cfg(test)]
 mod tests;
 
-pub use claim::{Candidate, Former, GIVES_UP, Hint, LONGEST_LEASE, Owner, Step, View, settles};
+pub use claim::{
+    Candidate, Former, GIVES_UP, Hint, LONGEST_LEASE, Life, Lives, Owner, Step, View, settles,
+};
 pub use keys::{
     JobKey, LAYOUT_KEY, SHARD_PREFIX, ShardKey, cancel_key, epoch_key, hint_key, job_key, life_key,
     pairs_key, progress_key, progress_prefix, read_job_key, read_shard_key, roster_key,
--- a/src/shards/record.rs
+++ b/src/shards/record.rs
@@ -21,6 +21,8 @@
     pub life: u64,
     /// Whether it gave the shard up.
     pub released: bool,
+    /// This life gives no orders under this fencing token or a lower one any more.
+    pub resigned: u64,
 }
 
 /// The record of a job that callers are answered from.
@@ -61,7 +63,7 @@
 /// ```
 /// use lycheelock::shards::{OwnerRecord, decode, encode};
 ///
-/// let owner = OwnerRecord { host: "a1".to_owned(), life: 3, released: false };
+/// let owner = OwnerRecord { host: "a1".to_owned(), life: 3, released: false, resigned: 0 };
 /// assert_eq!(decode::<OwnerRecord>(&encode(&owner)).unwrap(), owner);
 /// assert!(decode::<OwnerRecord>(b"?").is_err());
 /// ```
