Tails are judged against the image's own undisturbed ones; beliefs fade

Change: low, usual, high and strained tails, by quantiles that each serving image shows beside no filling task; beliefs fade by 0.04 a second.

--- a/src/interference/pairs.rs
+++ b/src/interference/pairs.rs
@@ -2,30 +2,26 @@
 //! the filling one disturbs the serving one.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
-use super::ImageKey;
+use super::{ImageKey, Tail};
 
-/// How likely a strained tail is beside an image that disturbs, for each unit
-/// of the share that it uses, and at most.
-const STRAINED_BY_SHARE: f64 = 4.0;
-const STRAINED_AT_MOST: f64 = 0.6;
-/// How likely a strained tail is beside none.
-const STRAINED_IF_HARMLESS: f64 = 0.005;
 /// The share of pairs that disturb, before any evidence.
 const PRIOR: f64 = 0.15;
 /// Bounds of the evidence, so that a pair whose nature changes is learned anew.
 const STRONGEST: f64 = 5.0;
-
-/// What a tail says, by its ratio to the target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Tail {
-    /// Well under the target.
-    Calm,
-    /// Too near to the target to say anything.
-    Unclear,
-    /// Over the target.
-    Strained,
-}
+/// What a low tail says against harm, for each unit of the neighbour's share,
+/// and at most.
+const LOW_BY_SHARE: f64 = 10.0;
+const LOW_AT_MOST: f64 = 1.5;
+/// What a high and a strained tail say for harm.
+const HIGH: f64 = 0.4;
+const STRAINED: f64 = 2.5;
+/// How fast a belief in harm fades, each second: a pair that is kept apart
+/// shows nothing, so it is tried again some time.
+const FADES: f64 = 0.04;
+/// A neighbour with less than this share of the worker says nothing.
+const LEAST_SHARE: f64 = 0.02;
 
 /// A filling image on the same worker.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -47,26 +43,6 @@
     pub neighbours: &'a [Neighbour],
 }
 
-impl Tail {
-    const CALM: u32 = 75;
-
-    /// Judges a tail, given in percent of its target.
-    ///
-    /// ```
-    /// use lycheelock::interference::Tail;
-    ///
-    /// assert_eq!(Tail::of(50), Tail::Calm);
-    /// assert_eq!(Tail::of(130), Tail::Strained);
-    /// ```
-    pub const fn of(percent: u32) -> Self {
-        match percent {
-            0..=Self::CALM => Self::Calm,
-            101.. => Self::Strained,
-            _ => Self::Unclear,
-        }
-    }
-}
-
 /// The evidence about all pairs.
 #[derive(Debug, Default)]
 pub struct Pairs {
@@ -88,9 +64,10 @@
     /// ```
     pub fn learn(&mut self, seen: &Observation<'_>) {
         match seen.tail {
-            Tail::Calm => self.acquit(seen),
-            Tail::Unclear => {}
-            Tail::Strained => self.blame(seen),
+            Tail::Low => self.acquit(seen),
+            Tail::Usual => {}
+            Tail::High => self.blame(seen, HIGH),
+            Tail::Strained => self.blame(seen, STRAINED),
         }
     }
 
@@ -117,6 +94,14 @@
         all
     }
 
+    /// Lets beliefs in harm fade.
+    pub fn fade(&mut self, span: Duration) {
+        let step = FADES * span.as_secs_f64();
+        for odds in self.odds.values_mut().filter(|odds| **odds > 0.0) {
+            *odds = (*odds - step).max(0.0);
+        }
+    }
+
     /// Takes up evidence that a former owner left.
     pub fn restore(&mut self, serving: ImageKey, filling: ImageKey, odds: f64) {
         let odds = odds.clamp(-STRONGEST, STRONGEST);
@@ -124,26 +109,29 @@
     }
 
     fn acquit(&mut self, seen: &Observation<'_>) {
-        for neighbour in seen.neighbours {
-            let ratio = (1.0 - strained_if_harmful(neighbour)) / (1.0 - STRAINED_IF_HARMLESS);
-            self.add(seen.serving, neighbour.image, ratio.ln());
+        for neighbour in seen
+            .neighbours
+            .iter()
+            .filter(|row| row.share >= LEAST_SHARE)
+        {
+            let evidence = (neighbour.share * LOW_BY_SHARE).min(LOW_AT_MOST);
+            self.add(seen.serving, neighbour.image, -evidence);
         }
     }
 
     /// Divides the blame by how likely each neighbour is to be the cause.
-    fn blame(&mut self, seen: &Observation<'_>) {
+    fn blame(&mut self, seen: &Observation<'_>, evidence: f64) {
         let weight = |neighbour: &Neighbour| {
-            self.odds(seen.serving, neighbour.image).exp() * strained_if_harmful(neighbour)
+            self.odds(seen.serving, neighbour.image).exp() * neighbour.share
         };
-        let weights: Vec<f64> = seen.neighbours.iter().map(weight).collect();
-        let whole: f64 = weights.iter().sum();
-        if whole <= 0.0 {
-            return;
-        }
-        for (neighbour, weight) in seen.neighbours.iter().zip(weights) {
-            let ratio = strained_if_harmful(neighbour) / STRAINED_IF_HARMLESS;
-            let evidence = ratio.ln().max(0.0) * weight / whole;
-            self.add(seen.serving, neighbour.image, evidence);
+        let present = seen
+            .neighbours
+            .iter()
+            .filter(|row| row.share >= LEAST_SHARE);
+        let weighed: Vec<(ImageKey, f64)> = present.map(|row| (row.image, weight(row))).collect();
+        let whole: f64 = weighed.iter().map(|row| row.1).sum();
+        for (image, weight) in weighed {
+            self.add(seen.serving, image, evidence * weight / whole);
         }
     }
 
@@ -153,7 +141,3 @@
         self.odds.insert((serving, filling), odds);
     }
 }
-
-fn strained_if_harmful(neighbour: &Neighbour) -> f64 {
-    (neighbour.share * STRAINED_BY_SHARE).clamp(STRAINED_IF_HARMLESS, STRAINED_AT_MOST)
-}
--- a/src/interference/tests.rs
+++ b/src/interference/tests.rs
@@ -45,7 +45,7 @@
     let mut scene = Scene::new();
     let (loud, quiet) = (scene.loud, scene.quiet);
     for _ in 0..8 {
-        scene.see(Tail::Calm, &[quiet]);
+        scene.see(Tail::Low, &[quiet]);
     }
     scene.see(Tail::Strained, &[quiet, loud]);
     assert!(scene.pairs.is_harmful(scene.serving, loud));
@@ -60,7 +60,7 @@
         let tail = if round % 50 == 49 {
             Tail::Strained
         } else {
-            Tail::Calm
+            Tail::Low
         };
         scene.see(tail, &[quiet]);
     }
@@ -72,7 +72,7 @@
     let mut scene = Scene::new();
     let loud = scene.loud;
     for _ in 0..500 {
-        scene.see(Tail::Calm, &[loud]);
+        scene.see(Tail::Low, &[loud]);
     }
     for _ in 0..4 {
         scene.see(Tail::Strained, &[loud]);
--- a/src/schedule/pace.rs
+++ b/src/schedule/pace.rs
@@ -47,7 +47,11 @@
             };
             let percent = row.run.figure * 100 / (target.as_millis() as u32).max(1);
             strain = strain.max(percent);
-            let tail = Tail::of(percent);
+            let baseline = self.baselines.entry(row.image).or_default();
+            if neighbours.is_empty() {
+                baseline.learn(percent);
+            }
+            let tail = baseline.judge(percent);
             self.pairs.learn(&Observation {
                 serving: row.image,
                 tail,
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -11,7 +11,7 @@
 use super::write::Writes;
 use super::{Note, Order};
 use crate::fleet::{LEASE, LookOrder, StartOrder, StartReply, Worker, WorkerKey};
-use crate::interference::{Images, Pairs};
+use crate::interference::{Baseline, ImageKey, Images, Pairs};
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
 use crate::workflow::{
@@ -64,6 +64,7 @@
     pub(super) writes: Writes,
     pub(super) images: Images,
     pub(super) pairs: Pairs,
+    pub(super) baselines: HashMap<ImageKey, Baseline>,
     pub(super) confirmed: Moment,
     ranked: Moment,
     runs: u64,
@@ -89,6 +90,7 @@
             writes: Writes::default(),
             images: Images::default(),
             pairs: Pairs::default(),
+            baselines: HashMap::new(),
             confirmed: Moment::default(),
             ranked: Moment::default(),
             runs: 0,
@@ -172,6 +174,7 @@
         self.start_recurring(now);
         if now - self.ranked >= RERANK {
             self.rank_again(now);
+            self.pairs.fade(RERANK);
             self.ended.retain(|_, at| now - *at < REMEMBERED);
         }
         self.place_waiting(now);
