--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -26,6 +26,8 @@
             Some(after) => tokio::select! {
                 next = watch(&node, after) => next,
                 () = node.health.wait_regained() => Ok(None),
+                // A reading shows at once whether the store is really lost.
+                () = node.health.wait_lost() => Ok(None),
             },
         };
         match next {
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -9,8 +9,9 @@
 use crate::moment::Moment;
 use crate::platform::fleet::StoreFault;
 
-/// How many calls in a row must fail before the store counts as lost.
-const LOST_AFTER: u32 = 3;
+/// How many calls in a row the store must refuse before it counts as lost. One
+/// that it does not answer is enough: nothing sent later was answered either.
+const REFUSALS: u32 = 3;
 
 #[derive(Debug, Default)]
 struct State {
@@ -24,7 +25,9 @@
 #[derive(Debug)]
 pub(super) struct StoreHealth {
     state: Mutex<State>,
-    /// How often the store was regained.
+    /// How often the store was lost.
+    lost: watch::Sender<u64>,
+    /// How often it was regained.
     regained: watch::Sender<u64>,
 }
 
@@ -32,6 +35,7 @@
     fn default() -> Self {
         Self {
             state: Mutex::default(),
+            lost: watch::Sender::new(0),
             regained: watch::Sender::new(0),
         }
     }
@@ -51,6 +55,13 @@
         let _ = regained.changed().await;
     }
 
+    /// Waits until the store is lost.
+    pub async fn wait_lost(&self) {
+        let mut lost = self.lost.subscribe();
+        // The sender lives as long as this.
+        let _ = lost.changed().await;
+    }
+
     /// Makes a call, notes whether it was answered and hands its result on.
     pub async fn note<T>(
         &self,
@@ -85,10 +96,12 @@
             return;
         }
         state.failures += 1;
-        if state.failures < LOST_AFTER || state.lost.is_some() {
+        let refused = fault.is_certain() && state.failures < REFUSALS;
+        if refused || state.lost.is_some() {
             return;
         }
         state.lost = Some(Moment::now());
+        self.lost.send_modify(|count| *count += 1);
         journal::line(&DaemonLine::DependencyLost {
             dependency: "store",
             reason: fault.to_string(),
--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -66,7 +66,7 @@
                 Err(fault) => {
                     doubtful |= !fault.is_certain();
                     let late = Moment::now() + ANSWER_TIME >= deadline;
-                    if late || tries >= TRIES {
+                    if late || tries >= TRIES || !self.health.is_good() {
                         return Err(refusal(&fault, doubtful));
                     }
                 }
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -9,9 +9,9 @@
 
 /// The processors that serving tasks use at their busiest, as a share of what
 /// they declare.
-const SERVING_SHARE: f64 = 0.5;
+const SERVING_SHARE: f64 = 0.55;
 /// The share of its processors that a filling task must find idle.
-const FILLING_SHARE: f64 = 0.9;
+const FILLING_SHARE: f64 = 1.0;
 /// Memory that filling tasks leave to urgent ones, as a share of the worker's.
 const URGENT_MEMORY: f64 = 0.08;
 /// What a worker that serves only the task's own image counts more, and what
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -354,7 +354,11 @@
                 self.waiting.remove(&rank);
                 continue;
             }
-            if task.gate > self.confirmed || misses.covers(flow.step(task.name)) {
+            let step = flow.step(task.name);
+            // The first task of a gang stands for all of them.
+            let follows = step.gang && task.name.index > 0;
+            let gated = task.gate > Moment::default() && task.gate >= self.confirmed;
+            if gated || follows || misses.covers(step) {
                 continue;
             }
             if self.place_one(key, now) {
--- /dev/null
+++ b/tests/fleet/store.rs
@@ -0,0 +1,332 @@
+//! A stand-in of the platform's store: leases, watches, conditional writes,
+//! and faults that tests switch on.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use lycheelock::server::{self, Running};
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{State, delete, get, post, routes};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+const MOST_BODY: u64 = 4 << 20;
+const GRACE: Duration = Duration::from_secs(1);
+const TICK: Duration = Duration::from_millis(50);
+const SILENCE: Duration = Duration::from_secs(3600);
+
+/// What the store does to calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It serves them.
+    #[default]
+    None,
+    /// It refuses them.
+    Busy,
+    /// It carries writes out and does not answer them.
+    LosesAnswers,
+    /// It does not answer at all.
+    Silent,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: String,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    history: Vec<(u64, Value)>,
+    forgotten: u64,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    fault: Fault,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Store {
+    inner: Mutex<Inner>,
+    changed: Notify,
+}
+
+/// An answer with a JSON body.
+pub type Reply = (Status, Json<Value>);
+
+type Answer = Result<Reply, Status>;
+
+/// An answer with a status and a JSON body.
+pub fn json_answer(status: u16, value: &Value) -> Reply {
+    (Status::new(status), Json(value.clone()))
+}
+
+impl Store {
+    /// Serves the store on an address.
+    pub async fn serve(self: &Arc<Self>, address: SocketAddr) -> Running {
+        let routes = routes![get_key, get_range, watch, commit, grant, renew, end];
+        let rocket = server::build(address, GRACE, MOST_BODY)
+            .manage(self.clone())
+            .mount("/", routes);
+        Running::start(rocket).await.expect("the address is free")
+    }
+
+    /// Switches a fault on, or off.
+    pub fn fail(&self, fault: Fault) {
+        self.inner.lock().unwrap().fault = fault;
+    }
+
+    /// Drops the history of changes.
+    pub fn forget(&self) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.forgotten = inner.revision;
+        inner.history.clear();
+    }
+
+    /// Writes a key as the operator or a worker does.
+    pub fn put(&self, key: &str, value: &Value) {
+        let bytes = serde_json::to_vec(value).unwrap();
+        let mut inner = self.inner.lock().unwrap();
+        inner.revision += 1;
+        inner.write(key, BASE64_STANDARD.encode(bytes), 0);
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    /// How many keys stand under a prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        let inner = self.inner.lock().unwrap();
+        inner
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .count()
+    }
+
+    async fn admit(&self, writes: bool) -> Result<bool, Status> {
+        let fault = self.inner.lock().unwrap().fault;
+        match fault {
+            Fault::None => Ok(true),
+            Fault::Busy => Err(Status::ServiceUnavailable),
+            Fault::LosesAnswers => Ok(!writes),
+            Fault::Silent => {
+                sleep(SILENCE).await;
+                Err(Status::ServiceUnavailable)
+            }
+        }
+    }
+
+    fn with<T>(&self, change: impl FnOnce(&mut Inner) -> T) -> T {
+        let mut inner = self.inner.lock().unwrap();
+        inner.expire();
+        let result = change(&mut inner);
+        drop(inner);
+        self.changed.notify_waiters();
+        result
+    }
+}
+
+impl Inner {
+    fn write(&mut self, key: &str, value: String, lease: u64) {
+        let revision = self.revision;
+        let event = json!({"key": key, "value": value, "rev": revision, "created": revision, "lease": lease});
+        self.history.push((revision, event));
+        let item = Item {
+            value,
+            revision,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item);
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let event = json!({"key": key, "rev": self.revision, "removed": true});
+            self.history.push((self.revision, event));
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended = self.leases.iter().filter(|(_, lease)| lease.1 <= now);
+        let ended: Vec<u64> = ended.map(|(id, _)| *id).collect();
+        ended.into_iter().for_each(|lease| self.end(lease));
+    }
+
+    fn end(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let held = self.items.iter().filter(|(_, item)| item.lease == lease);
+        let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.revision += 1;
+            self.remove(&key);
+        }
+    }
+
+    fn show(&self, key: &str) -> Option<Value> {
+        let item = self.items.get(key)?;
+        Some(json!({
+            "key": key, "value": item.value, "rev": item.revision,
+            "created": item.revision, "lease": item.lease, "current_rev": self.revision,
+        }))
+    }
+}
+
+#[get("/kv-key?<key>")]
+async fn get_key(key: &str, store: &State<Arc<Store>>) -> Answer {
+    store.admit(false).await?;
+    let found = store.with(|inner| inner.show(key));
+    found
+        .map(|item| json_answer(200, &item))
+        .ok_or(Status::NotFound)
+}
+
+#[get("/kv-range?<prefix>")]
+async fn get_range(prefix: &str, store: &State<Arc<Store>>) -> Answer {
+    store.admit(false).await?;
+    Ok(store.with(|inner| {
+        let keys = inner.items.keys().filter(|key| key.starts_with(prefix));
+        let items: Vec<Value> = keys.filter_map(|key| inner.show(key)).collect();
+        let body = json!({"items": items, "has_more": false, "current_rev": inner.revision});
+        json_answer(200, &body)
+    }))
+}
+
+#[get("/kv-watch?<prefix>&<after>&<wait_ms>")]
+async fn watch(prefix: &str, after: u64, wait_ms: u64, store: &State<Arc<Store>>) -> Answer {
+    store.admit(false).await?;
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let changed = store.changed.notified();
+        let found = {
+            let mut inner = store.inner.lock().unwrap();
+            inner.expire();
+            if after < inner.forgotten {
+                return Err(Status::Gone);
+            }
+            let matching = inner.history.iter().filter(|(revision, event)| {
+                *revision > after && event["key"].as_str().unwrap().starts_with(prefix)
+            });
+            let events: Vec<Value> = matching.map(|(_, event)| event.clone()).collect();
+            json!({"events": events, "current_rev": inner.revision})
+        };
+        let waited = Instant::now() >= until;
+        if waited || !found["events"].as_array().unwrap().is_empty() {
+            return Ok(json_answer(200, &found));
+        }
+        let _ = timeout(TICK, changed).await;
+    }
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    precondition: Vec<Condition>,
+    #[serde(default)]
+    set_keys: Vec<SetRow>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Condition {
+    key: String,
+    rev: u64,
+}
+
+#[derive(Deserialize)]
+struct SetRow {
+    key: String,
+    value: String,
+    #[serde(default)]
+    lease: u64,
+}
+
+#[post("/kv-txn", data = "<body>")]
+async fn commit(body: Json<Transaction>, store: &State<Arc<Store>>) -> Answer {
+    let answered = store.admit(true).await?;
+    let rows = body.precondition.len() + body.set_keys.len() + body.remove.len();
+    assert!(rows <= 32, "{rows} rows in one transaction");
+    let response = store.with(|inner| apply(inner, &body));
+    if !answered {
+        sleep(SILENCE).await;
+    }
+    Ok(response)
+}
+
+fn apply(inner: &mut Inner, body: &Transaction) -> Reply {
+    let revision = |key: &String| inner.items.get(key).map_or(0, |item| item.revision);
+    let holds = body
+        .precondition
+        .iter()
+        .all(|row| revision(&row.key) == row.rev);
+    if !holds {
+        let keys = body.precondition.iter().map(|row| &row.key);
+        let items: Vec<Value> = keys.filter_map(|key| inner.show(key)).collect();
+        return json_answer(412, &json!({"items": items}));
+    }
+    let leased = body.set_keys.iter().filter(|row| row.lease > 0);
+    if leased
+        .into_iter()
+        .any(|row| !inner.leases.contains_key(&row.lease))
+    {
+        return json_answer(404, &json!({}));
+    }
+    inner.revision += 1;
+    for row in &body.set_keys {
+        inner.write(&row.key, row.value.clone(), row.lease);
+    }
+    for key in &body.remove {
+        inner.remove(key);
+    }
+    json_answer(200, &json!({"rev": inner.revision}))
+}
+
+#[derive(Deserialize)]
+struct Grant {
+    ttl_ms: u64,
+}
+
+#[post("/kv-lease", data = "<body>")]
+async fn grant(body: Json<Grant>, store: &State<Arc<Store>>) -> Answer {
+    store.admit(false).await?;
+    let ttl = Duration::from_millis(body.ttl_ms);
+    let lease = store.with(|inner| {
+        inner.revision += 1;
+        let lease = inner.revision;
+        inner.leases.insert(lease, (ttl, Instant::now() + ttl));
+        lease
+    });
+    Ok(json_answer(
+        200,
+        &json!({"lease": lease, "ttl_ms": body.ttl_ms}),
+    ))
+}
+
+#[post("/kv-keep/<lease>")]
+async fn renew(lease: u64, store: &State<Arc<Store>>) -> Answer {
+    store.admit(false).await?;
+    let ttl = store.with(|inner| {
+        let held = inner.leases.get_mut(&lease)?;
+        held.1 = Instant::now() + held.0;
+        Some(held.0.as_millis() as u64)
+    });
+    let ttl_ms = ttl.ok_or(Status::NotFound)?;
+    Ok(json_answer(200, &json!({"ttl_ms": ttl_ms})))
+}
+
+#[delete("/kv-lease-end/<lease>")]
+async fn end(lease: u64, store: &State<Arc<Store>>) -> Answer {
+    store.admit(false).await?;
+    store.with(|inner| inner.end(lease));
+    Ok(json_answer(200, &json!({})))
+}
