--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -221,6 +221,7 @@
         };
         let waited = Instant::now() >= until;
         if waited || !found["events"].as_array().unwrap().is_empty() {
+            store.admit(false).await?;
             return Ok(json_answer(200, &found));
         }
         let _ = timeout(TICK, changed).await;
--- a/tests/fleet/workers.rs
+++ b/tests/fleet/workers.rs
@@ -62,9 +62,12 @@
                 pair[1].begun + SLACK < end || how == "done"
             })
         });
-        doubled
-            .map(|(task, runs)| format!("{task}: {runs:?}"))
-            .collect()
+        let tell = |run: &&Run| format!("run {} on {}: {:?}", run.run, run.worker, run.ended);
+        let told = doubled.map(|(task, runs)| {
+            let runs: Vec<String> = runs.iter().map(tell).collect();
+            format!("{task}: {}", runs.join(", "))
+        });
+        told.collect()
     }
 }
 
