--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -1,9 +1,11 @@
 //! Chooses a worker for a task.
 
+use std::time::Duration;
+
 use crate::fleet::{Capacity, Worker, WorkerKey};
 use crate::interference::ImageKey;
 use crate::moment::Moment;
-use crate::workflow::{Flow, Step, TaskName};
+use crate::workflow::{Flow, Step, Task, TaskName};
 
 use super::Scheduler;
 
@@ -20,6 +22,9 @@
 const OTHER_IMAGE: i64 = 8_000;
 /// What a worker on the rack of the data counts more, in millicores.
 const LOCAL_BONUS: i64 = 1_000_000;
+/// How long a task waits at the most for a worker near its data; on any other
+/// it would take several times as long.
+const LONGEST_PATIENCE: Duration = Duration::from_millis(1500);
 /// What each task of the same step on the worker counts less, in millicores.
 const CROWDING: i64 = 500;
 
@@ -39,7 +44,8 @@
     /// Notes a step without a worker. Steps with conditions of their own say
     /// nothing about others.
     pub fn note(&mut self, step: &Step) {
-        let plain = step.label.is_none() && step.worker_limit.is_none() && !step.gang;
+        let free = step.label.is_none() && step.worker_limit.is_none();
+        let plain = free && step.data_rack.is_none() && !step.gang;
         if plain {
             self.rows.push((step.fills, step.need));
         }
@@ -47,15 +53,18 @@
 }
 
 impl Scheduler {
-    /// The best worker for a task, if any can take it now.
-    pub(super) fn choose(&self, flow: &Flow, name: TaskName, now: Moment) -> Option<WorkerKey> {
-        let step = flow.step(name);
+    /// The best worker for a task that has waited since a moment, if any can
+    /// take it now.
+    pub(super) fn choose(&self, flow: &Flow, task: &Task, now: Moment) -> Option<WorkerKey> {
+        let (step, name) = (flow.step(task.name), task.name);
+        let patient = now - task.since < step.estimate.min(LONGEST_PATIENCE);
         let image = self.images.find(&step.image);
         let fitting = self.workers.iter().filter(|(_, worker)| {
             worker.entry.pool == flow.queue.pool
                 && worker.is_open(now)
                 && fits(worker, step, name)
                 && !(step.fills && self.harms(worker, image))
+                && (!patient || is_near(worker, step))
         });
         let scored = fitting.map(|(key, worker)| {
             let company = company(worker, step, image);
@@ -86,6 +95,12 @@
     i64::from(same) * SAME_IMAGE - others * OTHER_IMAGE
 }
 
+/// Whether the worker is on the rack of the task's data, if it has one.
+fn is_near(worker: &Worker, step: &Step) -> bool {
+    let rack = step.data_rack.as_deref();
+    rack.is_none_or(|rack| rack == worker.entry.rack())
+}
+
 fn fits(worker: &Worker, step: &Step, name: TaskName) -> bool {
     let labelled = |label: &String| worker.entry.labels.contains(label);
     step.label.as_ref().is_none_or(labelled)
@@ -121,8 +136,11 @@
         // The tightest fit leaves room for wide tasks elsewhere.
         i64::from(worker.free().millicores)
     };
-    let local = step.data_rack.as_deref() == Some(worker.entry.rack());
-    let bonus = if local { LOCAL_BONUS } else { 0 };
+    let bonus = if is_near(worker, step) {
+        LOCAL_BONUS
+    } else {
+        0
+    };
     let crowd = if step.lasting {
         of_step(worker, name) as i64
     } else {
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -385,7 +385,7 @@
 
     pub(super) fn choose_for(&self, key: TaskKey, now: Moment) -> Option<WorkerKey> {
         let task = &self.ledger.tasks[key];
-        self.choose(&self.ledger.flows[task.flow], task.name, now)
+        self.choose(&self.ledger.flows[task.flow], task, now)
     }
 
     /// Gives a task to a worker and counts what it uses there.
--- a/src/schedule/tests.rs
+++ b/src/schedule/tests.rs
@@ -718,6 +718,24 @@
     insta::assert_snapshot!(shard.orders(), @"w0: pace 0000000000000002.0.0.0 at 0");
 }
 
+#[test]
+fn a_task_waits_a_while_for_a_worker_near_its_data() {
+    let near = Step {
+        data_rack: Some("rack-w0".to_owned()),
+        ..step(2, 8)
+    };
+    let mut shard = Shard::first(&["w0", "w1"]);
+    shard.submit(flow(1, vec![near], 1, 0));
+    shard.plan();
+    insta::assert_snapshot!(shard.orders(), @"w0: start 0000000000000001.0.0.0 run 100000001");
+    let runs = shard.confirm();
+    shard.now = 1_001;
+    shard.look(0, &[(runs[0].1, runs[0].2)], &[]);
+    shard.look(1, &[], &[]);
+    shard.plan();
+    insta::assert_snapshot!(shard.orders(), @"w1: start 0000000000000001.0.0.1 run 100000002");
+}
+
 #[test]
 fn a_cancelled_job_stops_and_starts_nothing() {
     let mut shard = Shard::first(&["w0"]);
