Gangs hold back what is behind them; a start is logged when it is ordered

Cause: each try of a gang logged all its members, also when it was taken back: 17656 lines for 8000 runs, and lines were dropped. Change: the line is written with the order; a gang that has waited 0.4 to 4 s holds tasks of its kind behind it back.

--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -41,6 +41,11 @@
         self.rows.iter().any(larger)
     }
 
+    /// Holds all tasks of the same kind back that come after a gang.
+    pub fn hold_back(&mut self, gang: &Step) {
+        self.rows.push((gang.fills, Capacity::default()));
+    }
+
     /// Notes a step without a worker. Steps with conditions of their own say
     /// nothing about others.
     pub fn note(&mut self, step: &Step) {
@@ -57,7 +62,7 @@
     /// take it now.
     pub(super) fn choose(&self, flow: &Flow, task: &Task, now: Moment) -> Option<WorkerKey> {
         let (step, name) = (flow.step(task.name), task.name);
-        let patient = now - task.since < step.estimate.min(LONGEST_PATIENCE);
+        let patient = now - task.ready < step.estimate.min(LONGEST_PATIENCE);
         let image = self.images.find(&step.image);
         let fitting = self.workers.iter().filter(|(_, worker)| {
             worker.entry.pool == flow.queue.pool
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -15,7 +15,8 @@
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
 use crate::workflow::{
-    Flow, FlowKey, Ledger, Progress, Stage, TaskKey, TaskName, Verdict, WorkflowId, WorkflowState,
+    Flow, FlowKey, Ledger, Progress, Stage, Step, TaskKey, TaskName, Verdict, WorkflowId,
+    WorkflowState,
 };
 
 /// Runs of one owner; an owner's numbers are above those of its predecessors.
@@ -24,6 +25,10 @@
 const LOOK_WAIT: Duration = Duration::from_millis(800);
 /// A worker that was silent for longer than this is closed in the roster.
 const CLOSES: Duration = Duration::from_millis(1100);
+/// A gang that has waited for this long holds tasks behind it back, so that
+/// its members find room together, until it has waited too long for that.
+const HOLDS_BACK: Duration = Duration::from_millis(400);
+const GIVES_WAY: Duration = Duration::from_secs(4);
 /// How long a job that has ended is remembered: a reading of the store that
 /// began before the end was written may still show it.
 const REMEMBERED: Duration = Duration::from_secs(60);
@@ -361,8 +366,12 @@
             if gated || follows || misses.covers(step) {
                 continue;
             }
+            let gang = step.gang;
+            let holds = gang && (HOLDS_BACK..GIVES_WAY).contains(&(now - task.ready));
             if self.place_one(key, now) {
                 self.waiting.remove(&rank);
+            } else if holds {
+                misses.hold_back(self.step_of(key));
             } else {
                 let task = &self.ledger.tasks[key];
                 misses.note(self.ledger.flows[task.flow].step(task.name));
@@ -370,6 +379,11 @@
         }
     }
 
+    fn step_of(&self, key: TaskKey) -> &Step {
+        let task = &self.ledger.tasks[key];
+        self.ledger.flows[task.flow].step(task.name)
+    }
+
     fn place_one(&mut self, key: TaskKey, now: Moment) -> bool {
         if self.is_gang(key) {
             return self.place_gang(key, now);
@@ -390,31 +404,31 @@
 
     /// Gives a task to a worker and counts what it uses there.
     pub(super) fn assign(&mut self, key: TaskKey, worker: WorkerKey, run: u64, now: Moment) {
-        let waited = self.ledger.tasks[key].since;
         self.ledger.tasks[key].run = run;
         self.ledger.tasks[key].until = None;
         self.ledger.enter(key, Stage::Starting(worker), now);
         self.ledger.tasks[key].pace = crate::workflow::FULL_SPEED;
+        self.count_in(key, worker);
+    }
+
+    /// Orders the start of a task that was given to a worker.
+    pub(super) fn send_start(&mut self, key: TaskKey, now: Moment) {
         let task = &self.ledger.tasks[key];
+        let Stage::Starting(worker) = task.stage else {
+            return;
+        };
+        let run = task.run;
         let target = &self.workers[worker];
         let note = Note::Placed {
             task: task.name.to_string(),
             run,
             worker: target.entry.id.clone(),
-            waited: (now - waited).as_millis() as u64,
+            waited: (now - task.ready).as_millis() as u64,
             report_age: (now - target.contact).as_millis() as u64,
             free: target.free().millicores,
         };
         self.note(note);
-        self.count_in(key, worker);
-    }
-
-    pub(super) fn send_start(&mut self, key: TaskKey, _now: Moment) {
-        let task = &self.ledger.tasks[key];
-        if let Stage::Starting(worker) = task.stage {
-            let run = task.run;
-            self.order(worker, Order::Start { task: key, run });
-        }
+        self.order(worker, Order::Start { task: key, run });
     }
 
     /// Counts what a task uses on a worker.
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -66,6 +66,8 @@
     pub checkpoint: String,
     /// Since when it has been in this stage.
     pub since: Moment,
+    /// Since when it may start.
+    pub ready: Moment,
     /// The share of its speed that it may work at, in percent.
     pub pace: u8,
     /// Whether a worker has reported it as fully at work.
@@ -228,6 +230,7 @@
                     until: None,
                     checkpoint: String::new(),
                     since: now,
+                    ready: now,
                     pace: FULL_SPEED,
                     at_work: false,
                     gate: Moment::default(),
@@ -269,6 +272,10 @@
     /// Puts a task into a stage.
     pub fn enter(&mut self, key: TaskKey, stage: Stage, now: Moment) {
         let task = &mut self.tasks[key];
+        let again = matches!(task.stage, Stage::Starting(_)) && stage == Stage::Waiting;
+        if stage == Stage::Waiting && !again {
+            task.ready = now;
+        }
         task.stage = stage;
         task.since = now;
         task.at_work = false;
