--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -13,7 +13,7 @@
 mod tests;
 mod write;
 
-pub use note::Note;
+pub use note::{Note, WaitReason};
 pub use order::Order;
 pub use scheduler::{Scheduler, Term};
 pub use write::{Batch, EndedFlow, PairRecord, RosterEntry};
--- a/src/schedule/note.rs
+++ b/src/schedule/note.rs
@@ -5,6 +5,20 @@
 use crate::fleet::Ending;
 use crate::workflow::WorkflowState;
 
+/// Why no worker takes a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WaitReason {
+    /// No worker of the pool is open.
+    NoWorker,
+    /// No open worker has the label.
+    NoLabel,
+    /// No open worker is large enough, even when empty.
+    TooLarge,
+    /// All that fit are full, or serve what the task would disturb.
+    NoRoom,
+}
+
 /// One decision, with what decided it. Spans of time are in milliseconds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -35,6 +49,17 @@
         /// The worker's free processors, in millicores, before.
         free: u32,
     },
+    /// A task has waited for some time; noted once a job.
+    Waiting {
+        /// The task.
+        task: String,
+        /// How long it has waited.
+        waited: u64,
+        /// Why no worker takes it.
+        reason: WaitReason,
+        /// The label that it needs; empty if it needs none.
+        label: String,
+    },
     /// A run of a former owner goes on.
     Adopted {
         /// The task.
@@ -96,6 +121,8 @@
         change: &'static str,
         /// How many tasks it may be running.
         tasks: usize,
+        /// Its kind and its rack.
+        labels: String,
     },
     /// Filling tasks of a worker are slowed down or speeded up.
     Paced {
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -7,7 +7,7 @@
 use crate::moment::Moment;
 use crate::workflow::{Flow, Step, Task, TaskName};
 
-use super::Scheduler;
+use super::{Scheduler, WaitReason};
 
 /// The processors that serving tasks use at their busiest, as a share of what
 /// they declare.
@@ -78,6 +78,26 @@
         scored.max().map(|(_, key)| key)
     }
 
+    /// Why no worker takes a task now.
+    pub(super) fn wait_reason(&self, flow: &Flow, step: &Step, now: Moment) -> WaitReason {
+        let open = self
+            .workers
+            .values()
+            .filter(|worker| worker.entry.pool == flow.queue.pool && worker.is_open(now));
+        let open: Vec<&Worker> = open.collect();
+        let labelled = |worker: &&&Worker| has_label(worker, step);
+        let large = |worker: &&Worker| worker.entry.capacity.holds(step.need);
+        if open.is_empty() {
+            WaitReason::NoWorker
+        } else if !open.iter().any(|worker| labelled(&worker)) {
+            WaitReason::NoLabel
+        } else if !open.iter().filter(labelled).any(large) {
+            WaitReason::TooLarge
+        } else {
+            WaitReason::NoRoom
+        }
+    }
+
     /// Whether a filling image probably disturbs what a worker serves.
     fn harms(&self, worker: &Worker, image: Option<ImageKey>) -> bool {
         let Some(image) = image else {
@@ -107,14 +127,20 @@
 }
 
 fn fits(worker: &Worker, step: &Step, name: TaskName) -> bool {
-    let labelled = |label: &String| worker.entry.labels.contains(label);
-    step.label.as_ref().is_none_or(labelled)
+    has_label(worker, step)
         && step
             .worker_limit
             .is_none_or(|limit| of_step(worker, name) < limit as usize)
         && has_room(worker, step)
 }
 
+fn has_label(worker: &Worker, step: &Step) -> bool {
+    let labels = &worker.entry.labels;
+    step.label
+        .as_ref()
+        .is_none_or(|label| labels.contains(label))
+}
+
 fn has_room(worker: &Worker, step: &Step) -> bool {
     let free = worker.free();
     if !step.fills {
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -68,6 +68,7 @@
             worker: worker.entry.id.clone(),
             change,
             tasks: worker.tasks.len(),
+            labels: worker.entry.labels.join(" "),
         };
         self.note(note);
     }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -29,6 +29,8 @@
 /// its members find room together, until it has waited too long for that.
 const HOLDS_BACK: Duration = Duration::from_millis(400);
 const GIVES_WAY: Duration = Duration::from_secs(4);
+/// A job whose task has waited for this long is explained in the log.
+const EXPLAINS: Duration = Duration::from_secs(2);
 /// How long a job that has ended is remembered: a reading of the store that
 /// began before the end was written may still show it.
 const REMEMBERED: Duration = Duration::from_secs(60);
@@ -65,6 +67,7 @@
     pub(super) waiting: BTreeMap<Rank, TaskKey>,
     pub(super) recurring: BTreeSet<FlowKey>,
     pub(super) ended: HashMap<WorkflowId, Moment>,
+    explained: HashSet<FlowKey>,
     pub(super) closed: HashMap<WorkerKey, Vec<TaskName>>,
     pub(super) writes: Writes,
     pub(super) images: Images,
@@ -91,6 +94,7 @@
             waiting: BTreeMap::new(),
             recurring: BTreeSet::new(),
             ended: HashMap::new(),
+            explained: HashSet::new(),
             closed: HashMap::new(),
             writes: Writes::default(),
             images: Images::default(),
@@ -340,6 +344,29 @@
                 self.waiting.insert(rank, key);
             }
         }
+        self.explain_waits(now);
+    }
+
+    /// Notes why jobs wait, once a job.
+    fn explain_waits(&mut self, now: Moment) {
+        let mut notes = Vec::new();
+        for key in self.waiting.values() {
+            let task = &self.ledger.tasks[*key];
+            let flow = &self.ledger.flows[task.flow];
+            if now - task.ready < EXPLAINS || !self.explained.insert(task.flow) {
+                continue;
+            }
+            let step = flow.step(task.name);
+            notes.push(Note::Waiting {
+                task: task.name.to_string(),
+                waited: (now - task.ready).as_millis() as u64,
+                reason: self.wait_reason(flow, step, now),
+                label: step.label.clone().unwrap_or_default(),
+            });
+        }
+        self.notes.extend(notes);
+        self.explained
+            .retain(|flow| self.ledger.flows.contains_key(*flow));
     }
 
     fn place_waiting(&mut self, now: Moment) {
