--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -38,10 +38,7 @@
 }
 
 async fn read(node: &Node) -> Result<Option<u64>, ()> {
-    let read = node
-        .health
-        .note(node.store.range(OPERATOR_PREFIX, false))
-        .await;
+    let read = node.call(node.store.range(OPERATOR_PREFIX, false)).await;
     let page = read.map_err(|_| ())?;
     page.items.iter().for_each(|item| take(node, item));
     Ok(Some(page.revision))
@@ -49,7 +46,7 @@
 
 async fn watch(node: &Node, after: u64) -> Result<Option<u64>, ()> {
     let watched = node.store.watch(OPERATOR_PREFIX, after, WAIT);
-    match node.health.note(watched).await.map_err(|_| ())? {
+    match node.call(watched).await.map_err(|_| ())? {
         Watched::Forgotten => Ok(None),
         Watched::Changes(changes, revision) => {
             for change in &changes {
--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -16,6 +16,7 @@
 use crate::front::refuse;
 use crate::journal;
 use crate::kind::{ErrorKind, Refusal};
+use crate::latency::Span;
 use crate::moment::Moment;
 use crate::platform::fleet::{DEADLINE_HEADER, read_workflow, write_pending, write_state};
 use crate::routing::{Queue, Queues};
@@ -92,6 +93,8 @@
         let rest = target.map_or("", |target| target.rest);
         let version = queues.as_ref().map_or(0, |queues| queues.version);
         let (status, detail) = outcome(&reply);
+        let took = Moment::now() - begun;
+        self.0.latencies.record(Span::Answer, took);
         journal::line(&DaemonLine::Answered {
             id: rest,
             queue,
@@ -99,7 +102,7 @@
             status,
             detail,
             configuration: version,
-            took_ms: (Moment::now() - begun).as_millis() as u64,
+            took_ms: took.as_millis() as u64,
         });
         Outcome::Success(self.answer(reply, progress))
     }
--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -138,8 +138,7 @@
         self.check_store()?;
         let read = self.store.range(waiting_prefix(), false);
         let page = self
-            .health
-            .note(read)
+            .call(read)
             .await
             .map_err(|fault| refusal(&fault, false))?;
         let count = |item: &Item| -> u64 {
@@ -154,7 +153,7 @@
         let mut tries = 0;
         let item = loop {
             tries += 1;
-            match self.health.note(self.store.get(&job_key(id))).await {
+            match self.call(self.store.get(&job_key(id))).await {
                 Ok(None) => return Ok(None),
                 Ok(Some(item)) => break item,
                 Err(fault) if tries >= TRIES => return Err(refusal(&fault, false)),
@@ -166,7 +165,7 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, StoreFault> {
-        self.health.note(self.store.commit(transaction)).await
+        self.call(self.store.commit(transaction)).await
     }
 }
 
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -9,7 +9,9 @@
 use super::health::StoreHealth;
 use crate::counters::Counters;
 use crate::drain::InProgress;
-use crate::platform::fleet::{Store, WorkerApi};
+use crate::latency::{Latencies, Span};
+use crate::moment::Moment;
+use crate::platform::fleet::{Store, StoreFault, WorkerApi};
 use crate::routing::Queues;
 use crate::settings::FleetSettings;
 use crate::shards::{Candidate, Layout, OwnerRecord};
@@ -26,6 +28,7 @@
     pub(super) store: Store,
     pub(super) health: StoreHealth,
     pub(super) counters: Counters,
+    pub(super) latencies: Latencies,
     pub(super) in_progress: InProgress,
     pub(super) stop: watch::Sender<bool>,
     pub(super) owned: AtomicU32,
@@ -42,6 +45,7 @@
             store: Store::new(settings.platform, settings.silence),
             health: StoreHealth::default(),
             counters: Counters::default(),
+            latencies: Latencies::default(),
             in_progress: InProgress::default(),
             stop: watch::channel(false).0,
             owned: AtomicU32::new(0),
@@ -52,6 +56,19 @@
         })
     }
 
+    /// Makes a call to the store, times it and notes whether it was answered.
+    pub(super) async fn call<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreFault>>,
+    ) -> Result<T, StoreFault> {
+        let sent = Moment::now();
+        let result = self.health.note(call).await;
+        if result.is_ok() {
+            self.latencies.record(Span::StoreCall, Moment::now() - sent);
+        }
+        result
+    }
+
     /// The newest configuration that this host knows.
     pub(super) fn queues(&self) -> Option<Arc<Queues>> {
         self.queues.read().expect("no holder panics").clone()
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -77,12 +77,7 @@
 async fn announce(node: Arc<Node>) {
     let record = encode(&node.owner_record(false));
     let transaction = Transaction::default().set(&life_key(&node.settings.name), record);
-    while node
-        .health
-        .note(node.store.commit(&transaction))
-        .await
-        .is_err()
-    {
+    while node.call(node.store.commit(&transaction)).await.is_err() {
         sleep(PAUSE).await;
     }
 }
@@ -92,11 +87,7 @@
     let mut seen = 0;
     while node.layout().is_none() {
         sleep(REGISTRATION).await;
-        let Ok(page) = node
-            .health
-            .note(node.store.range(REGISTRY_PREFIX, true))
-            .await
-        else {
+        let Ok(page) = node.call(node.store.range(REGISTRY_PREFIX, true)).await else {
             continue;
         };
         let workers = page.items.len();
@@ -108,7 +99,7 @@
             .require(LAYOUT_KEY, 0)
             .set(LAYOUT_KEY, encode(&layout));
         // Whoever was first, the watch tells it to all.
-        let _ = node.health.note(node.store.commit(&transaction)).await;
+        let _ = node.call(node.store.commit(&transaction)).await;
     }
 }
 
@@ -121,14 +112,11 @@
 
 async fn next_news(node: &Node, revision: Option<u64>) -> Result<News, StoreFault> {
     let Some(after) = revision else {
-        let page = node
-            .health
-            .note(node.store.range(SHARD_PREFIX, false))
-            .await?;
+        let page = node.call(node.store.range(SHARD_PREFIX, false)).await?;
         return Ok(News::All(page.items, page.revision));
     };
     let watched = node.store.watch(SHARD_PREFIX, after, WAIT);
-    Ok(match node.health.note(watched).await? {
+    Ok(match node.call(watched).await? {
         Watched::Forgotten => News::Forgotten,
         Watched::Changes(changes, revision) => News::Changes(changes, revision),
     })
@@ -181,12 +169,7 @@
             .require(&epoch_key(shard), epoch)
             .set_leased(&hint_key(shard), owner.clone(), lease)
             .set(&epoch_key(shard), owner);
-        match self
-            .node
-            .health
-            .note(self.node.store.commit(&transaction))
-            .await
-        {
+        match self.node.call(self.node.store.commit(&transaction)).await {
             Ok(Commit::Done(fence)) => {
                 journal::line(&DaemonLine::ShardClaimed {
                     shard,
--- a/src/daemon/probe.rs
+++ b/src/daemon/probe.rs
@@ -42,5 +42,6 @@
     }
     let _ = writeln!(text, "requests_in_progress {}", node.in_progress.len());
     let _ = writeln!(text, "shards_owned {}", node.owned());
+    text.push_str(&node.latencies.show());
     (ContentType::Plain, text)
 }
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -177,11 +177,7 @@
 async fn follow_jobs(reign: &Arc<Reign>, after: u64) -> Result<u64, StoreFault> {
     let prefix = work_prefix(&reign.claim.shard);
     let node = &reign.node;
-    match node
-        .health
-        .note(node.store.watch(&prefix, after, WAIT))
-        .await?
-    {
+    match node.call(node.store.watch(&prefix, after, WAIT)).await? {
         Watched::Changes(changes, revision) => {
             let written: Vec<Item> = changes
                 .into_iter()
@@ -203,7 +199,7 @@
 async fn read_jobs(reign: &Arc<Reign>) -> Result<u64, StoreFault> {
     let prefix = work_prefix(&reign.claim.shard);
     let node = &reign.node;
-    let page = node.health.note(node.store.range(&prefix, false)).await?;
+    let page = node.call(node.store.range(&prefix, false)).await?;
     take_jobs(reign, &page.items, &HashMap::new());
     reign.wake();
     Ok(page.revision)
@@ -215,7 +211,7 @@
     loop {
         sleep(REGISTRY_PAUSE).await;
         let read = reign.node.store.range(REGISTRY_PREFIX, false);
-        if let Ok(page) = reign.node.health.note(read).await {
+        if let Ok(page) = reign.node.call(read).await {
             take_registry(&reign, &page.items);
             let present: HashSet<_> =
                 reign.decide(|scheduler, _| scheduler.workers.keys().collect());
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -14,9 +14,10 @@
 use super::{restore, worker};
 use crate::fleet::WorkerKey;
 use crate::journal;
+use crate::latency::Span;
 use crate::moment::Moment;
 use crate::platform::fleet::{Commit, StoreFault, Transaction};
-use crate::schedule::{Order, Scheduler, Term};
+use crate::schedule::{Note, Order, Scheduler, Term};
 use crate::shards::{
     Former, GIVES_UP, Lives, Owner, OwnerRecord, encode, epoch_key, hint_key, life_key, settles,
 };
@@ -106,6 +107,10 @@
         let urgent = scheduler.is_urgent();
         drop(scheduler);
         for note in &notes {
+            if let Note::Placed { waited, .. } = note {
+                let waited = Duration::from_millis(*waited);
+                self.node.latencies.record(Span::Wait, waited);
+            }
             journal::line(&ShardLine {
                 shard: &self.claim.shard,
                 fence: self.claim.fence,
@@ -284,7 +289,7 @@
         let lease = reign.lease.load(Ordering::Relaxed);
         let renewal = timeout(RENEWAL, reign.node.store.renew(lease));
         let renewal = async { renewal.await.unwrap_or_else(|_| Err(silent())) };
-        match reign.node.health.note(renewal).await {
+        match reign.node.call(renewal).await {
             Ok(true) => reign.confirm(sent),
             Ok(false) => put_back(&reign).await,
             Err(_) => sleep(PAUSE).await,
@@ -307,7 +312,7 @@
     let transaction = Transaction::default()
         .require(&epoch_key(&claim.shard), claim.fence)
         .set_leased(&hint_key(&claim.shard), encode(&owner), lease);
-    match node.health.note(node.store.commit(&transaction)).await {
+    match node.call(node.store.commit(&transaction)).await {
         Ok(Commit::Done(_)) => {
             reign.lease.store(lease, Ordering::Relaxed);
             reign.confirm(sent);
--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -10,6 +10,7 @@
 use super::term::Reign;
 use crate::fleet::{StopOrder, WorkerKey};
 use crate::journal;
+use crate::latency::Span;
 use crate::moment::Moment;
 use crate::platform::fleet::{WorkerApi, WorkerFault};
 use crate::schedule::Order;
@@ -53,8 +54,11 @@
         let Some(order) = order else {
             return;
         };
+        let sent = Moment::now();
         match api.start(&order).await {
             Ok(reply) => {
+                let took = Moment::now() - sent;
+                reign.node.latencies.record(Span::StartOrder, took);
                 reign.decide(|scheduler, now| scheduler.on_start(key, task, run, reply, now));
                 return;
             }
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -149,8 +149,7 @@
         let transaction = transaction(reign, &group);
         match reign
             .node
-            .health
-            .note(reign.node.store.commit(&transaction))
+            .call(reign.node.store.commit(&transaction))
             .await?
         {
             Commit::Done(revision) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod jobs;
 pub mod journal;
 pub mod kind;
+pub mod latency;
 #[cfg(feature = "standins")]
 pub mod load;
 pub mod logs;
