A refused connection does not prove that a worker has left

Change: only a worker that runs nothing is taken for gone at once; a test that failed before shows it.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -132,7 +132,7 @@
             Err(WorkerFault::Deposed) => return reign.lose("a worker follows a newer owner"),
             Err(fault) => {
                 let refused = matches!(fault, WorkerFault::NobodyThere(_));
-                reign.decide(|scheduler, now| scheduler.on_look_failed(key, refused, now));
+                reign.decide(|scheduler, _| scheduler.on_look_failed(key, refused));
                 note_reach(&api, &mut answers, Some(&fault));
                 sleep(SILENT_PAUSE).await;
             }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -77,15 +77,16 @@
         worker.is_some_and(|worker| !worker.pending.is_empty())
     }
 
-    /// Takes in that a look failed. `refused` says that nothing listens there.
-    pub fn on_look_failed(&mut self, key: WorkerKey, refused: bool, now: Moment) {
+    /// Takes in that a look failed. `refused` says that nothing listens there:
+    /// a worker that was leaving and runs nothing has left. A cut may look the
+    /// same, so its runs are given up by their leases only.
+    pub fn on_look_failed(&mut self, key: WorkerKey, refused: bool) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
         let gone = refused && worker.synced && !worker.listed;
-        let left = gone && worker.entry.standing == Standing::Draining;
-        if left {
-            self.lose_all(key, "the worker left", now);
+        let leaving = worker.entry.standing == Standing::Draining;
+        if gone && leaving && worker.tasks.is_empty() {
             self.remove_worker(key, "left");
         }
     }
--- a/src/schedule/tests.rs
+++ b/src/schedule/tests.rs
@@ -610,7 +610,7 @@
     let added = shard.scheduler.on_roster(roster, at(0));
     shard.submit(flow(1, vec![step(1, 1)], 1, 0));
     shard.look(0, &[], &[]);
-    shard.scheduler.on_look_failed(added[0], true, at(10));
+    shard.scheduler.on_look_failed(added[0], true);
     shard.plan();
     assert_eq!(shard.stage(name(1, 0, 0)), Stage::Unsettled);
 }
@@ -629,9 +629,7 @@
     shard
         .scheduler
         .on_registry(vec![registration("w0")], at(20));
-    shard
-        .scheduler
-        .on_look_failed(shard.workers[1], true, at(30));
+    shard.scheduler.on_look_failed(shard.workers[1], true);
     let batch = shard.scheduler.collect(false, at(40));
     let ids: Vec<String> = batch
         .roster
@@ -642,6 +640,27 @@
     assert_eq!(ids, ["w0"]);
 }
 
+#[test]
+fn a_refused_connection_does_not_prove_that_runs_have_ended() {
+    let mut shard = Shard::first(&["w0", "w1"]);
+    shard.submit(flow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (place, task, _) = shard.confirm()[0];
+    let ids = ["w0", "w1"];
+    let draining = Registration {
+        standing: Standing::Draining,
+        ..registration(ids[place])
+    };
+    let other = registration(ids[1 - place]);
+    shard
+        .scheduler
+        .on_registry(vec![draining, other.clone()], at(10));
+    shard.scheduler.on_registry(vec![other], at(20));
+    // A cut may reset connections although the worker lives.
+    shard.scheduler.on_look_failed(shard.workers[place], true);
+    assert_eq!(shard.stage(task), Stage::Running(shard.workers[place]));
+}
+
 #[test]
 fn a_new_life_of_a_worker_runs_nothing_of_the_former() {
     let mut shard = Shard::first(&["w0"]);
