--- a/src/schedule/pace.rs
+++ b/src/schedule/pace.rs
@@ -82,23 +82,29 @@
             return;
         }
         let mut changed = false;
+        let mut moved = Vec::new();
         let filling = rows.iter().filter(|row| row.step.fills);
         for row in filling {
             let pace = self.ledger.tasks[row.task].pace;
             let harmful = |serving: &ImageKey| self.pairs.is_harmful(*serving, row.image);
-            let next = if alarm {
-                0
-            } else {
-                next_pace(pace, strained.iter().any(harmful))
-            };
-            if next != pace && self.ledger.tasks[row.task].stage == Stage::Running(key) {
+            let harms = strained.iter().any(harmful);
+            let running = self.ledger.tasks[row.task].stage == Stage::Running(key);
+            if harms && running && row.step.checkpoints {
+                moved.push(row.task);
+                continue;
+            }
+            let next = if alarm { 0 } else { next_pace(pace, harms) };
+            if next != pace && running {
                 self.ledger.tasks[row.task].pace = next;
                 let order = self.stop_order(row.task);
                 self.order(key, Order::Pace(order, next));
                 changed = true;
             }
         }
-        if changed {
+        for task in &moved {
+            self.stop(*task, "it disturbs a serving task", now);
+        }
+        if changed || !moved.is_empty() {
             let worker = &mut self.workers[key];
             worker.paced = now;
             let note = Note::Paced {
