--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -22,6 +22,10 @@
 const OTHER_IMAGE: i64 = 8_000;
 /// What a worker on the rack of the data counts more, in millicores.
 const LOCAL_BONUS: i64 = 1_000_000;
+/// A filling task that has waited for this long takes a risk: the logarithm of
+/// the odds that it disturbs.
+const RISKS_AFTER: Duration = Duration::from_millis(1000);
+const RISK: f64 = 1.5;
 /// How long a task waits at the most for a worker near its data; on any other
 /// it would take several times as long.
 const LONGEST_PATIENCE: Duration = Duration::from_millis(1500);
@@ -64,11 +68,13 @@
         let (step, name) = (flow.step(task.name), task.name);
         let patient = now - task.ready < step.estimate.min(LONGEST_PATIENCE);
         let image = self.images.find(&step.image);
+        let impatient = now - task.ready >= RISKS_AFTER;
+        let risk = if impatient { RISK } else { 0.0 };
         let fitting = self.workers.iter().filter(|(_, worker)| {
             worker.entry.pool == flow.queue.pool
                 && worker.is_open(now)
                 && fits(worker, step, name)
-                && !(step.fills && self.harms(worker, image))
+                && !(step.fills && self.harms(worker, image, risk))
                 && (!patient || is_near(worker, step))
         });
         let scored = fitting.map(|(key, worker)| {
@@ -98,13 +104,14 @@
         }
     }
 
-    /// Whether a filling image probably disturbs what a worker serves.
-    fn harms(&self, worker: &Worker, image: Option<ImageKey>) -> bool {
+    /// Whether a filling image probably disturbs what a worker serves; `risk`
+    /// is the logarithm of the odds that is still accepted.
+    fn harms(&self, worker: &Worker, image: Option<ImageKey>, risk: f64) -> bool {
         let Some(image) = image else {
             return false;
         };
         let mut served = worker.serves.keys();
-        served.any(|serving| self.pairs.is_harmful(*serving, image))
+        served.any(|serving| self.pairs.odds(*serving, image) > risk)
     }
 }
 
