--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -35,28 +35,46 @@
 /// What tasks that could not be placed in this pass asked for.
 #[derive(Debug, Default)]
 pub(super) struct Misses {
-    rows: Vec<(bool, Capacity)>,
+    rows: Vec<Miss>,
+    held: Vec<bool>,
+}
+
+/// A task without a worker. Filling tasks of another image may find one.
+#[derive(Debug)]
+struct Miss {
+    pool: String,
+    image: Option<String>,
+    fills: bool,
+    need: Capacity,
 }
 
 impl Misses {
     /// Whether a task of this step would also find no worker.
-    pub fn covers(&self, step: &Step) -> bool {
-        let larger = |row: &(bool, Capacity)| row.0 == step.fills && step.need.holds(row.1);
-        self.rows.iter().any(larger)
+    pub fn covers(&self, pool: &str, step: &Step) -> bool {
+        let alike = |miss: &Miss| {
+            let image = miss.image.as_ref().is_none_or(|image| *image == step.image);
+            image && miss.pool == pool && miss.fills == step.fills && step.need.holds(miss.need)
+        };
+        self.held.contains(&step.fills) || self.rows.iter().any(alike)
     }
 
     /// Holds all tasks of the same kind back that come after a gang.
     pub fn hold_back(&mut self, gang: &Step) {
-        self.rows.push((gang.fills, Capacity::default()));
+        self.held.push(gang.fills);
     }
 
     /// Notes a step without a worker. Steps with conditions of their own say
     /// nothing about others.
-    pub fn note(&mut self, step: &Step) {
+    pub fn note(&mut self, pool: &str, step: &Step) {
         let free = step.label.is_none() && step.worker_limit.is_none();
         let plain = free && step.data_rack.is_none() && !step.gang;
         if plain {
-            self.rows.push((step.fills, step.need));
+            self.rows.push(Miss {
+                pool: pool.to_owned(),
+                image: step.fills.then(|| step.image.clone()),
+                fills: step.fills,
+                need: step.need,
+            });
         }
     }
 }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -390,7 +390,7 @@
             // The first task of a gang stands for all of them.
             let follows = step.gang && task.name.index > 0;
             let gated = task.gate > Moment::default() && task.gate >= self.confirmed;
-            if gated || follows || misses.covers(step) {
+            if gated || follows || misses.covers(&flow.queue.pool, step) {
                 continue;
             }
             let gang = step.gang;
@@ -400,8 +400,8 @@
             } else if holds {
                 misses.hold_back(self.step_of(key));
             } else {
-                let task = &self.ledger.tasks[key];
-                misses.note(self.ledger.flows[task.flow].step(task.name));
+                let flow = &self.ledger.flows[self.ledger.tasks[key].flow];
+                misses.note(&flow.queue.pool, self.step_of(key));
             }
         }
     }
