--- a/src/bin/lycheelock/app.rs
+++ b/src/bin/lycheelock/app.rs
@@ -5,6 +5,7 @@
 
 use clap::ArgMatches;
 use log::LevelFilter;
+use lycheelock::drain::wait_for_stop;
 use lycheelock::entry::Node;
 use lycheelock::jobs::JobSpec;
 use lycheelock::operator::{self, Target};
@@ -12,7 +13,6 @@
 use lycheelock::settings::{EntrySettings, FleetSettings, form};
 use lycheelock::{Error, Result, daemon, logs};
 use tokio::runtime::Runtime;
-use tokio::signal::unix::{SignalKind, signal};
 
 #[cfg(feature = "standins")]
 use lycheelock::demo::{self, DemoSettings};
@@ -189,10 +189,10 @@
     let started = Node::start(settings.clone(), policy).await?;
     let node = started.node.clone();
     let signals = async {
-        wait_for_signal().await;
+        wait_for_stop().await;
         let draining = node.clone();
         tokio::spawn(async move { draining.drain().await });
-        wait_for_signal().await;
+        wait_for_stop().await;
     };
     let watched = started.node.clone();
     tokio::select! {
@@ -206,19 +206,6 @@
     }
 }
 
-async fn wait_for_signal() {
-    let (Ok(mut interrupt), Ok(mut terminate)) = (
-        signal(SignalKind::interrupt()),
-        signal(SignalKind::terminate()),
-    ) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
-    }
-}
-
 #[cfg(feature = "standins")]
 fn demo_settings(matches: &ArgMatches) -> DemoSettings {
     let default = DemoSettings::default();
@@ -287,7 +274,7 @@
     let standin = std::sync::Arc::new(lycheelock::standins::platform::Standin::default());
     let running = standin.start(settings.address).await?;
     log::info!("platform stand-in on {}", settings.address);
-    wait_for_signal().await;
+    wait_for_stop().await;
     running.stop().await;
     Ok(true)
 }
@@ -302,7 +289,7 @@
     let running = worker.start().await?;
     join(platform, &worker.listed()).await?;
     log::info!("worker stand-in {} started", worker.listed().name);
-    wait_for_signal().await;
+    wait_for_stop().await;
     running.stop().await;
     Ok(true)
 }
--- a/src/daemon/lifecycle.rs
+++ b/src/daemon/lifecycle.rs
@@ -10,6 +10,7 @@
 
 use super::lines::DaemonLine;
 use super::{Node, configuration, ingress, ownership, probe};
+use crate::drain::wait_for_stop;
 use crate::server::Running;
 use crate::settings::FleetSettings;
 use crate::{Result, journal};
@@ -80,19 +81,6 @@
     sleep(LINGER).await;
 }
 
-async fn wait_for_stop() {
-    let (Ok(mut interrupt), Ok(mut terminate)) = (
-        signal(SignalKind::interrupt()),
-        signal(SignalKind::terminate()),
-    ) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
-    }
-}
-
 /// Reads the settings again on a signal, and now and then without one.
 async fn reload(node: Arc<Node>, path: PathBuf) {
     let mut known = node.settings.clone();
--- a/src/drain/mod.rs
+++ b/src/drain/mod.rs
@@ -5,10 +5,12 @@
 //! and the freshest reading counts.
 
 mod leaving;
+mod signal;
 mod stop;
 #[cfg(test)]
 mod tests;
 
 pub use leaving::{Drain, LeavingList};
+pub use signal::wait_for_stop;
 pub(crate) use stop::CountedBody;
 pub use stop::{InProgress, Progress};
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -8,7 +8,9 @@
 mod place;
 mod rank;
 mod registry;
+mod room;
 mod scheduler;
+mod starts;
 #[cfg(test)]
 mod tests;
 mod write;
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -1,12 +1,16 @@
 //! The workers that the registry lists.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use super::{Note, RosterEntry, Scheduler};
 use crate::fleet::{Registration, Standing, Worker, WorkerKey};
 use crate::moment::Moment;
 use crate::workflow::TaskKey;
 
+/// A worker that was silent for longer than this is closed in the roster.
+const CLOSES: Duration = Duration::from_millis(1100);
+
 impl Scheduler {
     /// Takes in the registry's entries for this shard. Returns new workers.
     pub fn on_registry(&mut self, entries: Vec<Registration>, now: Moment) -> Vec<WorkerKey> {
@@ -121,4 +125,19 @@
             }
         }
     }
+
+    /// Closes workers that are silent: they get no starts, and the roster says
+    /// which tasks they may be running.
+    pub(super) fn close_silent(&mut self, now: Moment) {
+        let silent = self.workers.iter().filter(|(_, worker)| {
+            worker.enrolled && worker.synced && now > worker.contact + CLOSES
+        });
+        let keys: Vec<WorkerKey> = silent.map(|(key, _)| key).collect();
+        for key in keys {
+            self.workers[key].enrolled = false;
+            self.workers[key].answers = false;
+            self.writes.enrol();
+            self.note_worker(key, "closed, as it is silent");
+        }
+    }
 }
--- /dev/null
+++ b/src/schedule/room.rs
@@ -0,0 +1,61 @@
+//! What tasks use on their workers.
+
+use super::Scheduler;
+use crate::fleet::WorkerKey;
+use crate::workflow::TaskKey;
+
+impl Scheduler {
+    /// Counts what a task uses on a worker.
+    pub(super) fn count_in(&mut self, key: TaskKey, worker: WorkerKey) {
+        let task = &self.ledger.tasks[key];
+        let step = self.ledger.flows[task.flow].step(task.name);
+        let target = &mut self.workers[worker];
+        if target.tasks.insert(task.name, key).is_some() {
+            return;
+        }
+        let mut need = step.need;
+        if step.fills {
+            target.filling += need.millicores;
+            need.millicores = 0;
+        } else if step.lasting {
+            target.serving += need.millicores;
+        }
+        if step.tail_target.is_some() {
+            *target
+                .serves
+                .entry(self.images.key(&step.image))
+                .or_default() += 1;
+        }
+        target.used += need;
+    }
+
+    /// Gives back what a task used on its worker.
+    pub(super) fn unassign(&mut self, key: TaskKey) {
+        let task = &self.ledger.tasks[key];
+        let Some(worker) = task.stage.worker() else {
+            return;
+        };
+        let step = self.ledger.flows[task.flow].step(task.name);
+        let Some(target) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if target.tasks.remove(&task.name).is_none() {
+            return;
+        }
+        let mut need = step.need;
+        if step.fills {
+            target.filling = target.filling.saturating_sub(need.millicores);
+            need.millicores = 0;
+        } else if step.lasting {
+            target.serving = target.serving.saturating_sub(need.millicores);
+        }
+        if step.tail_target.is_some() {
+            let image = self.images.key(&step.image);
+            if let Some(count) = target.serves.get_mut(&image) {
+                *count -= 1;
+            }
+            target.serves.retain(|_, count| *count > 0);
+        }
+        target.used -= need;
+    }
+}
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -10,7 +10,7 @@
 use super::rank::{Rank, rank};
 use super::write::Writes;
 use super::{Note, Order};
-use crate::fleet::{LEASE, LookOrder, StartOrder, StartReply, Worker, WorkerKey};
+use crate::fleet::{Worker, WorkerKey};
 use crate::interference::{Baseline, ImageKey, Images, Pairs};
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
@@ -21,10 +21,6 @@
 
 /// Runs of one owner; an owner's numbers are above those of its predecessors.
 const RUNS_PER_TERM: u64 = 1_000_000;
-/// How long a worker waits for an end before it answers a look.
-const LOOK_WAIT: Duration = Duration::from_millis(800);
-/// A worker that was silent for longer than this is closed in the roster.
-const CLOSES: Duration = Duration::from_millis(1100);
 /// A gang that has waited for this long holds tasks behind it back, so that
 /// its members find room together, until it has waited too long for that.
 const HOLDS_BACK: Duration = Duration::from_millis(400);
@@ -34,8 +30,6 @@
 /// How long a job that has ended is remembered: a reading of the store that
 /// began before the end was written may still show it.
 const REMEMBERED: Duration = Duration::from_secs(60);
-/// A worker that was silent for longer than this keeps its leases as they are.
-const RENEWS: Duration = Duration::from_millis(1500);
 /// How often waiting tasks are ranked anew.
 const RERANK: Duration = Duration::from_millis(500);
 
@@ -195,110 +189,6 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// The order to send for a start, unless it is not wanted any more.
-    pub fn start_order(
-        &mut self,
-        worker: WorkerKey,
-        key: TaskKey,
-        run: u64,
-        now: Moment,
-    ) -> Option<StartOrder> {
-        let task = self.ledger.tasks.get(key)?;
-        if task.stage != Stage::Starting(worker) || task.run != run {
-            return None;
-        }
-        let flow = &self.ledger.flows[task.flow];
-        let target = self.workers.get_mut(worker)?;
-        let clock = target.clock?;
-        // A repeated start keeps its lease, so that a silent worker lapses.
-        let until = task.until.unwrap_or_else(|| clock.lease_end(now, LEASE));
-        target.lapse = target.lapse.max(clock.passed(until));
-        self.ledger.tasks[key].until = Some(until);
-        let task = &self.ledger.tasks[key];
-        Some(StartOrder {
-            task: task.name,
-            run,
-            payload: flow.workflow.payload.clone(),
-            until,
-            fence: self.term.fence,
-            checkpoint: task.checkpoint.clone(),
-        })
-    }
-
-    /// Takes in the answer to a start.
-    pub fn on_start(
-        &mut self,
-        worker: WorkerKey,
-        key: TaskKey,
-        run: u64,
-        reply: StartReply,
-        now: Moment,
-    ) {
-        let Some(task) = self.ledger.tasks.get(key) else {
-            return;
-        };
-        if task.stage != Stage::Starting(worker) || task.run != run {
-            return;
-        }
-        match reply {
-            // The next look says whether a superseded run ended, and how.
-            StartReply::Running | StartReply::Superseded => {
-                self.ledger.enter(key, Stage::Running(worker), now);
-                let flow = self.ledger.tasks[key].flow;
-                self.note_started(flow);
-            }
-            StartReply::Late(_) | StartReply::NoRoom => {
-                self.lose(key, "the worker did not start it", now);
-            }
-        }
-    }
-
-    /// Takes in that a worker refused to start a run and did nothing.
-    pub fn on_start_refused(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
-        let Some(task) = self.ledger.tasks.get(key) else {
-            return;
-        };
-        if task.stage != Stage::Starting(worker) || task.run != run {
-            return;
-        }
-        let flow = task.flow;
-        self.lose(key, "the worker refused it", now);
-        self.mistrust(worker, flow, now);
-    }
-
-    /// Takes in that a start never reached its worker.
-    pub fn on_start_unreached(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
-        if let Some(target) = self.workers.get_mut(worker) {
-            target.contact = Moment::default();
-        }
-        let Some(task) = self.ledger.tasks.get(key) else {
-            return;
-        };
-        if task.stage == Stage::Starting(worker) && task.run == run {
-            self.lose(key, "the worker was not reached", now);
-        }
-    }
-
-    /// The next look at a worker. Without `renew` the leases stay as they are.
-    pub fn look_order(&mut self, key: WorkerKey, renew: bool, now: Moment) -> Option<LookOrder> {
-        let worker = self.workers.get_mut(key)?;
-        let renews = renew && worker.synced && now - worker.contact < RENEWS;
-        let until = match worker.clock {
-            Some(clock) if renews => {
-                let until = clock.lease_end(now, LEASE);
-                worker.lapse = worker.lapse.max(clock.passed(until));
-                Some(until)
-            }
-            _ => None,
-        };
-        Some(LookOrder {
-            until,
-            fence: self.term.fence,
-            acknowledged: worker.acknowledged,
-            wait: if renews { LOOK_WAIT } else { Duration::ZERO },
-        })
-    }
-
     pub(super) fn note(&mut self, note: Note) {
         self.notes.push(note);
     }
@@ -458,75 +348,6 @@
         self.order(worker, Order::Start { task: key, run });
     }
 
-    /// Counts what a task uses on a worker.
-    pub(super) fn count_in(&mut self, key: TaskKey, worker: WorkerKey) {
-        let task = &self.ledger.tasks[key];
-        let step = self.ledger.flows[task.flow].step(task.name);
-        let target = &mut self.workers[worker];
-        if target.tasks.insert(task.name, key).is_some() {
-            return;
-        }
-        let mut need = step.need;
-        if step.fills {
-            target.filling += need.millicores;
-            need.millicores = 0;
-        } else if step.lasting {
-            target.serving += need.millicores;
-        }
-        if step.tail_target.is_some() {
-            *target
-                .serves
-                .entry(self.images.key(&step.image))
-                .or_default() += 1;
-        }
-        target.used += need;
-    }
-
-    /// Gives back what a task used on its worker.
-    pub(super) fn unassign(&mut self, key: TaskKey) {
-        let task = &self.ledger.tasks[key];
-        let Some(worker) = task.stage.worker() else {
-            return;
-        };
-        let step = self.ledger.flows[task.flow].step(task.name);
-        let Some(target) = self.workers.get_mut(worker) else {
-            return;
-        };
-        if target.tasks.remove(&task.name).is_none() {
-            return;
-        }
-        let mut need = step.need;
-        if step.fills {
-            target.filling = target.filling.saturating_sub(need.millicores);
-            need.millicores = 0;
-        } else if step.lasting {
-            target.serving = target.serving.saturating_sub(need.millicores);
-        }
-        if step.tail_target.is_some() {
-            let image = self.images.key(&step.image);
-            if let Some(count) = target.serves.get_mut(&image) {
-                *count -= 1;
-            }
-            target.serves.retain(|_, count| *count > 0);
-        }
-        target.used -= need;
-    }
-
-    /// Closes workers that are silent: they get no starts, and the roster says
-    /// which tasks they may be running.
-    fn close_silent(&mut self, now: Moment) {
-        let silent = self.workers.iter().filter(|(_, worker)| {
-            worker.enrolled && worker.synced && now > worker.contact + CLOSES
-        });
-        let keys: Vec<WorkerKey> = silent.map(|(key, _)| key).collect();
-        for key in keys {
-            self.workers[key].enrolled = false;
-            self.workers[key].answers = false;
-            self.writes.enrol();
-            self.note_worker(key, "closed, as it is silent");
-        }
-    }
-
     fn start_recurring(&mut self, now: Moment) {
         let due = |key: &FlowKey| self.ledger.next_due(*key).is_some_and(|due| due <= now);
         let flows: Vec<FlowKey> = self.recurring.iter().copied().filter(due).collect();
--- a/tests/fleet/deployment.rs
+++ b/tests/fleet/deployment.rs
@@ -1,16 +1,17 @@
 //! A deployment of a few entry daemons, a store and workers on one machine.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use lycheelock::server::Running;
 use serde_json::{Value, json};
 
+use crate::ports::free_address;
 use crate::store::Store;
 use crate::workers::{Journal, Worker};
 
@@ -22,33 +23,6 @@
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
 
-/// Ports that are not handed out to outgoing connections, in ranges of which a
-/// process of tests holds one by its first port.
-const FIRST_PORT: u16 = 10_000;
-const RANGE: u16 = 400;
-const RANGES: u16 = 55;
-
-/// A port that no other process of tests uses.
-fn free_address() -> SocketAddr {
-    static HELD: OnceLock<TcpListener> = OnceLock::new();
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let held = HELD.get_or_init(hold_range);
-    let first = held.local_addr().expect("a bound address").port();
-    loop {
-        let offset = 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (RANGE - 1);
-        let address = SocketAddr::from(([127, 0, 0, 1], first + offset));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
-fn hold_range() -> TcpListener {
-    let mut ports = (0..RANGES).map(|range| FIRST_PORT + range * RANGE);
-    let held = ports.find_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
-    held.expect("a range of ports is free")
-}
-
 /// A daemon as a process of its own; it ends with this.
 pub struct Process(Child);
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,8 @@
 //! small stand-ins of its store and its workers, under failure.
 
 mod deployment;
+#[path = "../common/ports.rs"]
+mod ports;
 mod store;
 mod workers;
 
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,6 +1,8 @@
 //! Real processes under kills, freezes, cuts, outages and planned stops.
 
 mod deployment;
+#[path = "../common/ports.rs"]
+mod ports;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
