Remove state and calls that nothing uses

Cause: Task::at_work was written and never read; Batch::is_empty and Store::end lost their last callers when a planned stop began to write its release.

--- a/src/platform/fleet/store.rs
+++ b/src/platform/fleet/store.rs
@@ -393,22 +393,6 @@
         accept(status, body).map(|_| true)
     }
 
-    /// Ends a lease and removes its keys.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the store refused or did not answer.
-    pub async fn end(&self, lease: u64) -> Answer<()> {
-        let call = self
-            .client
-            .delete(self.url(&format!("kv-lease-end/{lease}")));
-        let (status, body) = self.send(call, self.silence).await?;
-        if status == StatusCode::NOT_FOUND {
-            return Ok(());
-        }
-        accept(status, body).map(|_| ())
-    }
-
     fn url(&self, path: &str) -> String {
         let base = self.base.read().expect("no holder panics");
         format!("{base}/{path}")
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -350,7 +350,6 @@
             _ => return self.stop_stranger(key, run, now),
         }
         let known = &mut self.ledger.tasks[task];
-        known.at_work = run.progress >= crate::workflow::FULL_SPEED;
         if known.checkpoint != run.checkpoint && !run.checkpoint.is_empty() {
             known.checkpoint.clone_from(&run.checkpoint);
         }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -86,18 +86,6 @@
 /// Between two writes of what is known of interference.
 const PAIRS: Duration = Duration::from_secs(3);
 
-impl Batch {
-    /// Whether there is nothing to write.
-    pub fn is_empty(&self) -> bool {
-        self.ended.is_empty()
-            && self.started.is_empty()
-            && self.progress.is_empty()
-            && self.roster.is_none()
-            && self.pending.is_none()
-            && self.pairs.is_none()
-    }
-}
-
 /// What was not written yet.
 #[derive(Debug, Default)]
 pub(super) struct Writes {
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -70,8 +70,6 @@
     pub ready: Moment,
     /// The share of its speed that it may work at, in percent.
     pub pace: u8,
-    /// Whether a worker has reported it as fully at work.
-    pub at_work: bool,
     /// It starts again only once the store has confirmed the ownership after
     /// this moment: a newer owner could have prolonged the run believed lost.
     pub gate: Moment,
@@ -232,7 +230,6 @@
                     since: now,
                     ready: now,
                     pace: FULL_SPEED,
-                    at_work: false,
                     gate: Moment::default(),
                     confirmed: false,
                 })
@@ -278,7 +275,6 @@
         }
         task.stage = stage;
         task.since = now;
-        task.at_work = false;
         task.confirmed = !matches!(stage, Stage::Starting(_) | Stage::Stopping(_));
     }
 
