Noticing a silent store counts by when an answer was due

Cause: a call that failed was ignored if a call sent later had been answered. A watch is sent seconds before its answer is due, so on a host that only watches the loss of the store was noticed one watch later: up to 7 s. Change: a failure counts unless an answer arrived after the failed call's own answer was due, wait of the watch included.

--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -26,8 +26,6 @@
             Some(after) => tokio::select! {
                 next = watch(&node, after) => next,
                 () = node.health.wait_regained() => Ok(None),
-                // A reading shows at once whether the store is really lost.
-                () = node.health.wait_lost() => Ok(None),
             },
         };
         match next {
@@ -45,8 +43,8 @@
 }
 
 async fn watch(node: &Node, after: u64) -> Result<Option<u64>, ()> {
-    let watched = node.store.watch(OPERATOR_PREFIX, after, WAIT);
-    match node.call(watched).await.map_err(|_| ())? {
+    let watched = node.watch(OPERATOR_PREFIX, after, WAIT).await;
+    match watched.map_err(|_| ())? {
         Watched::Forgotten => Ok(None),
         Watched::Changes(changes, revision) => {
             for change in &changes {
--- a/src/daemon/lifecycle.rs
+++ b/src/daemon/lifecycle.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::lines::DaemonLine;
-use super::{Node, configuration, ingress, ownership, probe};
+use super::{Node, configuration, health, ingress, ownership, probe};
 use crate::drain::wait_for_stop;
 use crate::server::Running;
 use crate::settings::FleetSettings;
@@ -43,6 +43,7 @@
         life: node.life,
     });
     tokio::spawn(configuration::follow(node.clone()));
+    tokio::spawn(health::probe(node.clone()));
     tokio::spawn(reload(node.clone(), path.to_owned()));
     let owner = tokio::spawn(ownership::follow(node.clone()));
     wait_for_stop().await;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -11,7 +11,7 @@
 use crate::drain::InProgress;
 use crate::latency::{Latencies, Span};
 use crate::moment::Moment;
-use crate::platform::fleet::{Store, StoreFault, WorkerApi};
+use crate::platform::fleet::{Store, StoreFault, Watched, WorkerApi};
 use crate::routing::Queues;
 use crate::settings::FleetSettings;
 use crate::shards::{Candidate, Layout, OwnerRecord};
@@ -62,13 +62,24 @@
         call: impl Future<Output = Result<T, StoreFault>>,
     ) -> Result<T, StoreFault> {
         let sent = Moment::now();
-        let result = self.health.note(call).await;
+        let result = self.health.note(Duration::ZERO, call).await;
         if result.is_ok() {
             self.latencies.record(Span::StoreCall, Moment::now() - sent);
         }
         result
     }
 
+    /// Waits for changes in the store, and notes whether it answered.
+    pub(super) async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Watched, StoreFault> {
+        let call = self.store.watch(prefix, after, wait);
+        self.health.note(wait, call).await
+    }
+
     /// The newest configuration that this host knows.
     pub(super) fn queues(&self) -> Option<Arc<Queues>> {
         self.queues.read().expect("no holder panics").clone()
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -115,8 +115,7 @@
         let page = node.call(node.store.range(SHARD_PREFIX, false)).await?;
         return Ok(News::All(page.items, page.revision));
     };
-    let watched = node.store.watch(SHARD_PREFIX, after, WAIT);
-    Ok(match node.call(watched).await? {
+    Ok(match node.watch(SHARD_PREFIX, after, WAIT).await? {
         Watched::Forgotten => News::Forgotten,
         Watched::Changes(changes, revision) => News::Changes(changes, revision),
     })
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -177,7 +177,7 @@
 async fn follow_jobs(reign: &Arc<Reign>, after: u64) -> Result<u64, StoreFault> {
     let prefix = work_prefix(&reign.claim.shard);
     let node = &reign.node;
-    match node.call(node.store.watch(&prefix, after, WAIT)).await? {
+    match node.watch(&prefix, after, WAIT).await? {
         Watched::Changes(changes, revision) => {
             let written: Vec<Item> = changes
                 .into_iter()
