Strong hosts own the shards, and a strong host can own all workers

Cause: on the grown sites the workers were divided into six shards of uneven size by the hash of their racks, owned by hosts of 0.069 of a core as likely as by those of 0.5. Ruled out: processor time (0.06 of a core at most in an owner), refusals (none). Change: the settings tell a host's processor; it is announced with the host's life. Hosts of less than half of the strongest one's power claim after strong hosts of other zones. The layout divides the workers by what the strongest host carries: a worker for each thousandth of a core.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -32,6 +32,7 @@
     pub(super) in_progress: InProgress,
     pub(super) stop: watch::Sender<bool>,
     pub(super) owned: AtomicU32,
+    strongest: AtomicU32,
     client: reqwest::Client,
     queues: RwLock<Option<Arc<Queues>>>,
     layout: RwLock<Option<Layout>>,
@@ -49,6 +50,7 @@
             in_progress: InProgress::default(),
             stop: watch::channel(false).0,
             owned: AtomicU32::new(0),
+            strongest: AtomicU32::new(0),
             client: WorkerApi::pool(ORDER_SILENCE),
             queues: RwLock::default(),
             layout: RwLock::default(),
@@ -131,6 +133,7 @@
             life: self.life,
             released,
             resigned: 0,
+            millicores: self.settings.millicores,
         }
     }
 
@@ -142,9 +145,23 @@
             zone: self.settings.zone.clone(),
             layout: self.layout().unwrap_or(Layout::Whole),
             owned,
+            millicores: self.settings.millicores,
+            strongest: self.strongest(),
         }
     }
 
+    /// What the strongest host that is known may use of its processor, in
+    /// thousandths of a core.
+    pub(super) fn strongest(&self) -> u32 {
+        let others = self.strongest.load(Ordering::Relaxed);
+        others.max(self.settings.millicores)
+    }
+
+    /// Takes in what another host may use of its processor.
+    pub(super) fn note_power(&self, millicores: u32) {
+        self.strongest.fetch_max(millicores, Ordering::Relaxed);
+    }
+
     /// How many shards this host owns.
     pub(super) fn owned(&self) -> u32 {
         self.owned.load(Ordering::Relaxed)
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -94,7 +94,7 @@
         if workers == 0 || workers != std::mem::replace(&mut seen, workers) {
             continue;
         }
-        let layout = Layout::of(workers, node.settings.zones.len());
+        let layout = Layout::of(workers, node.settings.zones.len(), node.strongest());
         let transaction = Transaction::default()
             .require(LAYOUT_KEY, 0)
             .set(LAYOUT_KEY, encode(&layout));
@@ -269,6 +269,7 @@
                     life: owner.life,
                     resigned: owner.resigned,
                 };
+                self.node.note_power(owner.millicores);
                 self.lives.send_modify(|lives| {
                     lives.insert(host.to_owned(), life);
                 });
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -31,6 +31,8 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub platform: SocketAddr,
+    /// What this host may use of its processor, in thousandths of a core.
+    pub millicores: u32,
     /// How long a process has between the signal to stop and its end.
     pub grace: Duration,
     /// How long the hint of an owner lasts in the store without renewal.
@@ -50,6 +52,7 @@
             ready: local(8082),
             metrics: local(8083),
             platform: local(7000),
+            millicores: 1000,
             grace: Duration::from_secs(6),
             session: Duration::from_millis(1500),
             silence: Duration::from_millis(1500),
@@ -119,6 +122,7 @@
         if let Some(zones) = section.required("zones", &form::NAMES) {
             self.zones = zones;
         }
+        self.millicores = section.value("cores", &form::CORES, self.millicores);
         self.grace = section.value("grace", &form::DURATION, self.grace);
         self.session = section.value("session", &form::DURATION, self.session);
         self.silence = section.value("silence", &form::DURATION, self.silence);
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -19,6 +19,11 @@
 const AWAY_SPREAD: Duration = Duration::from_millis(800);
 /// How much later a host claims for each shard that it owns already.
 const BUSY_DELAY: Duration = Duration::from_millis(400);
+/// How much later a host claims whose processor is weak: strong hosts of other
+/// zones come before it.
+const WEAK_DELAY: Duration = Duration::from_millis(2500);
+/// A host is weak if the strongest one has more than this many times its power.
+const WEAK_FACTOR: u32 = 2;
 
 /// What is known of the owner before a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -110,6 +115,10 @@
     pub layout: Layout,
     /// How many shards it owns.
     pub owned: u32,
+    /// What it may use of its processor, in thousandths of a core.
+    pub millicores: u32,
+    /// The same of the strongest host that is known.
+    pub strongest: u32,
 }
 
 /// What to do about a shard.
@@ -136,7 +145,15 @@
     /// use lycheelock::shards::{Candidate, Hint, Layout, Step, View};
     ///
     /// let layout = Layout::Whole;
-    /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), layout, owned: 0 };
+    /// let me = Candidate {
+    ///     host: "a1".into(),
+    ///     life: 2,
+    ///     zone: "a".into(),
+    ///     layout,
+    ///     owned: 0,
+    ///     millicores: 100,
+    ///     strongest: 100,
+    /// };
     /// let former = Hint { host: "a1".into(), life: 1, revision: 9 };
     /// let view = View { epoch: 8, hint: Some(former), ..View::default() };
     /// let step = me.step("a", &view, Moment::default());
@@ -169,7 +186,15 @@
     /// use lycheelock::shards::{Candidate, Former, Layout, Life, Owner};
     ///
     /// let layout = Layout::Whole;
-    /// let me = Candidate { host: "a1".into(), life: 2, zone: "a".into(), layout, owned: 0 };
+    /// let me = Candidate {
+    ///     host: "a1".into(),
+    ///     life: 2,
+    ///     zone: "a".into(),
+    ///     layout,
+    ///     owned: 0,
+    ///     millicores: 100,
+    ///     strongest: 100,
+    /// };
     /// let owner = Owner { host: "a2".into(), life: 7, fence: 30, released: false };
     /// let life = |life, resigned| Some(Life { life, resigned });
     /// assert_eq!(me.former(&owner, life(7, 0)), Former::Unknown);
@@ -196,6 +221,8 @@
         } else {
             AWAY_DELAY + AWAY_SPREAD.mul_f64(share)
         };
-        spread + BUSY_DELAY * self.owned
+        let weak = self.millicores.saturating_mul(WEAK_FACTOR) < self.strongest;
+        let wait = if weak { WEAK_DELAY } else { Duration::ZERO };
+        spread + wait + BUSY_DELAY * self.owned
     }
 }
--- a/src/shards/layout.rs
+++ b/src/shards/layout.rs
@@ -4,10 +4,8 @@
 
 use crate::ids::stable_hash;
 
-/// The most workers that one owner commands over all zones.
-const MOST_TOGETHER: usize = 100;
-/// The workers of a zone are divided into groups of about this size.
-const GROUP: usize = 60;
+/// The workers that an owner can command with a core of its own.
+const WORKERS_PER_CORE: usize = 1000;
 /// The shard of all workers.
 const WHOLE: &str = "all";
 
@@ -22,20 +20,23 @@
 }
 
 impl Layout {
-    /// The layout for a number of workers in a number of zones.
+    /// The layout for a number of workers in a number of zones, if the strongest
+    /// entry hosts may use `millicores` of their processor.
     ///
     /// ```
     /// use lycheelock::shards::Layout;
     ///
-    /// assert_eq!(Layout::of(48, 3), Layout::Whole);
-    /// assert_eq!(Layout::of(350, 3), Layout::Zones(2));
+    /// assert_eq!(Layout::of(48, 3, 100), Layout::Whole);
+    /// assert_eq!(Layout::of(350, 3, 100), Layout::Zones(2));
+    /// assert_eq!(Layout::of(350, 3, 500), Layout::Whole);
     /// ```
-    pub fn of(workers: usize, zones: usize) -> Self {
-        if workers <= MOST_TOGETHER {
+    pub fn of(workers: usize, zones: usize, millicores: u32) -> Self {
+        let carried = (WORKERS_PER_CORE * millicores as usize / 1000).max(1);
+        if workers <= carried {
             return Self::Whole;
         }
         let each = workers.div_ceil(zones.max(1));
-        Self::Zones(each.div_ceil(GROUP) as u32)
+        Self::Zones(each.div_ceil(carried) as u32)
     }
 
     /// The names of all shards.
--- a/src/shards/record.rs
+++ b/src/shards/record.rs
@@ -23,6 +23,8 @@
     pub released: bool,
     /// This life gives no orders under this fencing token or a lower one any more.
     pub resigned: u64,
+    /// What the host may use of its processor, in thousandths of a core.
+    pub millicores: u32,
 }
 
 /// The record of a job that callers are answered from.
@@ -63,7 +65,13 @@
 /// ```
 /// use lycheelock::shards::{OwnerRecord, decode, encode};
 ///
-/// let owner = OwnerRecord { host: "a1".to_owned(), life: 3, released: false, resigned: 0 };
+/// let owner = OwnerRecord {
+///     host: "a1".to_owned(),
+///     life: 3,
+///     released: false,
+///     resigned: 0,
+///     millicores: 100,
+/// };
 /// assert_eq!(decode::<OwnerRecord>(&encode(&owner)).unwrap(), owner);
 /// assert!(decode::<OwnerRecord>(b"?").is_err());
 /// ```
--- a/src/shards/tests.rs
+++ b/src/shards/tests.rs
@@ -10,6 +10,8 @@
         zone: zone.to_owned(),
         layout: Layout::Zones(1),
         owned: 0,
+        millicores: 100,
+        strongest: 100,
     }
 }
 
@@ -44,6 +46,29 @@
     assert!(home < away);
 }
 
+#[test]
+fn weak_hosts_of_the_zone_claim_after_strong_hosts_of_others() {
+    let view = View::default();
+    let begin = |zone: &str, millicores: u32| {
+        let candidate = Candidate {
+            millicores,
+            strongest: 500,
+            ..host("h1", zone)
+        };
+        match candidate.step("a.0", &view, at(0)) {
+            Step::ClaimAt(at) => at,
+            Step::Claim { .. } => at(0),
+            Step::Follow => panic!("nobody owns the shard"),
+        }
+    };
+    assert!(begin("a", 500) < begin("b", 500));
+    assert!(begin("b", 500) < begin("a", 69));
+    assert!(
+        begin("a", 250) < begin("b", 500),
+        "half the power is enough"
+    );
+}
+
 #[test]
 fn a_host_with_a_shard_claims_another_later() {
     let busy = Candidate {
