A host that just started waits before it claims; strong hosts take over from weak ones

It had just started: a shard that it saw for the first time counted as vacant since the start of its clock, so no delay applied. Ruled out: the store (it answered), the settling (it was over within 2 s). Change: a shard counts as vacant from when it was first seen so; a weak host does not claim by right of its former life; a strong host takes a shard over that a weak one has owned for 2 s. What the store shows of owners is a type of its own in the slice (Views), with tests that failed before.

--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -1,6 +1,5 @@
 //! Follows the owners of all shards, and claims those that have none.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,8 +17,8 @@
     Change, Commit, Item, REGISTRY_PREFIX, StoreFault, Transaction, Watched,
 };
 use crate::shards::{
-    Candidate, Hint, LAYOUT_KEY, Layout, Life, Lives, Owner, OwnerRecord, SHARD_PREFIX, ShardKey,
-    Step, View, decode, encode, epoch_key, hint_key, life_key, read_shard_key,
+    Candidate, Hint, LAYOUT_KEY, Layout, Life, Lives, OwnerRecord, SHARD_PREFIX, ShardKey, Step,
+    Views, decode, encode, epoch_key, hint_key, life_key, read_shard_key,
 };
 
 /// How long a watch waits for a change.
@@ -34,7 +33,7 @@
 /// What this host knows of the shards' owners.
 struct Follower {
     node: Arc<Node>,
-    views: HashMap<String, View>,
+    views: Views,
     /// The revision that the views are as of; none if they must be read anew.
     revision: Option<u64>,
     owned: Vec<String>,
@@ -49,7 +48,7 @@
 pub(super) async fn follow(node: Arc<Node>) {
     let (ended, mut endings) = mpsc::unbounded_channel();
     let mut follower = Follower {
-        views: HashMap::new(),
+        views: Views::default(),
         node: node.clone(),
         revision: None,
         owned: Vec::new(),
@@ -135,13 +134,17 @@
             return WAIT;
         }
         let mut wait = WAIT;
-        let shards: Vec<String> = self.views.keys().cloned().collect();
+        let shards: Vec<String> = self
+            .views
+            .iter()
+            .map(|(shard, _)| shard.to_owned())
+            .collect();
         for shard in shards {
             if self.owned.contains(&shard) {
                 continue;
             }
             let now = Moment::now();
-            match self.candidate().step(&shard, &self.views[&shard], now) {
+            match self.candidate().step(&shard, &self.views.get(&shard), now) {
                 Step::Follow => {}
                 Step::ClaimAt(at) => wait = wait.min(now.until(at)),
                 Step::Claim { epoch, .. } if epoch > 0 && now < self.patience => {
@@ -178,7 +181,7 @@
                 let claim = Claim {
                     shard: shard.to_owned(),
                     fence,
-                    former: self.views[shard].owner.clone(),
+                    former: self.views.get(shard).owner,
                     lease,
                     begun,
                 };
@@ -233,13 +236,7 @@
     }
 
     fn read_all(&mut self, items: &[Item]) {
-        let now = Moment::now();
-        for view in self.views.values_mut() {
-            let had = view.hint.take().is_some();
-            if had || view.vacant == Moment::default() {
-                view.vacant = now;
-            }
-        }
+        self.views.forget_hints(Moment::now());
         for item in items {
             self.apply(&Change::Written(item.clone()));
         }
@@ -275,23 +272,16 @@
                 });
             }
             (Some(ShardKey::Epoch(shard)), Some((owner, revision))) => {
-                let view = self.views.entry(shard.to_owned()).or_default();
-                view.epoch = revision;
-                view.owner = Some(Owner {
-                    host: owner.host,
-                    life: owner.life,
-                    fence: revision,
-                    released: owner.released,
-                });
+                self.views.on_epoch(shard, owner, revision, now);
             }
             (Some(ShardKey::Hint(shard)), record) => {
-                let view = self.views.entry(shard.to_owned()).or_default();
-                view.vacant = now;
-                view.hint = record.map(|(owner, revision)| Hint {
+                let hint = record.map(|(owner, revision)| Hint {
                     host: owner.host,
                     life: owner.life,
                     revision,
+                    millicores: owner.millicores,
                 });
+                self.views.on_hint(shard, hint, now);
             }
             _ => {}
         }
@@ -304,13 +294,8 @@
         match decode::<Layout>(&item.value.0) {
             Ok(layout) => {
                 self.node.divide(layout);
-                for shard in layout.shards(&self.node.settings.zones) {
-                    let vacant = View {
-                        vacant: Moment::now(),
-                        ..View::default()
-                    };
-                    self.views.entry(shard).or_insert(vacant);
-                }
+                let shards = layout.shards(&self.node.settings.zones);
+                self.views.lay_out(shards, Moment::now());
             }
             Err(error) => journal::line(&DaemonLine::ValueIgnored {
                 key: &item.key,
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -22,6 +22,8 @@
 /// How much later a host claims whose processor is weak: strong hosts of other
 /// zones come before it.
 const WEAK_DELAY: Duration = Duration::from_millis(2500);
+/// How long a weak host owns a shard before a strong one takes it over.
+const WEAK_TERM: Duration = Duration::from_secs(2);
 /// A host is weak if the strongest one has more than this many times its power.
 const WEAK_FACTOR: u32 = 2;
 
@@ -87,6 +89,8 @@
     pub life: u64,
     /// The revision of the hint.
     pub revision: u64,
+    /// What the host may use of its processor, in thousandths of a core.
+    pub millicores: u32,
 }
 
 /// What is known of a shard's ownership.
@@ -98,8 +102,8 @@
     pub owner: Option<Owner>,
     /// The hint, if there is one.
     pub hint: Option<Hint>,
-    /// Since when there has been no hint.
-    pub vacant: Moment,
+    /// Since when this host has seen this hint, or none.
+    pub since: Moment,
 }
 
 /// Who might claim.
@@ -154,7 +158,7 @@
     ///     millicores: 100,
     ///     strongest: 100,
     /// };
-    /// let former = Hint { host: "a1".into(), life: 1, revision: 9 };
+    /// let former = Hint { host: "a1".into(), life: 1, revision: 9, millicores: 100 };
     /// let view = View { epoch: 8, hint: Some(former), ..View::default() };
     /// let step = me.step("a", &view, Moment::default());
     /// assert_eq!(step, Step::Claim { hint: 9, epoch: 8 });
@@ -163,22 +167,27 @@
         let epoch = view.epoch;
         match &view.hint {
             // An earlier life of this process has ended.
-            Some(hint) if hint.host == self.host && hint.life != self.life => Step::Claim {
+            Some(hint) if self.is_former_life(hint) && !self.is_weak() => Step::Claim {
                 hint: hint.revision,
                 epoch,
             },
-            Some(_) => Step::Follow,
-            None => {
-                let at = view.vacant + self.delay(shard);
-                if at <= now {
-                    Step::Claim { hint: 0, epoch }
-                } else {
-                    Step::ClaimAt(at)
-                }
+            Some(hint) if is_weak(hint.millicores, self.millicores) => {
+                let at = view.since + WEAK_TERM + self.delay(shard);
+                claim_at(at, hint.revision, epoch, now)
             }
+            Some(_) => Step::Follow,
+            None => claim_at(view.since + self.delay(shard), 0, epoch, now),
         }
     }
 
+    fn is_former_life(&self, hint: &Hint) -> bool {
+        hint.host == self.host && hint.life != self.life
+    }
+
+    fn is_weak(&self) -> bool {
+        is_weak(self.millicores, self.strongest)
+    }
+
     /// What this host knows of the owner before it; `life` is the newest life
     /// of the owner's host that is known.
     ///
@@ -221,8 +230,24 @@
         } else {
             AWAY_DELAY + AWAY_SPREAD.mul_f64(share)
         };
-        let weak = self.millicores.saturating_mul(WEAK_FACTOR) < self.strongest;
-        let wait = if weak { WEAK_DELAY } else { Duration::ZERO };
+        let wait = if self.is_weak() {
+            WEAK_DELAY
+        } else {
+            Duration::ZERO
+        };
         spread + wait + BUSY_DELAY * self.owned
     }
 }
+
+/// Whether a host is too weak to own a shard while another is there.
+const fn is_weak(millicores: u32, other: u32) -> bool {
+    millicores.saturating_mul(WEAK_FACTOR) < other
+}
+
+fn claim_at(at: Moment, hint: u64, epoch: u64, now: Moment) -> Step {
+    if at <= now {
+        Step::Claim { hint, epoch }
+    } else {
+        Step::ClaimAt(at)
+    }
+}
--- a/src/shards/mod.rs
+++ b/src/shards/mod.rs
@@ -10,6 +10,7 @@
 mod record;
 #[cfg(test)]
 mod tests;
+mod views;
 
 pub use claim::{
     Candidate, Former, GIVES_UP, Hint, LONGEST_LEASE, Life, Lives, Owner, Step, View, settles,
@@ -21,3 +22,4 @@
 };
 pub use layout::Layout;
 pub use record::{Accepted, JobRecord, OwnerRecord, RecordError, decode, encode};
+pub use views::Views;
--- a/src/shards/tests.rs
+++ b/src/shards/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{Candidate, Hint, Layout, Step, View};
+use super::{Candidate, Hint, Layout, OwnerRecord, Step, View, Views};
 use crate::moment::Moment;
 
 fn host(name: &str, zone: &str) -> Candidate {
@@ -25,6 +25,7 @@
         host: "a2".to_owned(),
         life: 5,
         revision: 3,
+        millicores: 100,
     };
     let view = View {
         hint: Some(hint),
@@ -69,6 +70,63 @@
     );
 }
 
+fn strong(name: &str) -> Candidate {
+    Candidate {
+        millicores: 500,
+        strongest: 500,
+        ..host(name, "a")
+    }
+}
+
+fn weak(name: &str) -> Candidate {
+    Candidate {
+        millicores: 69,
+        ..strong(name)
+    }
+}
+
+fn owner(host: &str, life: u64) -> OwnerRecord {
+    OwnerRecord {
+        host: host.to_owned(),
+        life,
+        released: false,
+        resigned: 0,
+        millicores: 69,
+    }
+}
+
+#[test]
+fn a_host_that_just_started_claims_after_its_delay() {
+    let mut views = Views::default();
+    views.on_epoch("a.0", owner("a9", 4), 8, at(60_000));
+    let step = weak("a1").step("a.0", &views.get("a.0"), at(60_000));
+    assert!(matches!(step, Step::ClaimAt(due) if due >= at(62_500)));
+}
+
+#[test]
+fn a_strong_host_takes_over_from_a_weak_one() {
+    let hint = Hint {
+        host: "a2".to_owned(),
+        life: 5,
+        revision: 3,
+        millicores: 69,
+    };
+    let view = View {
+        epoch: 2,
+        hint: Some(hint),
+        ..View::default()
+    };
+    let claim = Step::Claim { hint: 3, epoch: 2 };
+    assert!(matches!(
+        strong("a1").step("a.0", &view, at(1000)),
+        Step::ClaimAt(_)
+    ));
+    assert_eq!(strong("a1").step("a.0", &view, at(3000)), claim);
+    assert_eq!(weak("a3").step("a.0", &view, at(3000)), Step::Follow);
+    // After a restart it leaves the shard to strong hosts for a while.
+    assert_eq!(weak("a2").step("a.0", &view, at(3000)), Step::Follow);
+}
+
 #[test]
 fn a_host_with_a_shard_claims_another_later() {
     let busy = Candidate {
