New jobs do not wait for a former owner; impaired workers are relieved

Change 1: a claim also marks the shard's place among the jobs, so a former owner that follows them meets the mark before any job accepted after the claim, and ends. Such jobs start at once. Cause 3: hung and slow workers answer; their serving tasks report tails of 47 to 700 times the target, which blamed the filling images beside them, and tasks stayed for the whole fault. Change 3: if no serving tail of a worker is below 20 times its target, or two runs make no progress for 1.6 s, the worker is avoided, its tasks are moved, and nothing is learned from it.

--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -18,7 +18,7 @@
 };
 use crate::shards::{
     Candidate, Hint, LAYOUT_KEY, Layout, Life, Lives, OwnerRecord, SHARD_PREFIX, ShardKey, Step,
-    Views, decode, encode, epoch_key, hint_key, life_key, read_shard_key,
+    Views, claimed_key, decode, encode, epoch_key, hint_key, life_key, read_shard_key,
 };
 
 /// How long a watch waits for a change.
@@ -170,6 +170,7 @@
             .require(&hint_key(shard), hint)
             .require(&epoch_key(shard), epoch)
             .set_leased(&hint_key(shard), owner.clone(), lease)
+            .set(&claimed_key(shard), owner.clone())
             .set(&epoch_key(shard), owner);
         match self.node.call(self.node.store.commit(&transaction)).await {
             Ok(Commit::Done(fence)) => {
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -13,7 +13,9 @@
 use crate::fleet::Registration;
 use crate::journal;
 use crate::moment::Moment;
-use crate::platform::fleet::{Change, Item, REGISTRY_PREFIX, StoreFault, Watched, read_worker};
+use crate::platform::fleet::{
+    Change, Item, Page, REGISTRY_PREFIX, StoreFault, Watched, read_worker,
+};
 use crate::schedule::PairRecord;
 use crate::shards::{
     Accepted, JobKey, decode, pairs_key, progress_prefix, read_job_key, roster_key, work_prefix,
@@ -83,7 +85,7 @@
         store.range(REGISTRY_PREFIX, false),
     )?;
     let progress = read_progress(&progress_place, &progress.items);
-    take_jobs(reign, &work.items, &progress);
+    take_jobs(reign, up_to(&work), &progress);
     take_registry(reign, &registry.items);
     take_roster(reign, roster);
     if let Some(records) = pairs.as_ref().and_then(readable::<Vec<PairRecord>>) {
@@ -114,9 +116,29 @@
     journal::line(&DaemonLine::ValueIgnored { key, reason });
 }
 
-fn take_jobs(reign: &Reign, items: &[Item], progress: &HashMap<WorkflowId, Progress>) {
+/// The items of a reading that are not newer than its begin. The watch from
+/// there brings the others in their order.
+fn up_to(page: &Page) -> impl Iterator<Item = &Item> {
+    page.items
+        .iter()
+        .filter(|item| item.revision <= page.revision)
+}
+
+/// Takes in jobs in the order of their revisions, up to the next claim of the
+/// shard: a job that was accepted after it is the new owner's.
+fn take_jobs<'a>(
+    reign: &Reign,
+    items: impl Iterator<Item = &'a Item>,
+    progress: &HashMap<WorkflowId, Progress>,
+) {
+    let mut items: Vec<&Item> = items.collect();
+    items.sort_by_key(|item| item.revision);
     for item in items {
         match read_job_key(&reign.claim.shard, &item.key) {
+            Some(JobKey::Claimed) if item.revision > reign.claim.fence => {
+                return reign.lose("another host claimed it");
+            }
+            Some(JobKey::Claimed) => {}
             Some(JobKey::Job(id)) => take_job(reign, id, item, progress.get(&id)),
             Some(JobKey::Cancelled(id)) => reign.decide(|scheduler, now| scheduler.cancel(id, now)),
             None => ignore(&item.key, "no key of a job".to_owned()),
@@ -187,7 +209,7 @@
                 })
                 .collect();
             if !written.is_empty() {
-                take_jobs(reign, &written, &HashMap::new());
+                take_jobs(reign, written.iter(), &HashMap::new());
                 reign.wake();
             }
             Ok(revision)
@@ -200,7 +222,7 @@
     let prefix = work_prefix(&reign.claim.shard);
     let node = &reign.node;
     let page = node.call(node.store.range(&prefix, false)).await?;
-    take_jobs(reign, &page.items, &HashMap::new());
+    take_jobs(reign, up_to(&page), &HashMap::new());
     reign.wake();
     Ok(page.revision)
 }
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -73,7 +73,6 @@
     let term = Term {
         fence: claim.fence,
         settles: settling,
-        contested: claim.former.is_some(),
     };
     let reign = Arc::new(Reign {
         write: Notify::new(),
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -95,6 +95,8 @@
     pub pending: VecDeque<(u64, u64)>,
     /// Whether its results speak for it.
     pub trust: Trust,
+    /// Until when new tasks avoid it, as what it runs stands still or crawls.
+    pub avoided: Option<Moment>,
     /// The worst tail against its target, in percent.
     pub strain: u32,
     /// When its tails were judged last.
@@ -128,6 +130,7 @@
             acknowledged: 0,
             pending: VecDeque::new(),
             trust: Trust::default(),
+            avoided: None,
             strain: 0,
             observed: Moment::default(),
             calm: now,
@@ -154,6 +157,7 @@
             && self.entry.standing == Standing::Ready
             && now - self.contact < FRESH
             && !self.trust.is_lost(now)
+            && self.avoided.is_none_or(|until| until <= now)
     }
 
     /// What is free for tasks that do not fill.
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -10,6 +10,8 @@
 
 /// The most ends that a worker lists at once; a full list may not be complete.
 const FULL_LIST: usize = 500;
+/// How many of the workers that did not answer a line of the log names.
+const NAMED: usize = 5;
 /// How long after a stop the same run is stopped once more.
 const STOP_AGAIN: Duration = Duration::from_millis(600);
 
@@ -35,7 +37,9 @@
         if complete {
             self.find_missing(key, sent, look, now);
         }
-        self.adjust_pace(key, look, now);
+        if !self.check_worker(key, look, now) {
+            self.adjust_pace(key, look, now);
+        }
         let written = self.writes.written();
         self.workers[key].acknowledge(written);
         if first {
@@ -122,6 +126,8 @@
         if self.settling && !answered && !lapsed {
             return;
         }
+        let silent = self.former.iter().take(NAMED);
+        let silent = silent.map(|key| self.worker_name(*key)).collect();
         if lapsed {
             self.closed.clear();
             self.forget_former();
@@ -139,6 +145,7 @@
             tasks: keys.len(),
             kept: kept.len(),
             answered,
+            silent,
         });
         let mut flows = HashSet::new();
         for key in keys {
@@ -153,7 +160,6 @@
 
     /// Takes in that the former owner has ended: all its leases end by `settles`.
     pub fn settle_by(&mut self, settles: Moment) {
-        self.term.contested = false;
         if let Some(known) = &mut self.term.settles {
             *known = settles.min(*known);
         }
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -2,6 +2,7 @@
 
 mod ends;
 mod gang;
+mod impaired;
 mod note;
 mod order;
 mod pace;
--- a/src/schedule/note.rs
+++ b/src/schedule/note.rs
@@ -139,5 +139,7 @@
         kept: usize,
         /// Whether every worker answered, or the time of all leases passed.
         answered: bool,
+        /// Some of the workers that did not answer.
+        silent: Vec<String>,
     },
 }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -41,9 +41,6 @@
     /// When every lease that a former owner could give has ended; none if
     /// there was no former owner.
     pub settles: Option<Moment>,
-    /// Whether the former owner may still give orders, also for jobs that are
-    /// accepted now.
-    pub contested: bool,
 }
 
 /// The state of a shard's owner.
@@ -136,9 +133,9 @@
     }
 
     /// Whether a former owner may have started tasks of a job that was accepted
-    /// at this revision.
+    /// at this revision. It takes in no job that was accepted after the claim.
     fn is_inherited(&self, revision: u64) -> bool {
-        self.settling && (self.term.contested || revision < self.term.fence)
+        self.settling && revision < self.term.fence
     }
 
     /// Ends a job because a caller cancelled it.
@@ -296,7 +293,7 @@
         }
     }
 
-    fn step_of(&self, key: TaskKey) -> &Step {
+    pub(super) fn step_of(&self, key: TaskKey) -> &Step {
         let task = &self.ledger.tasks[key];
         self.ledger.flows[task.flow].step(task.name)
     }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -66,6 +66,8 @@
     pub progress: Vec<(FlowKey, WorkflowId, Progress)>,
     /// The workers that may be used, if they changed.
     pub roster: Option<Vec<RosterEntry>>,
+    /// Which state of the roster that is.
+    pub roster_state: u64,
     /// How many jobs of each queue have not started, if that changed.
     pub pending: Option<BTreeMap<String, u64>>,
     /// What is known of interference, now and then.
@@ -93,6 +95,8 @@
     started: BTreeSet<FlowKey>,
     touched: BTreeSet<FlowKey>,
     roster: Enrolment,
+    /// Counts the changes of the roster, as one may come during a write.
+    roster_state: u64,
     counts: BTreeMap<String, u64>,
     pairs: Moment,
     begun: u64,
@@ -130,6 +134,7 @@
     }
 
     pub fn enrol(&mut self) {
+        self.roster_state += 1;
         if self.roster == Enrolment::Written {
             self.roster = Enrolment::Changed;
         }
@@ -169,6 +174,7 @@
         };
         if self.writes.roster == Enrolment::Changed {
             batch.roster = Some(self.roster());
+            batch.roster_state = self.writes.roster_state;
         }
         if whole {
             self.writes.begun += 1;
@@ -185,7 +191,7 @@
     /// Takes in that all of a batch is in the store.
     pub fn on_written(&mut self, batch: &Batch, whole: bool) {
         if let Some(roster) = &batch.roster {
-            self.enrol(roster);
+            self.enrol(roster, batch.roster_state);
         }
         if let Some(counts) = &batch.pending {
             self.writes.counts.clone_from(counts);
@@ -275,7 +281,7 @@
         silent.then(|| worker.tasks.keys().copied().collect())
     }
 
-    fn enrol(&mut self, roster: &[RosterEntry]) {
+    fn enrol(&mut self, roster: &[RosterEntry], state: u64) {
         for entry in roster.iter().filter(|entry| entry.closed.is_none()) {
             if let Some(key) = self.by_id.get(&entry.id) {
                 self.workers[*key].enrolled = true;
@@ -283,7 +289,7 @@
         }
         let settled = |worker: &Worker| worker.enrolled || (worker.synced && !worker.answers);
         let all = self.workers.values().all(settled);
-        self.writes.roster = if all {
+        self.writes.roster = if all && state == self.writes.roster_state {
             Enrolment::Written
         } else {
             Enrolment::Changed
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -28,6 +28,8 @@
     Job(WorkflowId),
     /// The mark that a caller cancelled it.
     Cancelled(WorkflowId),
+    /// The mark of the last claim of the shard.
+    Claimed,
 }
 
 /// Who owns the shard; its revision is the fencing token.
@@ -86,6 +88,13 @@
     format!("work/{shard}/{id}/cancelled")
 }
 
+/// The mark of the last claim of a shard. It is written with the claim and lies
+/// among the jobs, so that a former owner that follows them meets it before any
+/// job that was accepted after the claim.
+pub fn claimed_key(shard: &str) -> String {
+    format!("work/{shard}/claimed")
+}
+
 /// Reads a key under a shard's [`work_prefix`].
 ///
 /// ```
@@ -101,6 +110,7 @@
         .strip_prefix(shard)?
         .strip_prefix('/')?;
     match rest.split_once('/') {
+        None if rest == "claimed" => Some(JobKey::Claimed),
         None => rest.parse().ok().map(JobKey::Job),
         Some((id, "cancelled")) => id.parse().ok().map(JobKey::Cancelled),
         Some(_) => None,
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -47,6 +47,39 @@
     }
 }
 
+/// How far a run is, and since when.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RunProgress {
+    run: u64,
+    percent: u8,
+    since: Moment,
+}
+
+impl RunProgress {
+    /// Takes in a report of a run. Returns when the run was first seen this far.
+    ///
+    /// ```
+    /// use lycheelock::moment::Moment;
+    /// use lycheelock::workflow::RunProgress;
+    ///
+    /// let at = |second| Moment::from_micros(second * 1_000_000);
+    /// let mut progress = RunProgress::default();
+    /// progress.note(7, 40, at(1));
+    /// assert_eq!(progress.note(7, 40, at(2)), at(1));
+    /// assert_eq!(progress.note(7, 41, at(3)), at(3));
+    /// ```
+    pub fn note(&mut self, run: u64, percent: u8, now: Moment) -> Moment {
+        if (run, percent) != (self.run, self.percent) {
+            *self = Self {
+                run,
+                percent,
+                since: now,
+            };
+        }
+        self.since
+    }
+}
+
 /// One task.
 #[derive(Debug, Clone)]
 pub struct Task {
@@ -70,6 +103,8 @@
     pub ready: Moment,
     /// The share of its speed that it may work at, in percent.
     pub pace: u8,
+    /// How far its current run is.
+    pub progress: RunProgress,
     /// It starts again only once the store has confirmed the ownership after
     /// this moment: a newer owner could have prolonged the run believed lost.
     pub gate: Moment,
@@ -230,6 +265,7 @@
                     since: now,
                     ready: now,
                     pace: FULL_SPEED,
+                    progress: RunProgress::default(),
                     gate: Moment::default(),
                     confirmed: false,
                 })
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -8,7 +8,7 @@
 mod tests;
 
 pub use ledger::{
-    FULL_SPEED, Flow, FlowKey, Ledger, Occurrence, Stage, Task, TaskKey, Verdict, dues,
+    FULL_SPEED, Flow, FlowKey, Ledger, Occurrence, RunProgress, Stage, Task, TaskKey, Verdict, dues,
 };
 pub use name::{ParseNameError, TaskName, WorkflowId};
 pub use progress::{Progress, TaskRecord};
