Small jobs and those nearly done come first where not all can end in time

Once more is due than the workers can do, that order brings most jobs to their end just too late. Ruled out: pure order by the work left (a weight of 1): the largest tenth of a kind may not be served less than half as often as the whole kind. Change: a tenth of the work that is left of a job is added to its latest start.

--- a/src/schedule/rank.rs
+++ b/src/schedule/rank.rs
@@ -19,6 +19,10 @@
     Overdue,
 }
 
+/// How much later a job may start for each second of work that is left of it:
+/// where not all can end in time, small jobs and those nearly done come first.
+const WORK_WEIGHT: f64 = 0.1;
+
 /// The place of a task in the queue; the smallest comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
@@ -26,7 +30,7 @@
     pub priority: u32,
     /// What the caller still gains.
     pub prospect: Prospect,
-    /// The latest start that ends the job in time.
+    /// The latest start that ends the job in time, later for much work.
     pub latest: Moment,
     /// Keeps ranks apart.
     pub task: TaskKey,
@@ -39,6 +43,7 @@
     let allowed = flow.objective() - flow.accepted;
     let rest = rest_of_chain(flow, task.name.step as usize);
     let end = begin + allowed;
+    let work = work_left(flow, task.name.occurrence as usize);
     let prospect = if now + rest <= end {
         Prospect::InTime
     } else if now + rest <= begin + allowed * WORTHLESS_AFTER {
@@ -53,7 +58,9 @@
         } else {
             prospect
         },
-        latest: Moment::default() + (end - Moment::default()).saturating_sub(rest),
+        latest: Moment::default()
+            + (end - Moment::default()).saturating_sub(rest)
+            + work.mul_f64(WORK_WEIGHT),
         task: key,
     }
 }
@@ -72,3 +79,10 @@
     }
     rest[step]
 }
+
+/// The estimated work of all tasks of a repetition that are not done.
+fn work_left(flow: &Flow, occurrence: usize) -> Duration {
+    let left = &flow.occurrences[occurrence].left;
+    let steps = flow.workflow.steps.iter().zip(left);
+    steps.map(|(step, left)| step.estimate * *left).sum()
+}
--- a/src/schedule/tests.rs
+++ b/src/schedule/tests.rs
@@ -363,7 +363,11 @@
     };
     let mut shard = Shard::first(&["w0"]);
     shard.submit(flow(1, vec![gang(3, 3)], 1, 0));
-    shard.submit(flow(2, vec![gang(2, 3)], 2, 0));
+    let later = Flow {
+        accepted: at(1_000),
+        ..flow(2, vec![gang(2, 3)], 2, 0)
+    };
+    shard.submit(later);
     shard.plan();
     insta::assert_snapshot!(shard.orders(), @r"
     w0: start 0000000000000002.0.0.0 run 100000002
@@ -861,6 +865,23 @@
     assert_eq!(shard.stage(task), Stage::Stopping(shard.workers[place]));
 }
 
+#[test]
+fn small_jobs_come_before_large_ones_unless_these_are_due_much_earlier() {
+    let started = |large: u64| {
+        let mut shard = Shard::first(&["w0"]);
+        let later = Flow {
+            accepted: at(large),
+            ..flow(2, vec![step(1, 8)], 2, 0)
+        };
+        shard.submit(flow(1, vec![step(20, 8)], 1, 0));
+        shard.submit(later);
+        shard.plan();
+        shard.confirm()[0].1.workflow
+    };
+    assert_eq!(started(1_000), WorkflowId(2));
+    assert_eq!(started(3_000), WorkflowId(1));
+}
+
 #[test]
 fn a_cancelled_job_stops_and_starts_nothing() {
     let mut shard = Shard::first(&["w0"]);
