--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -22,6 +22,9 @@
 /// Between tries while the store does not answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// Every transaction requires the epoch.
+const EPOCH_ROWS: usize = 1;
+
 /// One change to be written, with the rows that it needs.
 #[derive(Debug, Clone)]
 enum Entry {
@@ -33,6 +36,17 @@
     Pairs(Vec<u8>),
 }
 
+impl Entry {
+    /// How many rows of a transaction it takes.
+    const fn rows(&self) -> usize {
+        match self {
+            Self::End(_) => 4,
+            Self::Start(_) => 2,
+            Self::Progress(..) | Self::Roster(_) | Self::Pending(_) | Self::Pairs(_) => 1,
+        }
+    }
+}
+
 /// Writes as long as the ownership lasts.
 pub(super) async fn run(reign: Arc<Reign>) {
     let mut last = Moment::default();
@@ -63,17 +77,16 @@
 
 async fn write(reign: &Reign, batch: &Batch) -> Result<(), StoreFault> {
     let mut group: Vec<Entry> = Vec::new();
+    let mut rows = EPOCH_ROWS;
     for entry in entries(batch) {
-        let mut grown = group.clone();
-        grown.push(entry.clone());
-        if transaction(reign, &grown).rows() > Transaction::MOST_ROWS {
-            write_group(reign, &group).await?;
-            group = vec![entry];
-        } else {
-            group = grown;
+        if rows + entry.rows() > Transaction::MOST_ROWS {
+            write_group(reign, std::mem::take(&mut group)).await?;
+            rows = EPOCH_ROWS;
         }
+        rows += entry.rows();
+        group.push(entry);
     }
-    write_group(reign, &group).await
+    write_group(reign, group).await
 }
 
 fn entries(batch: &Batch) -> Vec<Entry> {
@@ -142,8 +155,7 @@
     })
 }
 
-async fn write_group(reign: &Reign, group: &[Entry]) -> Result<(), StoreFault> {
-    let mut group = group.to_vec();
+async fn write_group(reign: &Reign, mut group: Vec<Entry>) -> Result<(), StoreFault> {
     while !group.is_empty() {
         let sent = Moment::now();
         let transaction = transaction(reign, &group);
--- a/src/platform/fleet/store.rs
+++ b/src/platform/fleet/store.rs
@@ -197,11 +197,6 @@
         self.removals.push(key.to_owned());
         self
     }
-
-    /// How many rows it has.
-    pub fn rows(&self) -> usize {
-        self.conditions.len() + self.sets.len() + self.removals.len()
-    }
 }
 
 #[derive(Deserialize)]
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -43,6 +43,29 @@
     pub settles: Option<Moment>,
 }
 
+/// The terms of all queues, as the newest known configuration has them.
+#[derive(Debug, Default)]
+struct Terms {
+    version: u64,
+    queues: HashMap<String, Arc<Queue>>,
+}
+
+impl Terms {
+    fn of(queues: &Queues) -> Self {
+        let shared = |queue: &Queue| (queue.name.clone(), Arc::new(queue.clone()));
+        Self {
+            version: queues.version,
+            queues: queues.list.iter().map(shared).collect(),
+        }
+    }
+
+    fn apply(&self, flow: &mut Flow) {
+        if let Some(queue) = self.queues.get(&flow.queue.name) {
+            flow.queue = queue.clone();
+        }
+    }
+}
+
 /// The state of a shard's owner.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -52,6 +75,7 @@
     pub workers: SlotMap<WorkerKey, Worker>,
     pub(super) by_id: HashMap<String, WorkerKey>,
     pub(super) term: Term,
+    terms: Terms,
     pub(super) settling: bool,
     pub(super) unsettled: bool,
     pub(super) former: HashSet<WorkerKey>,
@@ -79,6 +103,7 @@
             workers: SlotMap::with_key(),
             by_id: HashMap::new(),
             term,
+            terms: Terms::default(),
             settling: term.settles.is_some(),
             unsettled: term.settles.is_some(),
             former: HashSet::new(),
@@ -105,12 +130,13 @@
     }
 
     /// Takes in an accepted job. A job that is known already changes nothing.
-    pub fn submit(&mut self, flow: Flow, progress: Option<&Progress>, now: Moment) {
+    pub fn submit(&mut self, mut flow: Flow, progress: Option<&Progress>, now: Moment) {
         let known = self.ledger.find(flow.id).is_some();
         if known || self.ended.contains_key(&flow.id) {
             return;
         }
         let (id, queue, revision) = (flow.id, flow.queue.name.clone(), flow.revision);
+        self.terms.apply(&mut flow);
         let inherited = self.is_inherited(revision);
         let recurring = flow.workflow.recurrence.is_some();
         let key = self.ledger.add(flow);
@@ -150,17 +176,14 @@
         self.end_flow(key, now);
     }
 
-    /// Uses the terms of newer queues for the jobs that are known.
+    /// Uses the terms of newer queues for all jobs, also for those to come.
     pub fn configure(&mut self, queues: &Queues) {
-        let shared: HashMap<&str, Arc<Queue>> = queues
-            .list
-            .iter()
-            .map(|queue| (queue.name.as_str(), Arc::new(queue.clone())))
-            .collect();
+        if self.terms.version == queues.version {
+            return;
+        }
+        self.terms = Terms::of(queues);
         for flow in self.ledger.flows.values_mut() {
-            if let Some(queue) = shared.get(flow.queue.name.as_str()) {
-                flow.queue = queue.clone();
-            }
+            self.terms.apply(flow);
         }
     }
 
--- a/src/schedule/tests.rs
+++ b/src/schedule/tests.rs
@@ -9,7 +9,7 @@
     Capacity, EndedRun, Ending, LiveRun, Look, Registration, Standing, StartReply, WorkerKey,
 };
 use crate::moment::Moment;
-use crate::routing::Queue;
+use crate::routing::{Queue, Queues};
 use crate::workflow::{
     Flow, Progress, Stage, Step, TaskKey, TaskName, TaskRecord, Workflow, WorkflowId, WorkflowState,
 };
@@ -882,6 +882,26 @@
     assert_eq!(started(3_000), WorkflowId(1));
 }
 
+#[test]
+fn a_job_that_was_accepted_under_older_terms_gets_the_newest() {
+    let mut shard = Shard::first(&["w0"]);
+    let queue = Queue {
+        attempts: 7,
+        ..flow(1, vec![step(1, 1)], 1, 0).queue.as_ref().clone()
+    };
+    let queues = Queues {
+        version: 2,
+        list: vec![queue],
+        ..Queues::default()
+    };
+    shard.submit(flow(1, vec![step(1, 1)], 1, 0));
+    shard.scheduler.configure(&queues);
+    shard.submit(flow(2, vec![step(1, 1)], 2, 0));
+    let flows = shard.scheduler.ledger.flows.values();
+    let attempts: Vec<u32> = flows.map(|flow| flow.queue.attempts).collect();
+    assert_eq!(attempts, [7, 7]);
+}
+
 #[test]
 fn a_cancelled_job_stops_and_starts_nothing() {
     let mut shard = Shard::first(&["w0"]);
