Gangs that want one rack wait a while for it

Cause: same_rack was decoded and steered nothing; such a gang on several racks takes remote_factor times as long. Change: each rack is tried for the whole gang first; after the estimate, 1.5 s at the most, any workers will do.

--- a/src/schedule/gang.rs
+++ b/src/schedule/gang.rs
@@ -1,9 +1,16 @@
 //! Tasks that work only together.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
 use super::Scheduler;
+use super::place::Among;
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey};
 
+/// How long a gang waits at the most for room on a single rack.
+const RACK_PATIENCE: Duration = Duration::from_millis(1500);
+
 impl Scheduler {
     /// All tasks of the step and repetition of a task.
     pub(super) fn members(&self, task: TaskKey) -> Vec<TaskKey> {
@@ -32,21 +39,50 @@
             .max()
             .unwrap_or_default();
         let run = self.next_run();
+        let choices = self.choices(task, now);
+        let placed = choices
+            .iter()
+            .any(|among| self.assign_all(&members, run, among, now));
+        if !placed {
+            return false;
+        }
+        for member in members {
+            self.ledger.tasks[member].checkpoint.clone_from(&checkpoint);
+            self.send_start(member, now);
+        }
+        true
+    }
+
+    /// Where a gang is tried, the best first. One that wants a single rack waits
+    /// a while for it, as it would be slower on several.
+    fn choices(&self, task: TaskKey, now: Moment) -> Vec<Among> {
+        let step = self.step_of(task);
+        if !step.same_rack {
+            return vec![Among::All];
+        }
+        let waited = now - self.ledger.tasks[task].ready;
+        let racks: BTreeSet<Among> = self
+            .workers
+            .values()
+            .map(|worker| Among::Rack(worker.entry.rack().to_owned()))
+            .collect();
+        let anywhere = (waited >= step.estimate.min(RACK_PATIENCE)).then_some(Among::All);
+        racks.into_iter().chain(anywhere).collect()
+    }
+
+    /// Gives every member a worker, or none of them.
+    fn assign_all(&mut self, members: &[TaskKey], run: u64, among: &Among, now: Moment) -> bool {
         let mut placed = Vec::new();
-        for member in &members {
-            let Some(worker) = self.choose_for(*member, now) else {
+        for member in members {
+            let task = &self.ledger.tasks[*member];
+            let flow = &self.ledger.flows[task.flow];
+            let Some(worker) = self.choose(flow, task, among, now) else {
                 self.take_back(&placed, now);
                 return false;
             };
-            self.ledger.tasks[*member]
-                .checkpoint
-                .clone_from(&checkpoint);
             self.assign(*member, worker, run, now);
             placed.push(*member);
         }
-        for member in placed {
-            self.send_start(member, now);
-        }
         true
     }
 
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -32,6 +32,24 @@
 /// What each task of the same step on the worker counts less, in millicores.
 const CROWDING: i64 = 500;
 
+/// The workers that a task may be given to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Among {
+    /// All of its pool.
+    All,
+    /// Those of one rack.
+    Rack(String),
+}
+
+impl Among {
+    fn has(&self, worker: &Worker) -> bool {
+        match self {
+            Self::All => true,
+            Self::Rack(rack) => rack == worker.entry.rack(),
+        }
+    }
+}
+
 /// What tasks that could not be placed in this pass asked for.
 #[derive(Debug, Default)]
 pub(super) struct Misses {
@@ -82,7 +100,13 @@
 impl Scheduler {
     /// The best worker for a task that has waited since a moment, if any can
     /// take it now.
-    pub(super) fn choose(&self, flow: &Flow, task: &Task, now: Moment) -> Option<WorkerKey> {
+    pub(super) fn choose(
+        &self,
+        flow: &Flow,
+        task: &Task,
+        among: &Among,
+        now: Moment,
+    ) -> Option<WorkerKey> {
         let (step, name) = (flow.step(task.name), task.name);
         let patient = now - task.ready < step.estimate.min(LONGEST_PATIENCE);
         let image = self.images.find(&step.image);
@@ -94,6 +118,7 @@
                 && fits(worker, step, name)
                 && !(step.fills && self.harms(worker, image, risk))
                 && (!patient || is_near(worker, step))
+                && among.has(worker)
         });
         let scored = fitting.map(|(key, worker)| {
             let company = company(worker, step, image);
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -6,7 +6,7 @@
 
 use slotmap::SlotMap;
 
-use super::place::Misses;
+use super::place::{Among, Misses};
 use super::rank::{Rank, rank};
 use super::write::Writes;
 use super::{Note, Order};
@@ -336,7 +336,7 @@
 
     pub(super) fn choose_for(&self, key: TaskKey, now: Moment) -> Option<WorkerKey> {
         let task = &self.ledger.tasks[key];
-        self.choose(&self.ledger.flows[task.flow], task, now)
+        self.choose(&self.ledger.flows[task.flow], task, &Among::All, now)
     }
 
     /// Gives a task to a worker and counts what it uses there.
--- a/src/schedule/tests.rs
+++ b/src/schedule/tests.rs
@@ -375,6 +375,42 @@
     ");
 }
 
+#[test]
+fn a_gang_that_wants_one_rack_waits_a_while_for_it() {
+    let gang = Step {
+        gang: true,
+        same_rack: true,
+        ..step(2, 5)
+    };
+    let mut shard = Shard::first(&["w0", "w1", "w2"]);
+    let place = |id: &str, rack: &str| Registration {
+        labels: vec!["kind".to_owned(), rack.to_owned()],
+        ..registration(id)
+    };
+    let racks = vec![place("w0", "b"), place("w1", "a"), place("w2", "a")];
+    shard.scheduler.on_registry(racks, at(0));
+    shard.submit(flow(1, vec![gang.clone()], 1, 0));
+    shard.plan();
+    insta::assert_snapshot!(shard.orders(), @r"
+    w2: start 0000000000000001.0.0.0 run 100000001
+    w1: start 0000000000000001.0.0.1 run 100000001
+    ");
+    let runs = shard.confirm();
+    shard.submit(flow(2, vec![Step { count: 2, ..gang }], 2, 0));
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    shard.now = 1_100;
+    let ended = runs.iter().find(|run| run.0 == 1).unwrap();
+    shard.look(1, &[], &[(1, ended.1, ended.2, Ending::Stopped)]);
+    shard.look(0, &[], &[]);
+    shard.plan();
+    assert!(
+        shard.orders().contains("w0: start 0000000000000002"),
+        "{}",
+        shard.orders()
+    );
+}
+
 #[test]
 fn a_task_that_fails_too_often_ends_its_job_and_stops_the_rest() {
     let mut shard = Shard::first(&["w0"]);
