--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -18,7 +18,8 @@
 };
 use crate::schedule::PairRecord;
 use crate::shards::{
-    Accepted, JobKey, decode, pairs_key, progress_prefix, read_job_key, roster_key, work_prefix,
+    Accepted, JobKey, decode, is_later_claim, pairs_key, progress_prefix, read_job_key, roster_key,
+    work_prefix,
 };
 use crate::workflow::{Flow, Progress, WorkflowId, WorkflowState, dues};
 
@@ -133,11 +134,12 @@
 ) {
     let mut items: Vec<&Item> = items.collect();
     items.sort_by_key(|item| item.revision);
+    let claim = &reign.claim;
     for item in items {
-        match read_job_key(&reign.claim.shard, &item.key) {
-            Some(JobKey::Claimed) if item.revision > reign.claim.fence => {
-                return reign.lose("another host claimed it");
-            }
+        if is_later_claim(&claim.shard, &item.key, item.revision, claim.fence) {
+            return reign.lose("another host claimed it");
+        }
+        match read_job_key(&claim.shard, &item.key) {
             Some(JobKey::Claimed) => {}
             Some(JobKey::Job(id)) => take_job(reign, id, item, progress.get(&id)),
             Some(JobKey::Cancelled(id)) => reign.decide(|scheduler, now| scheduler.cancel(id, now)),
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -95,6 +95,22 @@
     format!("work/{shard}/claimed")
 }
 
+/// Whether a change of a key shows that the shard was claimed after the claim
+/// with this fencing token. Whoever holds that token takes in no job from there on.
+///
+/// ```
+/// use lycheelock::shards::{claimed_key, is_later_claim, work_key};
+/// use lycheelock::workflow::WorkflowId;
+///
+/// let (mark, job) = (claimed_key("gt-a"), work_key("gt-a", WorkflowId(7)));
+/// assert!(is_later_claim("gt-a", &mark, 31, 30));
+/// assert!(!is_later_claim("gt-a", &mark, 30, 30));
+/// assert!(!is_later_claim("gt-a", &job, 31, 30));
+/// ```
+pub fn is_later_claim(shard: &str, key: &str, revision: u64, fence: u64) -> bool {
+    revision > fence && read_job_key(shard, key) == Some(JobKey::Claimed)
+}
+
 /// Reads a key under a shard's [`work_prefix`].
 ///
 /// ```
--- a/src/shards/mod.rs
+++ b/src/shards/mod.rs
@@ -17,8 +17,8 @@
 };
 pub use keys::{
     JobKey, LAYOUT_KEY, SHARD_PREFIX, ShardKey, cancel_key, claimed_key, epoch_key, hint_key,
-    job_key, life_key, pairs_key, progress_key, progress_prefix, read_job_key, read_shard_key,
-    roster_key, waiting_key, waiting_prefix, work_key, work_prefix,
+    is_later_claim, job_key, life_key, pairs_key, progress_key, progress_prefix, read_job_key,
+    read_shard_key, roster_key, waiting_key, waiting_prefix, work_key, work_prefix,
 };
 pub use layout::Layout;
 pub use record::{Accepted, JobRecord, OwnerRecord, RecordError, decode, encode};
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -153,6 +153,8 @@
     deployment.entries[owner].signal("CONT");
     assert!(waited < Duration::from_secs(3), "{waited:?}");
     deployment.wait_for_state(&id(50), "done", SOON).await;
+    // The former owner has had time to act on what it believes.
+    pause(1500).await;
     assert_eq!(deployment.journal.doubles(), Vec::<String>::new());
 }
 
