--- /dev/null
+++ b/src/schedule/tests/ends.rs
@@ -0,0 +1,157 @@
+//! How runs end, and what that means for their jobs.
+
+use super::*;
+
+#[test]
+fn a_task_that_fails_too_often_ends_its_job_and_stops_the_rest() {
+    let mut shard = Shard::first(&["w0"]);
+    shard.submit(flow(1, vec![step(2, 1)], 1, 0));
+    for number in 1..=2 {
+        shard.plan();
+        let runs = shard.confirm();
+        let (_, task, run) = runs.into_iter().find(|run| run.1.index == 0).unwrap();
+        shard.now += 100;
+        let other = name(1, 0, 1);
+        let run_of_other = shard.scheduler.ledger.tasks[shard.task(other)].run;
+        shard.look(
+            0,
+            &[(other, run_of_other)],
+            &[(number, task, run, Ending::Failed)],
+        );
+    }
+    shard.plan();
+    insta::assert_snapshot!(shard.orders(), @"w0: stop 0000000000000001.0.0.1 run 100000002");
+    let batch = shard.scheduler.collect(false, at(shard.now));
+    assert_eq!(batch.ended[0].state, WorkflowState::Failed);
+}
+
+#[test]
+fn an_end_is_acknowledged_only_after_the_store_has_it() {
+    let mut shard = Shard::first(&["w0"]);
+    shard.submit(flow(1, vec![step(2, 1)], 1, 0));
+    shard.plan();
+    let runs = shard.confirm();
+    shard.now = 100;
+    shard.look(
+        0,
+        &[(runs[1].1, runs[1].2)],
+        &[(1, runs[0].1, runs[0].2, Ending::Done)],
+    );
+    let acknowledged = |shard: &mut Shard| {
+        let order = shard
+            .scheduler
+            .look_order(shard.workers[0], true, at(shard.now));
+        order.unwrap().acknowledged
+    };
+    assert_eq!(acknowledged(&mut shard), 0);
+    let batch = shard.scheduler.collect(true, at(100));
+    assert_eq!(batch.progress.len(), 1);
+    assert_eq!(acknowledged(&mut shard), 0);
+    shard.scheduler.on_written(&batch, true);
+    assert_eq!(acknowledged(&mut shard), 1);
+}
+
+#[test]
+fn lasting_tasks_start_again_however_they_end() {
+    let mut shard = Shard::first(&["w0"]);
+    shard.submit(flow(1, vec![serving(1, 1, "video")], 1, 0));
+    for (number, ending) in [Ending::Failed, Ending::Done, Ending::Failed, Ending::Lapsed]
+        .into_iter()
+        .enumerate()
+    {
+        shard.plan();
+        let runs = shard.confirm();
+        assert_eq!(runs.len(), 1);
+        shard.now += 100;
+        shard.look(0, &[], &[(number as u64 + 1, runs[0].1, runs[0].2, ending)]);
+    }
+    assert_eq!(shard.stage(name(1, 0, 0)), Stage::Waiting);
+}
+
+#[test]
+fn a_repeated_start_does_not_prolong_its_lease() {
+    let mut shard = Shard::first(&["w0"]);
+    shard.submit(flow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let [(worker, Order::Start { task, run })] = shard.orders[..] else {
+        panic!("one start");
+    };
+    let first = shard
+        .scheduler
+        .start_order(worker, task, run, at(0))
+        .unwrap();
+    let again = shard
+        .scheduler
+        .start_order(worker, task, run, at(3_000))
+        .unwrap();
+    assert_eq!(first.until, again.until);
+}
+
+#[test]
+fn the_room_of_a_later_run_is_kept_until_it_has_stopped() {
+    let mut shard = Shard::first(&["w0", "w1"]);
+    shard.submit(flow(1, vec![step(1, 8)], 1, 0));
+    shard.plan();
+    let (place, task, run) = shard.confirm()[0];
+    let other = 1 - place;
+    for now in [6_000, 6_300] {
+        shard.now = now;
+        shard.look(other, &[], &[]);
+        shard.plan();
+    }
+    let (_, _, later) = shard.confirm()[0];
+    // The silent worker returns: the first run had ended well.
+    shard.now = 6_500;
+    shard.look(place, &[], &[(1, task, run, Ending::Done)]);
+    shard.look(other, &[(task, later)], &[]);
+    // The roster opens the worker again.
+    shard.write();
+    shard.submit(flow(2, vec![step(2, 8)], 2, 0));
+    shard.plan();
+    let started: Vec<usize> = shard.confirm().into_iter().map(|run| run.0).collect();
+    assert_eq!(started, [place]);
+}
+
+#[test]
+fn a_job_that_has_ended_does_not_come_back_from_an_old_reading() {
+    let mut shard = Shard::first(&["w0"]);
+    shard.submit(flow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let runs = shard.confirm();
+    shard.now = 100;
+    shard.look(0, &[], &[(1, runs[0].1, runs[0].2, Ending::Done)]);
+    let batch = shard.scheduler.collect(true, at(100));
+    shard.scheduler.on_end_written(batch.ended[0].flow, at(100));
+    shard.submit(flow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+}
+
+#[test]
+fn the_end_of_an_earlier_run_does_not_free_a_task_that_runs_again_elsewhere() {
+    let mut shard = Shard::later(&["w0", "w1"]);
+    shard.submit(flow(1, vec![step(1, 1)], 1, 0));
+    let task = name(1, 0, 0);
+    shard.look(0, &[], &[(1, task, 7, Ending::Failed)]);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    shard.look(1, &[(task, 8)], &[]);
+    shard.plan();
+    assert_eq!(shard.stage(task), Stage::Running(shard.workers[1]));
+}
+
+#[test]
+fn failures_are_counted_once_a_run_in_whatever_order_they_are_listed() {
+    let mut shard = Shard::later(&["w0", "w1"]);
+    let task = name(1, 0, 0);
+    let record = TaskRecord {
+        failed: vec![7],
+        ..TaskRecord::default()
+    };
+    shard.restore(flow(1, vec![step(1, 1)], 1, 0), &[record]);
+    shard.look(0, &[], &[(1, task, 7, Ending::Failed)]);
+    assert!(shard.scheduler.collect(false, at(0)).ended.is_empty());
+    // An earlier run than the last one that was counted.
+    shard.look(1, &[], &[(1, task, 6, Ending::Failed)]);
+    assert_eq!(shard.scheduler.collect(false, at(0)).ended.len(), 1);
+}
--- /dev/null
+++ b/src/schedule/tests/takeover.rs
@@ -0,0 +1,105 @@
+//! What a new owner makes of what it finds.
+
+use super::*;
+
+#[test]
+fn a_new_owner_adopts_what_runs_and_starts_the_rest_when_all_have_answered() {
+    let mut shard = Shard::later(&["w0", "w1"]);
+    shard.submit(flow(1, vec![step(2, 1)], 1, 0));
+    shard.look(0, &[(name(1, 0, 0), 7)], &[]);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    shard.look(1, &[], &[]);
+    shard.plan();
+    insta::assert_snapshot!(shard.orders(), @"w1: start 0000000000000001.0.0.1 run 100000001");
+    assert_eq!(shard.stage(name(1, 0, 0)), Stage::Running(shard.workers[0]));
+}
+
+#[test]
+fn a_job_accepted_after_the_claim_starts_although_a_worker_is_silent() {
+    for (revision, expected) in [(FENCE - 1, 0), (FENCE + 1, 1)] {
+        let mut shard = Shard::later(&["w0", "silent"]);
+        shard.look(0, &[], &[]);
+        shard.submit(flow(1, vec![step(1, 1)], revision, 0));
+        shard.plan();
+        assert_eq!(shard.confirm().len(), expected, "revision {revision}");
+    }
+}
+
+#[test]
+fn a_worker_that_never_answered_leaves_the_roster() {
+    let mut shard = Shard::later(&["w0", "dead"]);
+    shard.look(0, &[], &[]);
+    shard.write();
+    shard
+        .scheduler
+        .on_registry(vec![registration("w0")], at(5_000));
+    shard.write();
+    shard.now = 10_001;
+    shard.look(0, &[], &[]);
+    shard.plan();
+    let batch = shard.scheduler.collect(false, at(shard.now));
+    let ids: Vec<String> = batch
+        .roster
+        .unwrap()
+        .into_iter()
+        .map(|entry| entry.id)
+        .collect();
+    assert_eq!(ids, ["w0"]);
+}
+
+#[test]
+fn a_worker_that_leaves_during_a_write_leaves_the_roster_with_the_next() {
+    let mut shard = Shard::later(&["w0", "dead"]);
+    shard.look(0, &[], &[]);
+    let batch = shard.scheduler.collect(true, at(0));
+    shard
+        .scheduler
+        .on_registry(vec![registration("w0")], at(9_000));
+    shard.now = 10_001;
+    shard.look(0, &[], &[]);
+    shard.plan();
+    shard.scheduler.on_written(&batch, true);
+    let batch = shard.scheduler.collect(false, at(shard.now));
+    assert_eq!(batch.roster.map(|roster| roster.len()), Some(1));
+}
+
+#[test]
+fn only_the_tasks_of_a_closed_worker_wait_for_its_leases() {
+    let term = Term {
+        fence: FENCE,
+        settles: Some(at(10_000)),
+    };
+    let mut shard = Shard::new(term, &["w0"]);
+    let kept = name(1, 0, 1);
+    let roster = vec![
+        roster_entry("w0", None),
+        roster_entry("dead", Some(vec![kept])),
+    ];
+    shard.scheduler.on_roster(roster, at(0));
+    shard.submit(flow(1, vec![step(3, 1)], 1, 0));
+    shard.look(0, &[], &[]);
+    assert_eq!(shard.settled(), [(2, 1)]);
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 2);
+    shard.now = 10_100;
+    shard.look(0, &[], &[]);
+    shard.plan();
+    assert_eq!(shard.settled(), [(1, 0)]);
+}
+
+#[test]
+fn a_roster_entry_that_never_answered_does_not_count_as_having_left() {
+    let term = Term {
+        fence: FENCE,
+        settles: Some(at(10_000)),
+    };
+    let mut shard = Shard::new(term, &["w0"]);
+    let roster = vec![roster_entry("w0", None), roster_entry("cut-off", None)];
+    let added = shard.scheduler.on_roster(roster, at(0));
+    shard.submit(flow(1, vec![step(1, 1)], 1, 0));
+    shard.look(0, &[], &[]);
+    shard.scheduler.on_look_failed(added[0], true);
+    shard.plan();
+    assert_eq!(shard.stage(name(1, 0, 0)), Stage::Unsettled);
+}
--- a/tests/fleet/workers.rs
+++ b/tests/fleet/workers.rs
@@ -138,6 +138,17 @@
         change(&mut inner)
     }
 
+    /// Carries an order out, unless its owner was deposed.
+    fn obey(&self, fence: u64, order: impl FnOnce(&mut Inner) -> Reply) -> Reply {
+        self.act(|inner| {
+            if fence < inner.fence {
+                return self.refuse("fence");
+            }
+            inner.fence = fence;
+            order(inner)
+        })
+    }
+
     /// Ends what is done and what has lost its lease.
     fn settle(&self, inner: &mut Inner) {
         let (now, clock) = (Instant::now(), self.clock());
@@ -184,11 +195,7 @@
 
 #[post("/run-start", data = "<body>")]
 fn start(body: Json<StartBody>, worker: &State<Arc<Worker>>) -> Reply {
-    worker.act(|inner| {
-        if body.fence < inner.fence {
-            return worker.refuse("fence");
-        }
-        inner.fence = body.fence;
+    worker.obey(body.fence, |inner| {
         if inner
             .live
             .get(&body.task)
@@ -233,11 +240,7 @@
 
 #[post("/run-stop", data = "<body>")]
 fn stop(body: Json<StopBody>, worker: &State<Arc<Worker>>) -> Reply {
-    worker.act(|inner| {
-        if body.fence < inner.fence {
-            return worker.refuse("fence");
-        }
-        inner.fence = body.fence;
+    worker.obey(body.fence, |inner| {
         if inner
             .live
             .get(&body.task)
