Filling tasks reckon with the mean use of serving ones

Cause: filling tasks left 0.55 of what serving tasks declare, their use at their busiest; their mean use is 0.42, so processors stood idle while jobs waited. Change: 0.46.

--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -9,9 +9,9 @@
 
 use super::{Scheduler, WaitReason};
 
-/// The processors that serving tasks use at their busiest, as a share of what
+/// The processors that serving tasks use in the mean, as a share of what
 /// they declare.
-const SERVING_SHARE: f64 = 0.55;
+const SERVING_SHARE: f64 = 0.46;
 /// The share of its processors that a filling task must find idle.
 const FILLING_SHARE: f64 = 1.0;
 /// Memory that filling tasks leave to urgent ones, as a share of the worker's.
