Later repetitions of earlier jobs wait for the former owner

Cause: whether a job is inherited was judged by the revision that its record has now; the record is written when the job starts, so a recurring job that the new owner had adopted looked accepted after the claim, and its next repetition started while the former owner could start it too. Before the mark of the claim all jobs waited, which hid it. Ruled out: the mark (the job was accepted before the claim), the roster. Change: the revision of the acceptance is kept apart from the record's. The test failed first.

--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -161,6 +161,7 @@
             id,
             queue: Arc::new(accepted.queue),
             revision: item.revision,
+            record: item.revision,
             accepted: since,
             state: WorkflowState::Queued,
             occurrences: Vec::new(),
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -73,6 +73,7 @@
             ..Workflow::default()
         }),
         revision,
+        record: revision,
         accepted: at(0),
         state: WorkflowState::Queued,
         occurrences: Vec::new(),
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -1,6 +1,7 @@
 //! What a new owner makes of what it finds.
 
 use super::*;
+use crate::workflow::Recurrence;
 
 #[test]
 fn a_new_owner_adopts_what_runs_and_starts_the_rest_when_all_have_answered() {
@@ -26,6 +27,35 @@
     }
 }
 
+#[test]
+fn a_later_repetition_of_an_earlier_job_waits_for_the_former_owner_too() {
+    let mut shard = Shard::later(&["w0", "silent"]);
+    let workflow = Workflow {
+        steps: vec![step(1, 1)],
+        recurrence: Some(Recurrence {
+            times: 2,
+            start: Duration::ZERO,
+            interval: Duration::from_secs(2),
+        }),
+        ..Workflow::default()
+    };
+    let recurring = Flow {
+        workflow: Arc::new(workflow),
+        dues: vec![at(0), at(2_000)],
+        ..flow(1, Vec::new(), 1, 0)
+    };
+    shard.submit(recurring);
+    shard.look(0, &[(name(1, 0, 0), 7)], &[]);
+    let batch = shard.scheduler.collect(true, at(0));
+    let started = batch.started[0].flow;
+    shard.scheduler.on_start_written(started, FENCE + 5);
+    shard.scheduler.on_written(&batch, true);
+    shard.now = 2_100;
+    shard.look(0, &[(name(1, 0, 0), 7)], &[]);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+}
+
 #[test]
 fn a_worker_that_never_answered_leaves_the_roster() {
     let mut shard = Shard::later(&["w0", "dead"]);
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -217,7 +217,7 @@
     pub fn on_start_written(&mut self, key: FlowKey, revision: u64) {
         self.writes.started.remove(&key);
         if let Some(flow) = self.ledger.flows.get_mut(key) {
-            flow.revision = revision;
+            flow.record = revision;
         }
     }
 
@@ -256,7 +256,7 @@
             flow: key,
             id: flow.id,
             state: flow.state,
-            revision: flow.revision,
+            revision: flow.record,
         })
     }
 
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -62,7 +62,7 @@
     /// use lycheelock::moment::Moment;
     /// use lycheelock::workflow::RunProgress;
     ///
-    /// let at = |second| Moment::from_micros(second * 1_000_000);
+    /// let at = |second: u64| Moment::from_micros(second * 1_000_000);
     /// let mut progress = RunProgress::default();
     /// progress.note(7, 40, at(1));
     /// assert_eq!(progress.note(7, 40, at(2)), at(1));
@@ -134,6 +134,8 @@
     pub workflow: Arc<Workflow>,
     /// The revision of the store at which it was accepted.
     pub revision: u64,
+    /// The revision of its record, which is written when it starts.
+    pub record: u64,
     /// When it was accepted.
     pub accepted: Moment,
     /// Where it stands.
