Jobs of which nothing runs take a place; rooms of gang members are kept

Cause: every worker with room served an image that theirs was believed to disturb, with odds above the risk that a waiting task takes; beliefs fade slowly. Change: a filling task that has waited for 2 s, and of whose job nothing runs, takes any worker with room; pacing then follows what it disturbs. Test failed first. Cause, as far as the code shows: the end of one member freed the room of all members at once, also on workers that had not shown theirs gone. Change: such a worker gets nothing until its next look shows the run gone. Test failed first (started on both workers).

--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -314,6 +314,7 @@
         }
         let mut verdict = Verdict::GoesOn;
         for member in self.members(task) {
+            self.keep_room(member, now);
             self.unassign(member);
             let ended = self.ledger.finish(member, now);
             verdict = if ended == Verdict::GoesOn {
@@ -325,6 +326,15 @@
         verdict
     }
 
+    /// Keeps a worker closed until it shows that a run there is gone.
+    fn keep_room(&mut self, task: TaskKey, now: Moment) {
+        let known = &self.ledger.tasks[task];
+        let (run, worker) = ((known.name, known.run), known.stage.worker());
+        if let Some(worker) = worker.and_then(|worker| self.workers.get_mut(worker)) {
+            worker.strangers.insert(run, now);
+        }
+    }
+
     fn take_running(&mut self, key: WorkerKey, running: &[LiveRun], now: Moment) {
         for run in running {
             match self.ledger.find_task(run.task) {
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Capacity, Worker, WorkerKey};
 use crate::interference::ImageKey;
 use crate::moment::Moment;
-use crate::workflow::{Flow, Step, Task, TaskName};
+use crate::workflow::{Flow, Step, Task, TaskKey, TaskName};
 
 use super::{Scheduler, WaitReason};
 
@@ -26,6 +26,9 @@
 /// the odds that it disturbs.
 const RISKS_AFTER: Duration = Duration::from_millis(1000);
 const RISK: f64 = 1.5;
+/// A filling task that has waited for this long, and of whose job nothing runs,
+/// takes any risk; its pace then follows what it disturbs.
+const STUCK_AFTER: Duration = Duration::from_millis(2000);
 /// How long a task waits at the most for a worker near its data; on any other
 /// it would take several times as long.
 const LONGEST_PATIENCE: Duration = Duration::from_millis(1500);
@@ -111,7 +114,13 @@
         let patient = now - task.ready < step.estimate.min(LONGEST_PATIENCE);
         let image = self.images.find(&step.image);
         let impatient = now - task.ready >= RISKS_AFTER;
-        let risk = if impatient { RISK } else { 0.0 };
+        let risk = if self.is_stuck_task(flow, task, now) {
+            f64::INFINITY
+        } else if impatient {
+            RISK
+        } else {
+            0.0
+        };
         let fitting = self.workers.iter().filter(|(_, worker)| {
             worker.entry.pool == flow.queue.pool
                 && worker.is_open(now)
@@ -127,6 +136,17 @@
         scored.max().map(|(_, key)| key)
     }
 
+    /// Whether nothing runs of the job of a filling task that has waited for long.
+    pub(super) fn is_stuck(&self, key: TaskKey, now: Moment) -> bool {
+        let task = &self.ledger.tasks[key];
+        self.is_stuck_task(&self.ledger.flows[task.flow], task, now)
+    }
+
+    fn is_stuck_task(&self, flow: &Flow, task: &Task, now: Moment) -> bool {
+        let waits = flow.step(task.name).fills && now - task.ready >= STUCK_AFTER;
+        waits && self.ledger.live_tasks(task.flow).is_empty()
+    }
+
     /// Why no worker takes a task now.
     pub(super) fn wait_reason(&self, flow: &Flow, step: &Step, now: Moment) -> WaitReason {
         let open = self
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -300,7 +300,8 @@
             // The first task of a gang stands for all of them.
             let follows = step.gang && task.name.index > 0;
             let gated = task.gate > Moment::default() && task.gate >= self.confirmed;
-            if gated || follows || misses.covers(&flow.queue.pool, step) {
+            let covered = misses.covers(&flow.queue.pool, step) && !self.is_stuck(key, now);
+            if gated || follows || covered {
                 continue;
             }
             let gang = step.gang;
--- a/src/schedule/tests/ends.rs
+++ b/src/schedule/tests/ends.rs
@@ -68,6 +68,33 @@
     assert_eq!(shard.stage(name(1, 0, 0)), Stage::Waiting);
 }
 
+#[test]
+fn the_room_of_a_gang_member_is_kept_until_its_worker_shows_it_gone() {
+    let gang = Step {
+        gang: true,
+        ..step(2, 8)
+    };
+    let mut shard = Shard::first(&["w0", "w1"]);
+    shard.submit(flow(1, vec![gang], 1, 0));
+    shard.plan();
+    let runs = shard.confirm();
+    shard.submit(flow(2, vec![step(2, 8)], 2, 0));
+    let (place, task, run) = runs[0];
+    shard.now = 500;
+    shard.look(place, &[], &[(1, task, run, Ending::Done)]);
+    shard.plan();
+    let started: Vec<usize> = shard.confirm().into_iter().map(|run| run.0).collect();
+    assert_eq!(
+        started,
+        [place],
+        "the other worker may still run its member"
+    );
+    shard.now = 600;
+    shard.look(runs[1].0, &[], &[(1, runs[1].1, runs[1].2, Ending::Done)]);
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 1);
+}
+
 #[test]
 fn a_repeated_start_does_not_prolong_its_lease() {
     let mut shard = Shard::first(&["w0"]);
--- a/src/schedule/tests/fills.rs
+++ b/src/schedule/tests/fills.rs
@@ -45,6 +45,31 @@
     assert_eq!(started, [name(4, 0, 0)]);
 }
 
+#[test]
+fn a_job_of_which_nothing_runs_takes_a_place_where_it_disturbs() {
+    let mut shard = Shard::first(&["w0"]);
+    shard.submit(flow(1, vec![serving(1, 1, "video")], 1, 0));
+    shard.submit(flow(2, vec![filling(1, 2, "loud")], 2, 1));
+    shard.plan();
+    let runs = shard.confirm();
+    for now in [1_000, 1_600, 2_200] {
+        shard.now = now;
+        let rows = runs
+            .iter()
+            .map(|run| live(run.1, run.2, if run.1 == name(1, 0, 0) { 60 } else { 1900 }));
+        shard.look_with(0, 1, rows.collect(), &[]);
+    }
+    shard.submit(flow(3, vec![filling(2, 1, "loud")], 3, 1));
+    shard.plan();
+    assert!(!shard.orders().contains("start"), "{}", shard.orders());
+    shard.now = 4_300;
+    let rows = runs.iter().map(|run| live(run.1, run.2, 10));
+    shard.look_with(0, 1, rows.collect(), &[]);
+    shard.plan();
+    let started: Vec<TaskName> = shard.confirm().into_iter().map(|run| run.1).collect();
+    assert_eq!(started, [name(3, 0, 0)], "one task of the job");
+}
+
 #[test]
 fn a_tail_that_stays_over_its_target_pauses_all_that_fills_beside_it() {
     let mut shard = Shard::first(&["w0"]);
