Tasks of stuck jobs keep off workers whose tails were too long

Most likely cause, not proved by a log: filling tasks that take any risk come to the same worker one after the other. Change: such tasks keep off a worker for 3 s after a tail over its target. The test of stuck jobs demands it.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -103,6 +103,8 @@
     pub observed: Moment,
     /// When no tail was over its target.
     pub calm: Moment,
+    /// When a tail was over its target last.
+    pub strained: Option<Moment>,
     /// When the pace of a filling task was changed last.
     pub paced: Moment,
     /// How many of its tasks are of each serving image.
@@ -134,6 +136,7 @@
             strain: 0,
             observed: Moment::default(),
             calm: now,
+            strained: None,
             paced: Moment::default(),
             serves: BTreeMap::new(),
         }
--- a/src/schedule/pace.rs
+++ b/src/schedule/pace.rs
@@ -65,6 +65,8 @@
         worker.strain = strain;
         if strained.is_empty() {
             worker.calm = now;
+        } else {
+            worker.strained = Some(now);
         }
         self.pace_all(key, &reported, &strained, now);
     }
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -29,6 +29,8 @@
 /// A filling task that has waited for this long, and of whose job nothing runs,
 /// takes any risk; its pace then follows what it disturbs.
 const STUCK_AFTER: Duration = Duration::from_millis(2000);
+/// How long after a tail over its target a worker takes no such tasks.
+const RECOVERS: Duration = Duration::from_secs(3);
 /// How long a task waits at the most for a worker near its data; on any other
 /// it would take several times as long.
 const LONGEST_PATIENCE: Duration = Duration::from_millis(1500);
@@ -114,7 +116,8 @@
         let patient = now - task.ready < step.estimate.min(LONGEST_PATIENCE);
         let image = self.images.find(&step.image);
         let impatient = now - task.ready >= RISKS_AFTER;
-        let risk = if self.is_stuck_task(flow, task, now) {
+        let stuck = self.is_stuck_task(flow, task, now);
+        let risk = if stuck {
             f64::INFINITY
         } else if impatient {
             RISK
@@ -128,6 +131,7 @@
                 && !(step.fills && self.harms(worker, image, risk))
                 && (!patient || is_near(worker, step))
                 && among.has(worker)
+                && !(stuck && is_recovering(worker, now))
         });
         let scored = fitting.map(|(key, worker)| {
             let company = company(worker, step, image);
@@ -178,6 +182,11 @@
     }
 }
 
+/// Whether a tail on the worker was over its target a short while ago.
+fn is_recovering(worker: &Worker, now: Moment) -> bool {
+    worker.strained.is_some_and(|at| now - at < RECOVERS)
+}
+
 /// Serving tasks of one image go together, so that filling tasks find workers
 /// that serve nothing they would disturb.
 fn company(worker: &Worker, step: &Step, image: Option<ImageKey>) -> i64 {
--- a/src/schedule/tests/fills.rs
+++ b/src/schedule/tests/fills.rs
@@ -62,10 +62,14 @@
     shard.submit(flow(3, vec![filling(2, 1, "loud")], 3, 1));
     shard.plan();
     assert!(!shard.orders().contains("start"), "{}", shard.orders());
-    shard.now = 4_300;
-    let rows = runs.iter().map(|run| live(run.1, run.2, 10));
-    shard.look_with(0, 1, rows.collect(), &[]);
-    shard.plan();
+    for (now, expected) in [(4_300, false), (5_300, true)] {
+        shard.now = now;
+        let rows = runs.iter().map(|run| live(run.1, run.2, 10));
+        shard.look_with(0, 1, rows.collect(), &[]);
+        shard.plan();
+        // A tail was too long at 2.2 s.
+        assert_eq!(shard.orders().contains("start"), expected, "at {now}");
+    }
     let started: Vec<TaskName> = shard.confirm().into_iter().map(|run| run.1).collect();
     assert_eq!(started, [name(3, 0, 0)], "one task of the job");
 }
