Waiting tasks stand once; one reading of tails, one check of live tasks

Cause: the rank of a waiting task has depended on the work left since small jobs come first. Each end in a job added every waiting task of it to the queue once more, under its new rank, until all are ranked anew every 500 ms; each pass then tried them again. Read again, not measured. Ruled out: adding only newly opened tasks (ranks would lag by up to 500 ms). Change: the queue is a type of its own that moves a task to its new rank; its test is new. Step::tail_percent serves pacing and the check of impaired workers, which had it twice. Ledger::is_idle serves two checks that listed all live tasks to see whether there are any; cancel returns nothing, as nobody used it. Cheap conditions of a worker come before dear ones. Tests share the reading of a roster and the start of lasting tasks; no assertion has changed. Conclusion: no change of behaviour is meant, but for a rank that has become worse, which counts at once instead of after 500 ms.

--- a/src/schedule/impaired.rs
+++ b/src/schedule/impaired.rs
@@ -6,7 +6,7 @@
 use super::Scheduler;
 use crate::fleet::{LiveRun, Look, WorkerKey};
 use crate::moment::Moment;
-use crate::workflow::{FULL_SPEED, Stage, Step, TaskKey};
+use crate::workflow::{FULL_SPEED, Stage, TaskKey};
 
 /// If no serving task's tail is below this, in percent of its target, the
 /// worker itself is the cause: neighbours add far less.
@@ -45,16 +45,9 @@
         tails.min().is_some_and(|lowest| lowest >= IMPAIRED_TAIL)
     }
 
-    /// The tail of a serving run, in percent of its target.
     fn tail_percent(&self, run: &LiveRun) -> Option<u32> {
-        let target = self.step_of_run(run)?.tail_target?;
-        let millis = (target.as_millis() as u32).max(1);
-        Some(run.figure.saturating_mul(100) / millis)
-    }
-
-    fn step_of_run(&self, run: &LiveRun) -> Option<&Step> {
         let task = self.ledger.find_task(run.task)?;
-        Some(self.step_of(task))
+        self.step_of(task).tail_percent(run.figure)
     }
 
     /// Notes the progress of all runs. Returns those that make none.
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -14,6 +14,7 @@
 mod starts;
 #[cfg(test)]
 mod tests;
+mod waiting;
 mod write;
 
 pub use note::{Note, WaitReason};
--- a/src/schedule/pace.rs
+++ b/src/schedule/pace.rs
@@ -42,10 +42,9 @@
         let mut strained = Vec::new();
         let mut strain = 0;
         for row in &reported {
-            let Some(target) = row.step.tail_target else {
+            let Some(percent) = row.step.tail_percent(row.run.figure) else {
                 continue;
             };
-            let percent = row.run.figure * 100 / (target.as_millis() as u32).max(1);
             strain = strain.max(percent);
             let baseline = self.baselines.entry(row.image).or_default();
             if neighbours.is_empty() {
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -127,11 +127,11 @@
         let fitting = self.workers.iter().filter(|(_, worker)| {
             worker.entry.pool == flow.queue.pool
                 && worker.is_open(now)
-                && fits(worker, step, name)
-                && !(step.fills && self.harms(worker, image, risk))
-                && (!patient || is_near(worker, step))
                 && among.has(worker)
+                && (!patient || is_near(worker, step))
                 && !(stuck && is_recovering(worker, now))
+                && fits(worker, step, name)
+                && !(step.fills && self.harms(worker, image, risk))
         });
         let scored = fitting.map(|(key, worker)| {
             let company = company(worker, step, image);
@@ -148,7 +148,7 @@
 
     fn is_stuck_task(&self, flow: &Flow, task: &Task, now: Moment) -> bool {
         let waits = flow.step(task.name).fills && now - task.ready >= STUCK_AFTER;
-        waits && self.ledger.live_tasks(task.flow).is_empty()
+        waits && self.ledger.is_idle(task.flow)
     }
 
     /// Why no worker takes a task now.
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -1,6 +1,6 @@
 //! The state of a shard's owner, and the pass that places waiting tasks.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 
 use super::place::{Among, Misses};
 use super::rank::{Rank, rank};
+use super::waiting::WaitList;
 use super::write::Writes;
 use super::{Note, Order};
 use crate::fleet::{Worker, WorkerKey};
@@ -79,7 +80,7 @@
     pub(super) settling: bool,
     pub(super) unsettled: bool,
     pub(super) former: HashSet<WorkerKey>,
-    pub(super) waiting: BTreeMap<Rank, TaskKey>,
+    waiting: WaitList,
     pub(super) recurring: BTreeSet<FlowKey>,
     pub(super) ended: HashMap<WorkflowId, Moment>,
     explained: HashSet<FlowKey>,
@@ -107,7 +108,7 @@
             settling: term.settles.is_some(),
             unsettled: term.settles.is_some(),
             former: HashSet::new(),
-            waiting: BTreeMap::new(),
+            waiting: WaitList::default(),
             recurring: BTreeSet::new(),
             ended: HashMap::new(),
             explained: HashSet::new(),
@@ -236,22 +237,20 @@
             .filter(|task| self.ledger.tasks[*task].stage == Stage::Waiting)
             .map(|task| rank(flow, task, &self.ledger.tasks[task], now))
             .collect();
-        self.waiting
-            .extend(waiting.into_iter().map(|rank| (rank, rank.task)));
+        for rank in waiting {
+            self.waiting.insert(rank);
+        }
     }
 
     fn rank_again(&mut self, now: Moment) {
         self.ranked = now;
-        let tasks: BTreeSet<TaskKey> = self.waiting.values().copied().collect();
-        self.waiting.clear();
-        for key in tasks {
+        for key in self.waiting.take() {
             let Some(task) = self.ledger.tasks.get(key) else {
                 continue;
             };
             let flow = &self.ledger.flows[task.flow];
             if task.stage == Stage::Waiting && !flow.state.is_final() {
-                let rank = rank(flow, key, task, now);
-                self.waiting.insert(rank, key);
+                self.waiting.insert(rank(flow, key, task, now));
             }
         }
         self.explain_waits(now);
@@ -260,8 +259,8 @@
     /// Notes why jobs wait, once a job.
     fn explain_waits(&mut self, now: Moment) {
         let mut notes = Vec::new();
-        for key in self.waiting.values() {
-            let task = &self.ledger.tasks[*key];
+        for key in self.waiting.iter() {
+            let task = &self.ledger.tasks[key];
             let flow = &self.ledger.flows[task.flow];
             if now - task.ready < EXPLAINS || !self.explained.insert(task.flow) {
                 continue;
@@ -281,19 +280,15 @@
 
     fn place_waiting(&mut self, now: Moment) {
         let mut misses = Misses::default();
-        let queue: Vec<(Rank, TaskKey)> = self
-            .waiting
-            .iter()
-            .map(|(rank, key)| (*rank, *key))
-            .collect();
-        for (rank, key) in queue {
+        let queue: Vec<TaskKey> = self.waiting.iter().collect();
+        for key in queue {
             let Some(task) = self.ledger.tasks.get(key) else {
-                self.waiting.remove(&rank);
+                self.waiting.remove(key);
                 continue;
             };
             let flow = &self.ledger.flows[task.flow];
             if task.stage != Stage::Waiting || flow.state.is_final() {
-                self.waiting.remove(&rank);
+                self.waiting.remove(key);
                 continue;
             }
             let step = flow.step(task.name);
@@ -307,7 +302,7 @@
             let gang = step.gang;
             let holds = gang && (HOLDS_BACK..GIVES_WAY).contains(&(now - task.ready));
             if self.place_one(key, now) {
-                self.waiting.remove(&rank);
+                self.waiting.remove(key);
             } else if holds {
                 misses.hold_back(self.step_of(key));
             } else {
@@ -398,7 +393,8 @@
             WorkflowState::Cancelled => "the job was cancelled",
             _ => "the job has ended",
         };
-        for task in self.ledger.live_tasks(key) {
+        let live: Vec<TaskKey> = self.ledger.live_tasks(key).collect();
+        for task in live {
             self.stop(task, reason, now);
         }
         self.recurring.remove(&key);
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -15,7 +15,7 @@
 };
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
-use crate::schedule::{Note, Order, RosterEntry, Scheduler, Term};
+use crate::schedule::{Batch, Note, Order, RosterEntry, Scheduler, Term};
 use crate::workflow::{
     Flow, Progress, Stage, Step, TaskKey, TaskName, TaskRecord, Workflow, WorkflowId, WorkflowState,
 };
@@ -283,6 +283,12 @@
     }
 }
 
+/// The workers in the roster that a batch writes.
+fn roster_ids(batch: Batch) -> Vec<String> {
+    let roster = batch.roster.expect("the roster has changed");
+    roster.into_iter().map(|entry| entry.id).collect()
+}
+
 fn live(task: TaskName, run: u64, figure: u32) -> LiveRun {
     LiveRun {
         task,
--- a/src/schedule/tests/placing.rs
+++ b/src/schedule/tests/placing.rs
@@ -1,6 +1,8 @@
 //! The order and the places of waiting tasks.
 
 use super::*;
+use crate::schedule::rank::{Prospect, Rank};
+use crate::schedule::waiting::WaitList;
 
 #[test]
 fn a_step_starts_when_the_steps_before_it_are_done() {
@@ -173,6 +175,22 @@
     assert_eq!(attempts, [7, 7]);
 }
 
+#[test]
+fn a_task_that_is_ranked_anew_waits_once() {
+    let rank = |latest: u64| Rank {
+        priority: 0,
+        prospect: Prospect::InTime,
+        latest: at(latest),
+        task: TaskKey::default(),
+    };
+    let mut list = WaitList::default();
+    list.insert(rank(2_000));
+    list.insert(rank(1_000));
+    assert_eq!(list.iter().count(), 1);
+    list.remove(TaskKey::default());
+    assert_eq!(list.iter().count(), 0);
+}
+
 #[test]
 fn a_cancelled_job_stops_and_starts_nothing() {
     let mut shard = Shard::first(&["w0"]);
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -69,13 +69,7 @@
     shard.look(0, &[], &[]);
     shard.plan();
     let batch = shard.scheduler.collect(false, at(shard.now));
-    let ids: Vec<String> = batch
-        .roster
-        .unwrap()
-        .into_iter()
-        .map(|entry| entry.id)
-        .collect();
-    assert_eq!(ids, ["w0"]);
+    assert_eq!(roster_ids(batch), ["w0"]);
 }
 
 #[test]
--- a/src/schedule/tests/workers.rs
+++ b/src/schedule/tests/workers.rs
@@ -40,13 +40,7 @@
         .on_registry(vec![registration("w0")], at(20));
     shard.scheduler.on_look_failed(shard.workers[1], true);
     let batch = shard.scheduler.collect(false, at(40));
-    let ids: Vec<String> = batch
-        .roster
-        .unwrap()
-        .into_iter()
-        .map(|entry| entry.id)
-        .collect();
-    assert_eq!(ids, ["w0"]);
+    assert_eq!(roster_ids(batch), ["w0"]);
 }
 
 #[test]
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -234,7 +234,7 @@
             return;
         };
         let written = flow.state.is_final() && !self.writes.ended.contains(&key);
-        if written && self.ledger.live_tasks(key).is_empty() {
+        if written && self.ledger.is_idle(key) {
             self.ended.insert(flow.id, now);
             self.ledger.forget(key);
             self.writes.forget(key);
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -355,18 +355,20 @@
         Verdict::Ended(WorkflowState::Failed)
     }
 
-    /// Ends a job early. Returns its tasks that may be running.
-    pub fn cancel(&mut self, key: FlowKey) -> Vec<TaskKey> {
+    /// Ends a job early.
+    pub fn cancel(&mut self, key: FlowKey) {
         self.flows[key].state = WorkflowState::Cancelled;
-        self.live_tasks(key)
     }
 
     /// The tasks of a job that a worker may be running.
-    pub fn live_tasks(&self, key: FlowKey) -> Vec<TaskKey> {
+    pub fn live_tasks(&self, key: FlowKey) -> impl Iterator<Item = TaskKey> + '_ {
         let tasks = self.all_tasks(key);
-        tasks
-            .filter(|task| self.tasks[*task].stage.worker().is_some())
-            .collect()
+        tasks.filter(|task| self.tasks[*task].stage.worker().is_some())
+    }
+
+    /// Whether no worker may be running a task of a job.
+    pub fn is_idle(&self, key: FlowKey) -> bool {
+        self.live_tasks(key).next().is_none()
     }
 
     /// All tasks of a job that were laid out.
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -154,6 +154,22 @@
 }
 
 impl Step {
+    /// A tail in percent of the target; none for tasks without a target.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lycheelock::workflow::Step;
+    ///
+    /// let tail_target = Some(Duration::from_millis(20));
+    /// let step = Step { tail_target, ..Step::default() };
+    /// assert_eq!(step.tail_percent(15), Some(75));
+    /// assert_eq!(Step::default().tail_percent(15), None);
+    /// ```
+    pub fn tail_percent(&self, millis: u32) -> Option<u32> {
+        let target = self.tail_target?.as_millis() as u32;
+        Some(millis.saturating_mul(100) / target.max(1))
+    }
+
     fn check(&self, number: usize) -> Result<(), String> {
         if self.count == 0 || self.count > MOST_TASKS {
             let count = self.count;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -48,6 +48,14 @@
     assert_eq!(deployment.journal.doubles(), Vec::<String>::new());
 }
 
+/// Submits a job of two lasting tasks and waits until both run.
+async fn start_lasting(deployment: &Deployment, id: &str) {
+    let lasting = json!([{"count": 2, "cpu": 100, "mem_mb": 10, "daemon": true}]);
+    assert_eq!(deployment.submit(0, id, "lasts", lasting).await, 200);
+    let both = || deployment.journal.runs(id).len() == 2;
+    deployment.wait_for("both tasks run", both).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_run_step_after_step_and_once() {
     let deployment = Deployment::start("calm", 2, 3).await;
@@ -70,13 +78,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_cancelled_job_stops_and_is_shown_as_cancelled() {
     let deployment = Deployment::start("cancel", 2, 2).await;
-    let lasting = json!([{"count": 2, "cpu": 100, "mem_mb": 10, "daemon": true}]);
-    assert_eq!(deployment.submit(0, &id(1), "lasts", lasting).await, 200);
-    deployment
-        .wait_for("both tasks run", || {
-            deployment.journal.runs(&id(1)).len() == 2
-        })
-        .await;
+    start_lasting(&deployment, &id(1)).await;
     assert_eq!(deployment.cancel(1, &id(1)).await, 200);
     assert_eq!(
         deployment.state(0, &id(1)).await,
@@ -203,13 +205,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_outage_of_the_store_stops_no_running_task(#[case] fault: Fault) {
     let deployment = Deployment::start("outage", 2, 2).await;
-    let lasting = json!([{"count": 2, "cpu": 100, "mem_mb": 10, "daemon": true}]);
-    assert_eq!(deployment.submit(0, &id(1), "lasts", lasting).await, 200);
-    deployment
-        .wait_for("both tasks run", || {
-            deployment.journal.runs(&id(1)).len() == 2
-        })
-        .await;
+    start_lasting(&deployment, &id(1)).await;
     deployment.store.fail(fault);
     pause(3500).await;
     let begun = Instant::now();
