Stuck jobs take any place only where more than half of a pool is idle

Change: only in a pool of which more than half is idle, judged as for placing. The test is new and fails without the change.

--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -1,5 +1,6 @@
 //! Chooses a worker for a task.
 
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use crate::fleet::{Capacity, Worker, WorkerKey};
@@ -26,8 +27,9 @@
 /// the odds that it disturbs.
 const RISKS_AFTER: Duration = Duration::from_millis(1000);
 const RISK: f64 = 1.5;
-/// A filling task that has waited for this long, and of whose job nothing runs,
-/// takes any risk; its pace then follows what it disturbs.
+/// A filling task that has waited for this long in a pool that is mostly free,
+/// and of whose job nothing runs, takes any risk; its pace then follows what it
+/// disturbs.
 const STUCK_AFTER: Duration = Duration::from_millis(2000);
 /// How long after a tail over its target a worker takes no such tasks.
 const RECOVERS: Duration = Duration::from_secs(3);
@@ -140,7 +142,8 @@
         scored.max().map(|(_, key)| key)
     }
 
-    /// Whether nothing runs of the job of a filling task that has waited for long.
+    /// Whether nothing runs of the job of a filling task that has waited for long,
+    /// although most of its pool is free.
     pub(super) fn is_stuck(&self, key: TaskKey, now: Moment) -> bool {
         let task = &self.ledger.tasks[key];
         self.is_stuck_task(&self.ledger.flows[task.flow], task, now)
@@ -148,7 +151,18 @@
 
     fn is_stuck_task(&self, flow: &Flow, task: &Task, now: Moment) -> bool {
         let waits = flow.step(task.name).fills && now - task.ready >= STUCK_AFTER;
-        waits && self.ledger.is_idle(task.flow)
+        waits && self.roomy.contains(&flow.queue.pool) && self.ledger.is_idle(task.flow)
+    }
+
+    /// The pools of which more than half is idle on the open workers.
+    pub(super) fn roomy_pools(&self, now: Moment) -> HashSet<String> {
+        let mut pools: HashMap<&str, i64> = HashMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_open(now)) {
+            let whole = i64::from(worker.entry.capacity.millicores);
+            *pools.entry(&worker.entry.pool).or_default() += idle(worker) * 2 - whole;
+        }
+        let roomy = pools.into_iter().filter(|(_, surplus)| *surplus > 0);
+        roomy.map(|(pool, _)| pool.to_owned()).collect()
     }
 
     /// Why no worker takes a task now.
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -84,6 +84,8 @@
     pub(super) recurring: BTreeSet<FlowKey>,
     pub(super) ended: HashMap<WorkflowId, Moment>,
     explained: HashSet<FlowKey>,
+    /// Pools of which more than half is idle.
+    pub(super) roomy: HashSet<String>,
     pub(super) closed: HashMap<WorkerKey, Vec<TaskName>>,
     pub(super) writes: Writes,
     pub(super) images: Images,
@@ -112,6 +114,7 @@
             recurring: BTreeSet::new(),
             ended: HashMap::new(),
             explained: HashSet::new(),
+            roomy: HashSet::new(),
             closed: HashMap::new(),
             writes: Writes::default(),
             images: Images::default(),
@@ -244,6 +247,7 @@
 
     fn rank_again(&mut self, now: Moment) {
         self.ranked = now;
+        self.roomy = self.roomy_pools(now);
         for key in self.waiting.take() {
             let Some(task) = self.ledger.tasks.get(key) else {
                 continue;
--- a/src/schedule/tests/fills.rs
+++ b/src/schedule/tests/fills.rs
@@ -74,6 +74,32 @@
     assert_eq!(started, [name(3, 0, 0)], "one task of the job");
 }
 
+#[test]
+fn a_pool_that_is_half_in_use_has_no_place_for_what_disturbs() {
+    let mut shard = Shard::first(&["w0"]);
+    shard.submit(flow(1, vec![serving(1, 2, "video")], 1, 0));
+    shard.submit(flow(2, vec![filling(1, 4, "loud")], 2, 1));
+    shard.plan();
+    let runs = shard.confirm();
+    for now in [1_000, 1_600, 2_200, 3_200, 4_300, 5_300, 6_300] {
+        shard.now = now;
+        let tail = if now > 2_200 { 10 } else { 60 };
+        let rows = runs.iter().map(|run| {
+            live(
+                run.1,
+                run.2,
+                if run.1 == name(1, 0, 0) { tail } else { 1900 },
+            )
+        });
+        shard.look_with(0, 1, rows.collect(), &[]);
+        if now == 2_200 {
+            shard.submit(flow(3, vec![filling(1, 1, "loud")], 3, 1));
+        }
+        shard.plan();
+        assert!(!shard.orders().contains("start"), "{}", shard.orders());
+    }
+}
+
 #[test]
 fn a_tail_that_stays_over_its_target_pauses_all_that_fills_beside_it() {
     let mut shard = Shard::first(&["w0"]);
