Log: what delayed a job, by its size

What callers saw: large jobs are served too seldom; the log could not tell why. It said no_room for a lack of processors, of memory, and for interference alike, nothing of a job's size, and nothing of what was placed before it.

Change: queued and job_ended carry the estimated work in core milliseconds; waiting and delay name processors, memory, interference or held_back; delay sums up the waits by reason and the work of later jobs of the same queue that was placed meanwhile; job_overdue says once per job that it can no longer be of use.

Three tests show the lines.

--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -5,8 +5,10 @@
 use crate::fleet::RunOutcome;
 use crate::workflow::WorkflowState;
 
+use super::JobDelay;
+
 /// Why no worker can take a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WaitReason {
     /// No worker of the pool accepts new tasks.
@@ -15,10 +17,19 @@
     NoLabel,
     /// The task needs more than any open worker has in total.
     TooLarge,
-    /// Every worker that is large enough is full, or runs a serving task that
-    /// the task would interfere with.
+    /// No worker has enough free processors, though some have the memory.
+    NoProcessors,
+    /// No worker has enough free memory, though some have the processors.
+    NoMemory,
+    /// No worker has both the processors and the memory free.
     #[serde(rename = "no_room")]
     NoCapacity,
+    /// Every worker with the free capacity runs a serving task that the task would
+    /// interfere with.
+    Interference,
+    /// A worker could take the task, but others go first, or the task waits for a
+    /// rack, for its gang or for the store.
+    HeldBack,
 }
 
 /// A decision or an observed change, with its reason. Durations are in
@@ -36,6 +47,8 @@
         revision: u64,
         /// The number of tasks that can start immediately.
         tasks: usize,
+        /// The estimated work of all tasks, in core milliseconds.
+        work: u64,
     },
     /// A worker was chosen for a task.
     Placed {
@@ -116,6 +129,28 @@
         state: WorkflowState,
         /// The time since the job was accepted.
         after: u64,
+        /// The estimated work of all tasks, in core milliseconds.
+        work: u64,
+        /// Why the job was delayed.
+        delay: JobDelay,
+    },
+    /// A job has taken so long that its result is of no more use to the caller.
+    /// Recorded once per job.
+    JobOverdue {
+        /// The id of the job.
+        id: String,
+        /// The name of the job's queue.
+        queue: String,
+        /// The estimated work of all tasks, in core milliseconds.
+        work: u64,
+        /// The number of all tasks.
+        tasks: u32,
+        /// The number of tasks that are not done.
+        remaining: u32,
+        /// The time since the job was accepted.
+        after: u64,
+        /// Why the job was delayed so far.
+        delay: JobDelay,
     },
     /// A worker was added, changed or removed.
     WorkerChanged {
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -2,6 +2,7 @@
 //! worker runs each task, and when. Together with `workflow` it is the counterpart
 //! of `jobs`, which serves lycheelock's own protocol.
 
+mod delay;
 mod ends;
 mod event;
 mod gang;
@@ -19,6 +20,7 @@
 mod waiting;
 mod write;
 
+pub use delay::JobDelay;
 pub use event::{Event, WaitReason};
 pub use order::Order;
 pub use scheduler::{Scheduler, Term};
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -188,23 +188,40 @@
     pub(super) fn wait_reason(
         &self,
         workflow: &ActiveWorkflow,
-        step: &Step,
+        task: &Task,
         now: Moment,
     ) -> WaitReason {
+        let step = workflow.step(task.name);
         let open = self.workers.values().filter(|worker| {
             worker.registration.pool == workflow.queue.pool && worker.is_open(now)
         });
         let open: Vec<&Worker> = open.collect();
         let labelled = |worker: &&&Worker| has_label(worker, step);
         let large = |worker: &&Worker| worker.registration.capacity.holds(step.need);
+        let fitting = |worker: &&Worker| fits(worker, step, task.name);
         if open.is_empty() {
             WaitReason::NoWorker
         } else if !open.iter().any(|worker| labelled(&worker)) {
             WaitReason::NoLabel
         } else if !open.iter().filter(labelled).any(large) {
             WaitReason::TooLarge
+        } else if open.iter().copied().any(|worker| fitting(&worker)) {
+            self.fitting_wait_reason(&open, step, task.name)
+        } else {
+            capacity_wait_reason(&open, step)
+        }
+    }
+
+    /// Finds out why a task waits although some workers have the capacity for it.
+    fn fitting_wait_reason(&self, open: &[&Worker], step: &Step, name: TaskName) -> WaitReason {
+        let image = self.images.find(&step.image);
+        let mut fitting = open.iter().filter(|worker| fits(worker, step, name));
+        let interferes = step.best_effort
+            && fitting.all(|worker| self.would_interfere(worker, image, ACCEPTED_LOG_ODDS));
+        if interferes {
+            WaitReason::Interference
         } else {
-            WaitReason::NoCapacity
+            WaitReason::HeldBack
         }
     }
 
@@ -262,14 +279,35 @@
 }
 
 fn has_capacity(worker: &Worker, step: &Step) -> bool {
-    let free = worker.free();
+    let accelerators = worker.free().accelerators >= step.need.accelerators;
+    accelerators && has_memory(worker, step) && has_processors(worker, step)
+}
+
+fn has_memory(worker: &Worker, step: &Step) -> bool {
+    let free = worker.free().memory;
     if !step.best_effort {
-        return free.holds(step.need);
+        return free >= step.need.memory;
     }
     let reserve = f64::from(worker.registration.capacity.memory) * URGENT_MEMORY_SHARE;
-    let memory = f64::from(free.memory) - reserve >= f64::from(step.need.memory);
-    let idle = idle(worker) as f64 >= f64::from(step.need.millicores) * REQUIRED_IDLE_SHARE;
-    memory && idle && free.accelerators >= step.need.accelerators
+    f64::from(free) - reserve >= f64::from(step.need.memory)
+}
+
+fn has_processors(worker: &Worker, step: &Step) -> bool {
+    if !step.best_effort {
+        return worker.free().millicores >= step.need.millicores;
+    }
+    idle(worker) as f64 >= f64::from(step.need.millicores) * REQUIRED_IDLE_SHARE
+}
+
+/// Finds out which resource no worker has free for a task.
+fn capacity_wait_reason(open: &[&Worker], step: &Step) -> WaitReason {
+    let memory = open.iter().any(|worker| has_memory(worker, step));
+    let processors = open.iter().any(|worker| has_processors(worker, step));
+    match (processors, memory) {
+        (false, true) => WaitReason::NoProcessors,
+        (true, false) => WaitReason::NoMemory,
+        _ => WaitReason::NoCapacity,
+    }
 }
 
 /// The idle processors, in millicores, that a further best-effort task could
--- a/src/schedule/rank.rs
+++ b/src/schedule/rank.rs
@@ -3,11 +3,7 @@
 use std::time::Duration;
 
 use crate::moment::Moment;
-use crate::workflow::{ActiveWorkflow, Task, TaskKey};
-
-/// A job is overdue once it takes this many times its allowed time. Its result is
-/// then worth nothing to the caller.
-const OVERDUE_FACTOR: u32 = 3;
+use crate::workflow::{ActiveWorkflow, OVERDUE_FACTOR, Task, TaskKey};
 
 /// Whether the job can still end in time if the task starts now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -7,6 +7,7 @@
 
 use slotmap::SlotMap;
 
+use super::delay::Delays;
 use super::place::{Candidates, PlacementFailures};
 use super::rank::{Rank, rank};
 use super::waiting::WaitList;
@@ -86,7 +87,8 @@
     pub(super) tasks_recovering: bool,
     /// The workers of a former owner that have not answered this owner.
     pub(super) former_workers: HashSet<WorkerKey>,
-    waiting: WaitList,
+    pub(super) waiting: WaitList,
+    pub(super) delays: Delays,
     pub(super) recurring: BTreeSet<WorkflowKey>,
     pub(super) recently_ended: HashMap<WorkflowId, Moment>,
     /// The jobs for which the log already says why they wait.
@@ -122,6 +124,7 @@
             tasks_recovering: term.recovery_deadline.is_some(),
             former_workers: HashSet::new(),
             waiting: WaitList::default(),
+            delays: Delays::default(),
             recurring: BTreeSet::new(),
             recently_ended: HashMap::new(),
             logged_waits: HashSet::new(),
@@ -157,6 +160,7 @@
             return;
         }
         let (id, queue, revision) = (workflow.id, workflow.queue.name.clone(), workflow.revision);
+        let work = workflow.spec.work();
         self.queue_settings.apply(&mut workflow);
         let inherited = self.is_inherited(revision);
         let recurring = workflow.spec.recurrence.is_some();
@@ -175,6 +179,7 @@
             queue,
             revision,
             tasks: unblocked.len(),
+            work,
         });
         self.enqueue(key, now);
     }
@@ -217,13 +222,18 @@
         self.expire_leases(now);
         self.finish_recovery(now);
         self.start_recurring(now);
-        if now - self.last_ranked >= RERANK_INTERVAL {
+        let elapsed = now - self.last_ranked;
+        if elapsed < RERANK_INTERVAL {
+            self.place_waiting(now);
+        } else {
             self.rerank(now);
             self.pairs.decay(RERANK_INTERVAL);
             self.recently_ended
                 .retain(|_, at| now - *at < ENDED_RETENTION);
+            self.place_waiting(now);
+            self.record_delays(elapsed, now);
+            self.record_waits(now);
         }
-        self.place_waiting(now);
         std::mem::take(&mut self.orders)
     }
 
@@ -277,7 +287,6 @@
                 self.waiting.insert(rank(workflow, key, task, now));
             }
         }
-        self.record_waits(now);
     }
 
     /// Records why jobs wait, once per job.
@@ -286,14 +295,15 @@
         for key in self.waiting.iter() {
             let task = &self.ledger.tasks[key];
             let workflow = &self.ledger.workflows[task.workflow];
-            if now - task.ready < WAIT_LOG_DELAY || !self.logged_waits.insert(task.workflow) {
+            let waits = task.stage == Stage::Waiting && now - task.ready >= WAIT_LOG_DELAY;
+            if !waits || !self.logged_waits.insert(task.workflow) {
                 continue;
             }
             let step = workflow.step(task.name);
             events.push(Event::Waiting {
                 task: task.name.to_string(),
                 waited: (now - task.ready).as_millis() as u64,
-                reason: self.wait_reason(workflow, step, now),
+                reason: self.wait_reason(workflow, task, now),
                 label: step.label.clone().unwrap_or_default(),
             });
         }
@@ -392,6 +402,7 @@
             free: target.free().millicores,
         };
         self.record(event);
+        self.record_placement(key);
         self.order(worker, Order::Start { task: key, run });
     }
 
@@ -419,12 +430,15 @@
     /// Stops the remaining runs of an ended job and schedules the write of its end.
     pub(super) fn end_workflow(&mut self, key: WorkflowKey, now: Moment) {
         let workflow = &self.ledger.workflows[key];
-        let (id, state, accepted) = (workflow.id, workflow.state, workflow.accepted);
-        self.record(Event::JobEnded {
-            id: id.to_string(),
+        let (state, after) = (workflow.state, now - workflow.accepted);
+        let event = Event::JobEnded {
+            id: workflow.id.to_string(),
             state,
-            after: (now - accepted).as_millis() as u64,
-        });
+            after: after.as_millis() as u64,
+            work: workflow.spec.work(),
+            delay: self.delays.take(key),
+        };
+        self.record(event);
         let reason = match state {
             WorkflowState::Cancelled => "the job was cancelled",
             _ => "the job has ended",
--- /dev/null
+++ b/src/schedule/tests/delays.rs
@@ -0,0 +1,116 @@
+//! Tests of what the log says about delayed jobs.
+
+use super::*;
+
+impl Shard {
+    /// The events about delays since the last call, one per line as in the log.
+    fn delays(&mut self) -> String {
+        let events = self.scheduler.take_events().into_iter();
+        let delays = events.filter(|event| {
+            matches!(
+                event,
+                Event::Waiting { .. } | Event::JobOverdue { .. } | Event::JobEnded { .. }
+            )
+        });
+        let lines = delays.map(|event| serde_json::to_string(&event).unwrap());
+        lines.collect::<Vec<String>>().join("\n")
+    }
+
+    /// Reports the runs as they are, and plans, each half second until `millis`.
+    fn run_until(&mut self, millis: u64, running: &[(TaskName, u64)]) {
+        while self.now < millis {
+            self.now += 500;
+            self.report(0, running, &[]);
+            self.plan();
+        }
+    }
+}
+
+#[test]
+fn a_waiting_job_names_the_resource_that_it_lacks() {
+    let with_memory = |step: Step, memory| Step {
+        need: Capacity {
+            memory,
+            ..step.need
+        },
+        ..step
+    };
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(
+        1,
+        vec![with_memory(step(1, 3), 5000)],
+        1,
+        0,
+    ));
+    shard.plan();
+    let running: Vec<_> = shard.confirm().iter().map(|run| (run.1, run.2)).collect();
+    shard.submit(active_workflow(2, vec![step(1, 6)], 2, 0));
+    shard.submit(active_workflow(
+        3,
+        vec![with_memory(step(1, 1), 4000)],
+        3,
+        0,
+    ));
+    shard.submit(active_workflow(
+        4,
+        vec![with_memory(step(1, 6), 4000)],
+        4,
+        0,
+    ));
+    shard.submit(active_workflow(5, vec![step(1, 9)], 5, 0));
+    shard.run_until(2_000, &running);
+    insta::assert_snapshot!(shard.delays(), @r#"
+    {"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":""}
+    {"event":"waiting","task":"0000000000000003.0.0.0","waited":2000,"reason":"no_memory","label":""}
+    {"event":"waiting","task":"0000000000000004.0.0.0","waited":2000,"reason":"no_room","label":""}
+    {"event":"waiting","task":"0000000000000005.0.0.0","waited":2000,"reason":"too_large","label":""}
+    "#);
+}
+
+#[test]
+fn a_job_that_waits_for_a_place_without_interference_says_so() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    let (serving_image, batch) = (
+        shard.scheduler.images.key("video"),
+        shard.scheduler.images.key("batch"),
+    );
+    shard.scheduler.pairs.restore(serving_image, batch, 4.0);
+    shard.submit(active_workflow(1, vec![serving(1, 2, "video")], 1, 0));
+    shard.plan();
+    let running: Vec<_> = shard.confirm().iter().map(|run| (run.1, run.2)).collect();
+    shard.submit(active_workflow(2, vec![best_effort(1, 2, "batch")], 2, 2));
+    shard.run_until(2_000, &running);
+    insta::assert_snapshot!(shard.delays(), @r"");
+}
+
+#[test]
+fn an_overdue_job_says_how_much_later_work_overtook_it() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 8)], 1, 0));
+    shard.plan();
+    let mut runs = shard.confirm();
+    shard.submit(active_workflow(2, vec![step(20, 8)], 2, 0));
+    for id in 3..10 {
+        shard.now += 1_000;
+        let later = ActiveWorkflow {
+            accepted: at(shard.now),
+            ..active_workflow(id, vec![step(1, 8)], id, 0)
+        };
+        shard.submit(later);
+        let ended = runs[0];
+        shard.report(0, &[], &[(id, ended.1, ended.2, RunOutcome::Done)]);
+        shard.plan();
+        runs = shard.confirm();
+    }
+    insta::assert_snapshot!(shard.delays(), @r#"
+    {"event":"job_ended","id":"0000000000000001","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    {"event":"job_ended","id":"0000000000000003","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    {"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":""}
+    {"event":"job_ended","id":"0000000000000004","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    {"event":"job_ended","id":"0000000000000005","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    {"event":"job_ended","id":"0000000000000006","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    {"event":"job_ended","id":"0000000000000007","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    {"event":"job_overdue","id":"0000000000000002","queue":"queue","work":160000,"tasks":20,"remaining":20,"after":6000,"delay":{"waits":{"no_processors":6000},"overtaken":48000}}
+    {"event":"job_ended","id":"0000000000000008","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    "#);
+}
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler in virtual time, with one shard and simulated worker
 //! reports.
 
+mod delays;
 mod ends;
 mod interference;
 mod placing;
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -11,6 +11,10 @@
 use crate::moment::Moment;
 use crate::routing::Queue;
 
+/// A job is overdue once it takes this many times its allowed time. Its result is
+/// then worth nothing to the caller.
+pub const OVERDUE_FACTOR: u32 = 3;
+
 new_key_type! {
     /// The key of a job in the [`Ledger`].
     pub struct WorkflowKey;
@@ -161,6 +165,15 @@
             + self.queue.latency_target
             + self.spec.critical_path().mul_f64(self.queue.stretch)
     }
+
+    /// Returns when the result of the job is of no more use to the caller; absent for
+    /// recurring jobs and for jobs with long-running tasks.
+    pub fn overdue(&self) -> Option<Moment> {
+        let long_running = self.spec.steps.iter().any(|step| step.long_running);
+        let runs_once = self.spec.recurrence.is_none() && !long_running;
+        let allowed = self.objective() - self.accepted;
+        runs_once.then(|| self.accepted + allowed * OVERDUE_FACTOR)
+    }
 }
 
 /// How an event changes the state of a job.
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -12,8 +12,8 @@
 mod tests;
 
 pub use ledger::{
-    ActiveWorkflow, FULL_SPEED, JobTransition, Ledger, Occurrence, RunProgress, Stage, Task,
-    TaskKey, WorkflowKey, due_times,
+    ActiveWorkflow, FULL_SPEED, JobTransition, Ledger, OVERDUE_FACTOR, Occurrence, RunProgress,
+    Stage, Task, TaskKey, WorkflowKey, due_times,
 };
 pub use name::{ParseNameError, TaskName, WorkflowId};
 pub use progress::{Progress, TaskRecord};
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -137,6 +137,38 @@
         steps.try_for_each(|(number, step)| step.check(number))
     }
 
+    /// Returns the estimated work of all tasks, in core milliseconds.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lycheelock::fleet::Capacity;
+    /// use lycheelock::workflow::{Step, Workflow};
+    ///
+    /// let need = Capacity { millicores: 500, ..Capacity::default() };
+    /// let step = Step { count: 3, need, estimate: Duration::from_secs(1), ..Step::default() };
+    /// let workflow = Workflow { steps: vec![step], ..Workflow::default() };
+    /// assert_eq!(workflow.work(), 1500);
+    /// ```
+    pub fn work(&self) -> u64 {
+        let steps = self.steps.iter();
+        steps
+            .map(|step| step.task_work() * u64::from(step.count))
+            .sum()
+    }
+
+    /// Returns the number of tasks of all steps in one occurrence.
+    ///
+    /// ```
+    /// use lycheelock::workflow::{Step, Workflow};
+    ///
+    /// let step = Step { count: 3, ..Step::default() };
+    /// let workflow = Workflow { steps: vec![step.clone(), step], ..Workflow::default() };
+    /// assert_eq!(workflow.task_count(), 6);
+    /// ```
+    pub fn task_count(&self) -> u32 {
+        self.steps.iter().map(|step| step.count).sum()
+    }
+
     /// Returns the length of the critical path: the total estimated run time of the
     /// longest chain of dependent steps.
     ///
@@ -160,6 +192,21 @@
 }
 
 impl Step {
+    /// Returns the estimated work of one task, in core milliseconds.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lycheelock::fleet::Capacity;
+    /// use lycheelock::workflow::Step;
+    ///
+    /// let need = Capacity { millicores: 2500, ..Capacity::default() };
+    /// let step = Step { need, estimate: Duration::from_secs(2), ..Step::default() };
+    /// assert_eq!(step.task_work(), 5000);
+    /// ```
+    pub const fn task_work(&self) -> u64 {
+        self.need.millicores as u64 * self.estimate.as_millis() as u64 / 1000
+    }
+
     /// Converts a tail latency in milliseconds to percent of the target; `None` for tasks
     /// without a target.
     ///
