Log: overdue jobs also without a waiting task, throttling and evictions

A job whose tasks all run, but paused or at low speed, becomes overdue without waiting: job_overdue now looks at all jobs, and delay counts the time lost to throttling and the runs that were stopped. One more test.

--- a/src/schedule/delay.rs
+++ b/src/schedule/delay.rs
@@ -9,7 +9,7 @@
 
 use super::{Event, Scheduler, WaitReason};
 use crate::moment::Moment;
-use crate::workflow::{Stage, TaskKey, WorkflowKey};
+use crate::workflow::{ActiveWorkflow, FULL_SPEED, Stage, TaskKey, WorkflowKey};
 
 /// The interval at which the reason of a waiting job is determined again.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(2);
@@ -26,14 +26,25 @@
     /// The work that was placed while the job waited, of jobs of the same queue that
     /// were accepted later, in core milliseconds.
     pub overtaken: u64,
+    /// The time in milliseconds by which throttling slowed the job's tasks, summed
+    /// over the tasks: a paused task adds all the time of its pause.
+    pub throttled: u64,
+    /// The number of the job's runs that the scheduler stopped while the job went on.
+    pub evictions: u32,
 }
 
-/// The delay of one job that has not ended, and the last sample of it.
-#[derive(Debug, Clone)]
+/// What a job lacked when it was last sampled.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    reason: WaitReason,
+    at: Moment,
+}
+
+/// The delay of one job that has not ended.
+#[derive(Debug, Clone, Default)]
 struct DelayRecord {
     delay: JobDelay,
-    reason: WaitReason,
-    sampled: Moment,
+    sample: Option<Sample>,
     overdue_recorded: bool,
 }
 
@@ -96,9 +107,24 @@
             .add(&workflow.queue.name, workflow.accepted, work);
     }
 
-    /// Adds the time since the last pass to the delays of all jobs with a waiting
-    /// task.
+    /// Counts a run that is stopped while its job goes on.
+    pub(super) fn record_eviction(&mut self, key: WorkflowKey) {
+        let record = self.delays.jobs.entry(key).or_default();
+        record.delay.evictions += 1;
+    }
+
+    /// Adds the time since the last pass to the delays of all jobs.
     pub(super) fn record_delays(&mut self, elapsed: Duration, now: Moment) {
+        self.record_waiting_jobs(elapsed, now);
+        self.record_throttled_tasks(elapsed);
+        self.record_overdue_jobs(now);
+        let workflows = &self.ledger.workflows;
+        self.delays
+            .jobs
+            .retain(|key, _| workflows.contains_key(*key));
+    }
+
+    fn record_waiting_jobs(&mut self, elapsed: Duration, now: Moment) {
         self.delays.placed.accumulate();
         let mut seen = HashSet::new();
         let mut samples = MAX_SAMPLES;
@@ -108,68 +134,74 @@
                 continue;
             };
             if task.stage == Stage::Waiting && seen.insert(task.workflow) {
-                self.record_delay(key, elapsed, &mut samples, now);
+                self.record_wait(key, elapsed, &mut samples, now);
             }
         }
         self.delays.placed = PlacedWork::default();
-        let workflows = &self.ledger.workflows;
-        self.delays
-            .jobs
-            .retain(|key, _| workflows.contains_key(*key));
     }
 
-    fn record_delay(&mut self, key: TaskKey, elapsed: Duration, samples: &mut usize, now: Moment) {
+    fn record_wait(&mut self, key: TaskKey, elapsed: Duration, samples: &mut usize, now: Moment) {
         let task = &self.ledger.tasks[key];
         let (job, waited) = (task.workflow, now - task.ready);
         let workflow = &self.ledger.workflows[job];
-        let known = self.delays.jobs.get(&job);
-        let fresh = known.is_some_and(|record| now - record.sampled < SAMPLE_INTERVAL);
-        let known_reason = known.map_or(WaitReason::HeldBack, |record| record.reason);
-        let sample = !fresh && *samples > 0;
-        let reason = if sample {
-            *samples -= 1;
-            self.wait_reason(workflow, task, now)
+        let known = self.delays.jobs.get(&job).and_then(|record| record.sample);
+        let fresh = known.is_some_and(|sample| now - sample.at < SAMPLE_INTERVAL);
+        let sample = if fresh || *samples == 0 {
+            known
         } else {
-            known_reason
+            *samples -= 1;
+            let reason = self.wait_reason(workflow, task, now);
+            Some(Sample { reason, at: now })
         };
         let placed = &self.delays.placed;
         let overtaken = placed.later_than(&workflow.queue.name, workflow.accepted);
-        let record = self.delays.jobs.entry(job).or_insert(DelayRecord {
-            delay: JobDelay::default(),
-            reason,
-            sampled: now,
-            overdue_recorded: false,
-        });
-        if sample {
-            record.reason = reason;
-            record.sampled = now;
-        }
+        let record = self.delays.jobs.entry(job).or_default();
+        record.sample = sample;
+        record.delay.overtaken += overtaken;
+        let reason = sample.map_or(WaitReason::HeldBack, |sample| sample.reason);
         let span = elapsed.min(waited).as_millis() as u64;
         *record.delay.waits.entry(reason).or_default() += span;
-        record.delay.overtaken += overtaken;
-        self.record_overdue(job, now);
     }
 
-    /// Records, once for a job, that it can no longer end while its result is of use.
-    fn record_overdue(&mut self, key: WorkflowKey, now: Moment) {
-        let workflow = &self.ledger.workflows[key];
-        let record = self.delays.jobs.get_mut(&key).expect("just recorded");
-        let overdue = workflow.overdue().is_some_and(|overdue| overdue <= now);
-        if record.overdue_recorded || !overdue {
-            return;
+    fn record_throttled_tasks(&mut self, elapsed: Duration) {
+        for task in self.ledger.tasks.values() {
+            if task.speed == FULL_SPEED || !matches!(task.stage, Stage::Running(_)) {
+                continue;
+            }
+            let slowed = u64::from(FULL_SPEED - task.speed) * elapsed.as_millis() as u64;
+            let record = self.delays.jobs.entry(task.workflow).or_default();
+            record.delay.throttled += slowed / u64::from(FULL_SPEED);
         }
-        record.overdue_recorded = true;
-        let remaining = workflow.occurrences.iter();
-        let remaining = remaining.flat_map(|occurrence| &occurrence.remaining);
-        let event = Event::JobOverdue {
-            id: workflow.id.to_string(),
-            queue: workflow.queue.name.clone(),
-            work: workflow.spec.work(),
-            tasks: workflow.spec.task_count(),
-            remaining: remaining.sum(),
-            after: (now - workflow.accepted).as_millis() as u64,
-            delay: record.delay.clone(),
-        };
-        self.record(event);
+    }
+
+    /// Records, once for each job, that it can no longer end while its result is of
+    /// use.
+    fn record_overdue_jobs(&mut self, now: Moment) {
+        let mut events = Vec::new();
+        for (key, workflow) in &self.ledger.workflows {
+            let overdue = workflow.overdue().is_some_and(|overdue| overdue <= now);
+            if workflow.state.is_final() || !overdue {
+                continue;
+            }
+            let record = self.delays.jobs.entry(key).or_default();
+            if !std::mem::replace(&mut record.overdue_recorded, true) {
+                events.push(overdue_event(workflow, record.delay.clone(), now));
+            }
+        }
+        self.events.extend(events);
+    }
+}
+
+fn overdue_event(workflow: &ActiveWorkflow, delay: JobDelay, now: Moment) -> Event {
+    let occurrences = workflow.occurrences.iter();
+    let remaining = occurrences.flat_map(|occurrence| &occurrence.remaining);
+    Event::JobOverdue {
+        id: workflow.id.to_string(),
+        queue: workflow.queue.name.clone(),
+        work: workflow.spec.work(),
+        tasks: workflow.spec.task_count(),
+        remaining: remaining.sum(),
+        after: (now - workflow.accepted).as_millis() as u64,
+        delay,
     }
 }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -108,7 +108,7 @@
     /// The number of run numbers that were assigned in this term.
     run_count: u64,
     orders: Vec<(WorkerKey, Order)>,
-    events: Vec<Event>,
+    pub(super) events: Vec<Event>,
 }
 
 impl Scheduler {
@@ -457,6 +457,10 @@
             return;
         };
         let order = self.stop_order(key);
+        let workflow = self.ledger.tasks[key].workflow;
+        if !self.ledger.workflows[workflow].state.is_final() {
+            self.record_eviction(workflow);
+        }
         self.ledger.set_stage(key, Stage::Stopping(worker), now);
         let name = self.worker_name(worker);
         self.record(Event::Stopping {
--- a/src/schedule/tests/delays.rs
+++ b/src/schedule/tests/delays.rs
@@ -103,14 +103,28 @@
         runs = shard.confirm();
     }
     insta::assert_snapshot!(shard.delays(), @r#"
-    {"event":"job_ended","id":"0000000000000001","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
-    {"event":"job_ended","id":"0000000000000003","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    {"event":"job_ended","id":"0000000000000001","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
+    {"event":"job_ended","id":"0000000000000003","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
     {"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":""}
-    {"event":"job_ended","id":"0000000000000004","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
-    {"event":"job_ended","id":"0000000000000005","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
-    {"event":"job_ended","id":"0000000000000006","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
-    {"event":"job_ended","id":"0000000000000007","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
-    {"event":"job_overdue","id":"0000000000000002","queue":"queue","work":160000,"tasks":20,"remaining":20,"after":6000,"delay":{"waits":{"no_processors":6000},"overtaken":48000}}
-    {"event":"job_ended","id":"0000000000000008","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0}}
+    {"event":"job_ended","id":"0000000000000004","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
+    {"event":"job_ended","id":"0000000000000005","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
+    {"event":"job_ended","id":"0000000000000006","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
+    {"event":"job_ended","id":"0000000000000007","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
+    {"event":"job_overdue","id":"0000000000000002","queue":"queue","work":160000,"tasks":20,"remaining":20,"after":6000,"delay":{"waits":{"no_processors":6000},"overtaken":48000,"throttled":0,"evictions":0}}
+    {"event":"job_ended","id":"0000000000000008","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
+    "#);
+}
+
+#[test]
+fn an_overdue_job_says_how_much_it_was_throttled() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![best_effort(1, 2, "batch")], 1, 2));
+    shard.plan();
+    let running: Vec<_> = shard.confirm().iter().map(|run| (run.1, run.2)).collect();
+    let task = shard.task(running[0].0);
+    shard.scheduler.ledger.tasks[task].speed = 25;
+    shard.run_until(6_000, &running);
+    insta::assert_snapshot!(shard.delays(), @r#"
+    {"event":"job_overdue","id":"0000000000000001","queue":"queue","work":2000,"tasks":1,"remaining":1,"after":6000,"delay":{"waits":{},"overtaken":0,"throttled":1125,"evictions":0}}
     "#);
 }
