--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -75,6 +75,10 @@
         reason: WaitReason,
         /// The label that the task needs; empty if it needs none.
         label: String,
+        /// The image that the task runs.
+        image: String,
+        /// The number of tasks of the job that a worker may be running.
+        running: usize,
     },
     /// A run that a former owner started was found and continues.
     Adopted {
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -305,6 +305,8 @@
                 waited: (now - task.ready).as_millis() as u64,
                 reason: self.wait_reason(workflow, task, now),
                 label: step.label.clone().unwrap_or_default(),
+                image: step.image.clone(),
+                running: self.ledger.live_tasks(task.workflow).count(),
             });
         }
         self.events.extend(events);
--- a/src/schedule/tests/delays.rs
+++ b/src/schedule/tests/delays.rs
@@ -60,10 +60,10 @@
     shard.submit(active_workflow(5, vec![step(1, 9)], 5, 0));
     shard.run_until(2_000, &running);
     insta::assert_snapshot!(shard.delays(), @r#"
-    {"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":""}
-    {"event":"waiting","task":"0000000000000003.0.0.0","waited":2000,"reason":"no_memory","label":""}
-    {"event":"waiting","task":"0000000000000004.0.0.0","waited":2000,"reason":"no_room","label":""}
-    {"event":"waiting","task":"0000000000000005.0.0.0","waited":2000,"reason":"too_large","label":""}
+    {"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":"","image":"","running":0}
+    {"event":"waiting","task":"0000000000000003.0.0.0","waited":2000,"reason":"no_memory","label":"","image":"","running":0}
+    {"event":"waiting","task":"0000000000000004.0.0.0","waited":2000,"reason":"no_room","label":"","image":"","running":0}
+    {"event":"waiting","task":"0000000000000005.0.0.0","waited":2000,"reason":"too_large","label":"","image":"","running":0}
     "#);
 }
 
@@ -75,12 +75,15 @@
         shard.scheduler.images.key("batch"),
     );
     shard.scheduler.pairs.restore(serving_image, batch, 4.0);
-    shard.submit(active_workflow(1, vec![serving(1, 2, "video")], 1, 0));
+    let busy = vec![serving(1, 2, "video"), step(1, 4)];
+    shard.submit(active_workflow(1, busy, 1, 0));
     shard.plan();
     let running: Vec<_> = shard.confirm().iter().map(|run| (run.1, run.2)).collect();
     shard.submit(active_workflow(2, vec![best_effort(1, 2, "batch")], 2, 2));
     shard.run_until(2_000, &running);
-    insta::assert_snapshot!(shard.delays(), @r"");
+    insta::assert_snapshot!(shard.delays(), @r#"
+    {"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"interference","label":"","image":"batch","running":0}
+    "#);
 }
 
 #[test]
@@ -105,7 +108,7 @@
     insta::assert_snapshot!(shard.delays(), @r#"
     {"event":"job_ended","id":"0000000000000001","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
     {"event":"job_ended","id":"0000000000000003","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
-    {"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":""}
+    {"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":"","image":"","running":0}
     {"event":"job_ended","id":"0000000000000004","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
     {"event":"job_ended","id":"0000000000000005","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
     {"event":"job_ended","id":"0000000000000006","state":"Done","after":1000,"work":8000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":0}}
