Schedule: started jobs go before new ones

Cause: a job that became late went behind all jobs in time, started or not. While new jobs kept coming it never ended, and the work done for it was lost; this struck large jobs most, as they need most work before they are worth anything.

Change: precedence replaces timeliness in the rank. Started in time, started late, new in time, new late, overdue. Started late jobs are ordered by the share of their work that is left, so that size does not count and the one nearest to its end is ended.

--- a/src/schedule/tests/placing.rs
+++ b/src/schedule/tests/placing.rs
@@ -2,7 +2,7 @@
 //! are chosen.
 
 use super::*;
-use crate::schedule::rank::{Rank, Timeliness};
+use crate::schedule::rank::{Precedence, Rank};
 use crate::schedule::waiting::WaitList;
 
 #[test]
@@ -156,6 +156,70 @@
     assert_eq!(started(3_000), WorkflowId(1));
 }
 
+/// A late job of three tasks, one of which is done, beside a new job. Returns the
+/// jobs whose tasks are started then.
+fn started_beside_a_late_job(now: u64, last_step: Step) -> Vec<WorkflowId> {
+    let mut shard = Shard::first_owner(&["w0"]);
+    let last = Step {
+        after: vec![0],
+        ..last_step
+    };
+    shard.submit(active_workflow(1, vec![step(1, 8), last], 1, 0));
+    shard.plan();
+    let first = shard.confirm()[0];
+    shard.now = now;
+    let new = ActiveWorkflow {
+        accepted: at(now),
+        ..active_workflow(2, vec![step(1, 8)], 2, 0)
+    };
+    shard.submit(new);
+    shard.report(0, &[], &[(1, first.1, first.2, RunOutcome::Done)]);
+    shard.plan();
+    let started = shard.confirm();
+    started.iter().map(|run| run.1.workflow).collect()
+}
+
+#[test]
+fn a_started_job_that_is_late_does_not_yield_to_new_jobs() {
+    let started = started_beside_a_late_job(4_000, step(2, 8));
+    assert_eq!(started, [WorkflowId(1)]);
+}
+
+#[test]
+fn a_started_job_that_is_of_no_more_use_yields_to_new_jobs() {
+    let started = started_beside_a_late_job(12_000, step(2, 8));
+    assert_eq!(started, [WorkflowId(2)]);
+}
+
+#[test]
+fn of_two_late_jobs_the_one_nearer_to_its_end_is_finished_first() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    let ended = TaskRecord {
+        done: true,
+        ..TaskRecord::default()
+    };
+    let records = |count: u32| -> Vec<TaskRecord> {
+        let indices = 0..count;
+        indices
+            .map(|index| TaskRecord {
+                index,
+                ..ended.clone()
+            })
+            .collect()
+    };
+    let job = |id, tasks, accepted| ActiveWorkflow {
+        accepted: at(accepted),
+        state: WorkflowState::Running,
+        ..active_workflow(id, vec![step(tasks, 8)], id, 0)
+    };
+    shard.restore(job(1, 2, 0), &records(1));
+    shard.restore(job(2, 10, 500), &records(8));
+    shard.now = 3_000;
+    shard.report_all();
+    shard.plan();
+    assert_eq!(shard.confirm()[0].1.workflow, WorkflowId(2));
+}
+
 #[test]
 fn jobs_accepted_before_and_after_a_configuration_change_use_the_newest_queue() {
     let mut shard = Shard::first_owner(&["w0"]);
@@ -183,7 +247,8 @@
 fn a_reranked_task_is_listed_once() {
     let rank = |latest: u64| Rank {
         priority: 0,
-        timeliness: Timeliness::InTime,
+        precedence: Precedence::New,
+        work_left: 0,
         latest_start: at(latest),
         task: TaskKey::default(),
     };
