Schedule: the deferral of a large job is bounded by its slack

Cause: a new job's latest start is deferred by a tenth of the run time of all its tasks. For 100 tasks of 2 s that is 20 s, for a job that can wait 4 s: it was late, and behind all new jobs, long before its turn.

Change: at most half of the time that the job can wait and still end in time.

Tests: a_large_job_is_not_deferred_until_it_is_late failed before (small jobs first, without end). small_jobs_come_before_large_ones pinned a deferral of 2 s for a job that can wait 1 s, which was the fault: it now brackets the bound between 0.3 and 0.5 s. The test of the log of overtaken work has a job that can wait longer, as the old one is not overtaken any more.

--- a/src/schedule/rank.rs
+++ b/src/schedule/rank.rs
@@ -49,6 +49,9 @@
 /// its remaining work. If not all jobs can end in time, small and nearly done
 /// ones thus come first.
 const START_DEFERRAL: f64 = 0.1;
+/// The limit on that deferral, as a share of the time that the job can wait and
+/// still end in time. Without it, a large job is late long before its turn.
+const MAX_DEFERRAL_SHARE: f64 = 0.5;
 
 /// The sort key of a waiting task; the smallest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -90,6 +93,7 @@
         Precedence::new(has_started(workflow, occurrence), timeliness)
     };
     let deferral = remaining_time(workflow, occurrence).mul_f64(START_DEFERRAL);
+    let slack = allowed.saturating_sub(remaining);
     Rank {
         priority: workflow.queue.priority,
         precedence,
@@ -99,7 +103,7 @@
         },
         latest_start: Moment::default()
             + (end - Moment::default()).saturating_sub(remaining)
-            + deferral,
+            + deferral.min(slack.mul_f64(MAX_DEFERRAL_SHARE)),
         task: key,
     }
 }
