Recovery: a task that fails waits for what other workers say of it

Cause: failures that a former owner did not store stand only in the lists of the workers. The new owner adopted the run on one worker, saw it fail, and restarted the task at once, while the worker with the second failure had not answered. The job had no attempt left. Class: a decision on a count before recovery has collected it.

Change: during recovery the task of an inherited job goes back to recovering when its adopted run fails; it starts again, or the job has failed, once all former workers have answered or their leases have ended. Long-running tasks have no limit of attempts and restart at once, as before.

The test failed before (it started the task); a second one shows that the task starts again after the recovery.

--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -284,6 +284,13 @@
         if ours {
             self.unassign(task);
             self.ledger.requeue(task, now);
+            // Other workers may hold earlier failures that the former owner did not
+            // store; with them the job may have no attempt left.
+            let revision = self.ledger.workflows[workflow].revision;
+            let failed = end.outcome == RunOutcome::Failed && !long_running;
+            if failed && self.is_inherited(revision) {
+                self.ledger.set_stage(task, Stage::Recovering, now);
+            }
         }
         if !end.checkpoint.is_empty() {
             self.ledger.tasks[task]
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -187,7 +187,7 @@
     /// Whether a former owner may have started tasks of a job that was accepted
     /// at this revision. A former owner adds no job that was accepted after this
     /// owner's claim.
-    fn is_inherited(&self, revision: u64) -> bool {
+    pub(super) fn is_inherited(&self, revision: u64) -> bool {
         self.recovering && revision < self.term.fence
     }
 
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -127,3 +127,45 @@
     shard.plan();
     assert_eq!(shard.stage(name(1, 0, 0)), Stage::Recovering);
 }
+
+#[test]
+fn a_task_that_fails_during_recovery_waits_for_its_earlier_failures_on_other_workers() {
+    let mut shard = Shard::later_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    let task = name(1, 0, 0);
+    shard.report(0, &[(task, 60)], &[]);
+    shard.plan();
+    shard.now = 500;
+    shard.report(0, &[], &[(1, task, 60, RunOutcome::Failed)]);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    shard.report(1, &[], &[(1, task, 50, RunOutcome::Failed)]);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    let ended = shard.scheduler.take_events();
+    let failed = |event: &Event| {
+        matches!(
+            event,
+            Event::JobEnded {
+                state: WorkflowState::Failed,
+                ..
+            }
+        )
+    };
+    assert!(ended.iter().any(failed), "{ended:?}");
+}
+
+#[test]
+fn a_task_that_failed_during_recovery_starts_again_after_it() {
+    let mut shard = Shard::later_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    let task = name(1, 0, 0);
+    shard.report(0, &[(task, 60)], &[]);
+    shard.now = 500;
+    shard.report(0, &[], &[(1, task, 60, RunOutcome::Failed)]);
+    shard.report(1, &[], &[]);
+    shard.write();
+    shard.now = 600;
+    shard.plan();
+    assert!(shard.orders().contains("start"), "{}", shard.orders());
+}
