Overload test: only the image that is disturbed reports long tails

Every serving task of the simulation reported a long tail beside the heavy image, also the image that it does not interfere with, so the heavy image had no free places at all.

--- a/src/schedule/delay.rs
+++ b/src/schedule/delay.rs
@@ -17,7 +17,8 @@
 /// all workers.
 const MAX_SAMPLES: usize = 64;
 
-/// Why a job was delayed.
+/// Why a job was delayed, as far as the current owner saw it; a takeover starts the
+/// account again.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct JobDelay {
     /// The time in milliseconds during which a task of the job waited, by what its
--- a/src/schedule/tests/overload.rs
+++ b/src/schedule/tests/overload.rs
@@ -86,10 +86,13 @@
     fn running(&self) -> Vec<LiveRun> {
         let interferes = |run: &Run| run.image == "heavy" && run.speed > 0;
         let disturbed = self.runs.values().any(interferes);
-        let tail = if disturbed { DISTURBED_TAIL } else { TAIL };
+        let tail = |run: &Run| match run.image.as_str() {
+            "video" if disturbed => DISTURBED_TAIL,
+            _ => TAIL,
+        };
         let rows = self.runs.iter().map(|((task, id), run)| {
             let used = u64::from(run.cores * CORE) * run.speed / 100;
-            let measurement = if run.serving { tail } else { used as u32 };
+            let measurement = if run.serving { tail(run) } else { used as u32 };
             live(*task, *id, measurement)
         });
         rows.collect()
