Log: the wait reason of a labelled task looks at labelled workers only

What on-call engineers saw: no_room for a task whose only labelled worker had no free processors, because another worker without the label had them free.

The new test failed before (no_room instead of no_processors). Decisions are not touched.

--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -21,7 +21,8 @@
     NoProcessors,
     /// No worker has enough free memory, though some have the processors.
     NoMemory,
-    /// No worker has both the processors and the memory free.
+    /// No worker has all that the task needs free at the same time, or those that have
+    /// already run as many tasks of the step as allowed.
     #[serde(rename = "no_room")]
     NoCapacity,
     /// Every worker with the free capacity runs a serving task that the task would
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -196,29 +196,35 @@
             worker.registration.pool == workflow.queue.pool && worker.is_open(now)
         });
         let open: Vec<&Worker> = open.collect();
-        let labelled = |worker: &&&Worker| has_label(worker, step);
+        let labelled: Vec<&Worker> = open
+            .iter()
+            .copied()
+            .filter(|worker| has_label(worker, step))
+            .collect();
         let large = |worker: &&Worker| worker.registration.capacity.holds(step.need);
-        let fitting = |worker: &&Worker| fits(worker, step, task.name);
+        let fitting: Vec<&Worker> = labelled
+            .iter()
+            .copied()
+            .filter(|worker| fits(worker, step, task.name))
+            .collect();
         if open.is_empty() {
             WaitReason::NoWorker
-        } else if !open.iter().any(|worker| labelled(&worker)) {
+        } else if labelled.is_empty() {
             WaitReason::NoLabel
-        } else if !open.iter().filter(labelled).any(large) {
+        } else if !labelled.iter().any(large) {
             WaitReason::TooLarge
-        } else if open.iter().copied().any(|worker| fitting(&worker)) {
-            self.fitting_wait_reason(&open, step, task.name)
+        } else if fitting.is_empty() {
+            capacity_wait_reason(&labelled, step)
         } else {
-            capacity_wait_reason(&open, step)
+            self.fitting_wait_reason(&fitting, step)
         }
     }
 
-    /// Finds out why a task waits although some workers have the capacity for it.
-    fn fitting_wait_reason(&self, open: &[&Worker], step: &Step, name: TaskName) -> WaitReason {
+    /// Finds out why a task waits although these workers have the capacity for it.
+    fn fitting_wait_reason(&self, fitting: &[&Worker], step: &Step) -> WaitReason {
         let image = self.images.find(&step.image);
-        let mut fitting = open.iter().filter(|worker| fits(worker, step, name));
-        let interferes = step.best_effort
-            && fitting.all(|worker| self.would_interfere(worker, image, ACCEPTED_LOG_ODDS));
-        if interferes {
+        let interferes = |worker: &&Worker| self.would_interfere(worker, image, ACCEPTED_LOG_ODDS);
+        if step.best_effort && fitting.iter().all(interferes) {
             WaitReason::Interference
         } else {
             WaitReason::HeldBack
@@ -299,10 +305,10 @@
     idle(worker) as f64 >= f64::from(step.need.millicores) * REQUIRED_IDLE_SHARE
 }
 
-/// Finds out which resource no worker has free for a task.
-fn capacity_wait_reason(open: &[&Worker], step: &Step) -> WaitReason {
-    let memory = open.iter().any(|worker| has_memory(worker, step));
-    let processors = open.iter().any(|worker| has_processors(worker, step));
+/// Finds out which resource none of these workers has free for a task.
+fn capacity_wait_reason(workers: &[&Worker], step: &Step) -> WaitReason {
+    let memory = workers.iter().any(|worker| has_memory(worker, step));
+    let processors = workers.iter().any(|worker| has_processors(worker, step));
     match (processors, memory) {
         (false, true) => WaitReason::NoProcessors,
         (true, false) => WaitReason::NoMemory,
--- a/src/schedule/tests/delays.rs
+++ b/src/schedule/tests/delays.rs
@@ -130,3 +130,23 @@
     {"event":"job_overdue","id":"0000000000000001","queue":"queue","work":2000,"tasks":1,"remaining":1,"after":6000,"delay":{"waits":{},"overtaken":0,"throttled":1125,"evictions":0}}
     "#);
 }
+
+#[test]
+fn the_reason_for_a_wait_ignores_workers_without_the_label() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    let labelled = |cores| Step {
+        label: Some("rack-w0".to_owned()),
+        ..step(1, cores)
+    };
+    shard.submit(active_workflow(1, vec![labelled(8)], 1, 0));
+    shard.plan();
+    let running: Vec<_> = shard.confirm().iter().map(|run| (run.1, run.2)).collect();
+    shard.submit(active_workflow(2, vec![labelled(2)], 2, 0));
+    while shard.now < 2_000 {
+        shard.now += 500;
+        shard.report(0, &running, &[]);
+        shard.report(1, &[], &[]);
+        shard.plan();
+    }
+    insta::assert_snapshot!(shard.delays(), @r#"{"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":"rack-w0","image":"","running":0}"#);
+}
