Schedule: the order and the delays read again as a newcomer

Comments say what is summed, and that a task counts as started when it is done. New test: a job that ended says how many of its runs were stopped. Behaviour is meant to be the same; no expectation of a test was changed.

--- a/src/schedule/delay.rs
+++ b/src/schedule/delay.rs
@@ -17,8 +17,7 @@
 /// all workers.
 const MAX_SAMPLES: usize = 64;
 
-/// Why a job was delayed, as far as the current owner saw it; a takeover starts the
-/// account again.
+/// Why a job was delayed, counted since the claim of the shard's current owner.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct JobDelay {
     /// The time in milliseconds during which a task of the job waited, by what its
@@ -82,7 +81,7 @@
     }
 }
 
-/// The delays of all jobs that have waited.
+/// The delays of all jobs that have waited, were throttled or were evicted.
 #[derive(Debug, Default)]
 pub(super) struct Delays {
     jobs: HashMap<WorkflowKey, DelayRecord>,
@@ -90,7 +89,7 @@
 }
 
 impl Delays {
-    /// Removes and returns the delay of a job; empty if the job never waited.
+    /// Removes and returns the delay of a job; empty if there was none.
     pub fn take(&mut self, key: WorkflowKey) -> JobDelay {
         let record = self.jobs.remove(&key);
         record.map(|record| record.delay).unwrap_or_default()
@@ -189,7 +188,9 @@
                 events.push(overdue_event(workflow, record.delay.clone(), now));
             }
         }
-        self.events.extend(events);
+        for event in events {
+            self.record(event);
+        }
     }
 }
 
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -282,15 +282,7 @@
         let workflow = self.ledger.tasks[task].workflow;
         let long_running = self.ledger.workflows[workflow].step(end.task).long_running;
         if ours {
-            self.unassign(task);
-            self.ledger.requeue(task, now);
-            // Other workers may hold earlier failures that the former owner did not
-            // store; with them the job may have no attempt left.
-            let revision = self.ledger.workflows[workflow].revision;
-            let failed = end.outcome == RunOutcome::Failed && !long_running;
-            if failed && self.is_inherited(revision) {
-                self.ledger.set_stage(task, Stage::Recovering, now);
-            }
+            self.release(task, end.outcome, now);
         }
         if !end.checkpoint.is_empty() {
             self.ledger.tasks[task]
@@ -317,6 +309,20 @@
         !long_running
     }
 
+    /// Releases a task whose current run has ended. If it failed during recovery, it
+    /// waits until all former workers have answered: they may hold earlier failures that
+    /// the former owner did not store, and the task may have no attempt left.
+    fn release(&mut self, task: TaskKey, outcome: RunOutcome, now: Moment) {
+        self.unassign(task);
+        self.ledger.requeue(task, now);
+        let long_running = self.step_of(task).long_running;
+        let workflow = self.ledger.tasks[task].workflow;
+        let inherited = self.is_inherited(self.ledger.workflows[workflow].revision);
+        if outcome == RunOutcome::Failed && inherited && !long_running {
+            self.ledger.set_stage(task, Stage::Recovering, now);
+        }
+    }
+
     /// Stops the current run of a task when an earlier run is found to be done.
     fn stop_later_run(&mut self, task: TaskKey, now: Moment) {
         let Some(worker) = self.ledger.tasks[task].stage.worker() else {
--- a/src/schedule/rank.rs
+++ b/src/schedule/rank.rs
@@ -16,9 +16,9 @@
     Overdue,
 }
 
-/// Whether a task goes before others of its priority. Jobs that have started come
-/// before new ones: work on more jobs than can end in time is lost for all of them,
-/// and first of all for the large ones.
+/// How a waiting task is ordered among those of its priority; the first class is placed
+/// first. Jobs that have started come before new ones: if capacity is spread over more
+/// jobs than can end in time, the work done for those that do not end is lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Precedence {
     /// The job has started and can end in time, or the task is long-running.
@@ -45,27 +45,29 @@
     }
 }
 
-/// By how many seconds the latest start of a job is deferred for each second of
-/// its remaining work. If not all jobs can end in time, small and nearly done
-/// ones thus come first.
+/// By how many seconds the latest start of a job is deferred for each second of run
+/// time that its unfinished tasks need in sum. If not all jobs can end in time, small
+/// and nearly done ones thus come first.
 const START_DEFERRAL: f64 = 0.1;
 /// The limit on that deferral, as a share of the time that the job can wait and
-/// still end in time. Without it, a large job is late long before its turn.
+/// still end in time.
 const MAX_DEFERRAL_SHARE: f64 = 0.5;
+/// All of a job's work, in the unit of [`Rank::work_left`].
+const WHOLE_WORK: u64 = 1000;
 
 /// The sort key of a waiting task; the smallest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     /// The priority of the queue as set by the operator; 0 is the most urgent.
     pub priority: u32,
-    /// Whether the task goes before others of its priority.
+    /// The order among tasks of the same priority.
     pub precedence: Precedence,
     /// The part of the job's work that is left, in thousandths, if the job has
-    /// started and is late; 0 otherwise. The job that is nearest to its end, for its
-    /// size, is finished first.
+    /// started and is late; 0 otherwise. A large and a small job that are half done
+    /// thus rank alike.
     pub work_left: u64,
-    /// The latest start with which the job ends in time, deferred in
-    /// proportion to its remaining work.
+    /// The latest start with which the job ends in time, deferred for the run time that
+    /// its unfinished tasks need.
     pub latest_start: Moment,
     /// The task itself, which makes each rank unique.
     pub task: TaskKey,
@@ -77,38 +79,43 @@
     let occurrence = task.name.occurrence as usize;
     let due = workflow.occurrences[occurrence].due;
     let begin = workflow.accepted.max(due);
-    let allowed = workflow.objective() - workflow.accepted;
     let remaining = remaining_path(workflow, task.name.step as usize);
-    let end = begin + allowed;
-    let timeliness = if now + remaining <= end {
-        Timeliness::InTime
-    } else if now + remaining <= begin + allowed * OVERDUE_FACTOR {
-        Timeliness::Late
-    } else {
-        Timeliness::Overdue
-    };
     let precedence = if workflow.step(task.name).long_running {
         Precedence::Started
     } else {
+        let timeliness = timeliness(begin, workflow.allowed(), now + remaining);
         Precedence::new(has_started(workflow, occurrence), timeliness)
     };
+    let work_left = match precedence {
+        Precedence::StartedLate => work_left(workflow, occurrence),
+        _ => 0,
+    };
+    let slack = workflow.allowed().saturating_sub(remaining);
+    let latest_start = (begin + workflow.allowed() - Moment::default()).saturating_sub(remaining);
     let deferral = remaining_time(workflow, occurrence).mul_f64(START_DEFERRAL);
-    let slack = allowed.saturating_sub(remaining);
     Rank {
         priority: workflow.queue.priority,
         precedence,
-        work_left: match precedence {
-            Precedence::StartedLate => work_left(workflow, occurrence),
-            _ => 0,
-        },
+        work_left,
         latest_start: Moment::default()
-            + (end - Moment::default()).saturating_sub(remaining)
+            + latest_start
             + deferral.min(slack.mul_f64(MAX_DEFERRAL_SHARE)),
         task: key,
     }
 }
 
-/// Whether a task of the occurrence has run or, for jobs that run once, was started.
+/// Whether a job that began at `begin` is in time if it ends at `end`.
+fn timeliness(begin: Moment, allowed: Duration, end: Moment) -> Timeliness {
+    if end <= begin + allowed {
+        Timeliness::InTime
+    } else if end <= begin + allowed * OVERDUE_FACTOR {
+        Timeliness::Late
+    } else {
+        Timeliness::Overdue
+    }
+}
+
+/// Whether a task of the occurrence is done or, for jobs that run once, was started.
 fn has_started(workflow: &ActiveWorkflow, occurrence: usize) -> bool {
     let remaining = &workflow.occurrences[occurrence].remaining;
     let mut steps = workflow.spec.steps.iter().zip(remaining);
@@ -124,7 +131,7 @@
     let left: u64 = steps
         .map(|(step, remaining)| step.task_work() * u64::from(*remaining))
         .sum();
-    left * 1000 / workflow.spec.work().max(1)
+    left * WHOLE_WORK / workflow.spec.work().max(1)
 }
 
 /// The estimated duration of the longest chain of steps from this step to the
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -108,7 +108,7 @@
     /// The number of run numbers that were assigned in this term.
     run_count: u64,
     orders: Vec<(WorkerKey, Order)>,
-    pub(super) events: Vec<Event>,
+    events: Vec<Event>,
 }
 
 impl Scheduler {
--- a/src/schedule/tests/delays.rs
+++ b/src/schedule/tests/delays.rs
@@ -150,3 +150,15 @@
     }
     insta::assert_snapshot!(shard.delays(), @r#"{"event":"waiting","task":"0000000000000002.0.0.0","waited":2000,"reason":"no_processors","label":"rack-w0","image":"","running":0}"#);
 }
+
+#[test]
+fn an_ended_job_says_how_many_of_its_runs_were_stopped() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(2, 2)], 1, 0));
+    shard.plan();
+    let runs = shard.confirm();
+    let stopped = shard.task(runs[0].1);
+    shard.scheduler.stop(stopped, "it makes no progress", at(0));
+    shard.scheduler.cancel(WorkflowId(1), at(10));
+    insta::assert_snapshot!(shard.delays(), @r#"{"event":"job_ended","id":"0000000000000001","state":"Cancelled","after":10,"work":4000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":1}}"#);
+}
--- a/src/schedule/tests/overload.rs
+++ b/src/schedule/tests/overload.rs
@@ -249,8 +249,8 @@
     }
 
     fn served(&self, jobs: &[SimJob]) -> usize {
-        let in_use = |job: &&SimJob| self.ended.get(&job.id).is_some_and(|at| *at <= job.overdue);
-        jobs.iter().filter(in_use).count()
+        let of_use = |job: &&SimJob| self.ended.get(&job.id).is_some_and(|at| *at <= job.overdue);
+        jobs.iter().filter(of_use).count()
     }
 }
 
--- a/src/schedule/tests/placing.rs
+++ b/src/schedule/tests/placing.rs
@@ -179,13 +179,13 @@
     assert_eq!(order, [3, 2, 2, 2, 2]);
 }
 
-/// A late job of three tasks, one of which is done, beside a new job. Returns the
-/// jobs whose tasks are started then.
-fn started_beside_a_late_job(now: u64, last_step: Step) -> Vec<WorkflowId> {
+/// Submits a job of three tasks and, when the first of them is done, a new job at
+/// `now` milliseconds. Returns the jobs whose tasks are started then.
+fn jobs_started_at(now: u64) -> Vec<WorkflowId> {
     let mut shard = Shard::first_owner(&["w0"]);
     let last = Step {
         after: vec![0],
-        ..last_step
+        ..step(2, 8)
     };
     shard.submit(active_workflow(1, vec![step(1, 8), last], 1, 0));
     shard.plan();
@@ -204,14 +204,12 @@
 
 #[test]
 fn a_started_job_that_is_late_does_not_yield_to_new_jobs() {
-    let started = started_beside_a_late_job(4_000, step(2, 8));
-    assert_eq!(started, [WorkflowId(1)]);
+    assert_eq!(jobs_started_at(4_000), [WorkflowId(1)]);
 }
 
 #[test]
 fn a_started_job_that_is_of_no_more_use_yields_to_new_jobs() {
-    let started = started_beside_a_late_job(12_000, step(2, 8));
-    assert_eq!(started, [WorkflowId(2)]);
+    assert_eq!(jobs_started_at(12_000), [WorkflowId(2)]);
 }
 
 #[test]
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -161,18 +161,21 @@
     /// Returns when the job should have ended by the latency target and the stretch of its
     /// queue.
     pub fn objective(&self) -> Moment {
-        self.accepted
-            + self.queue.latency_target
-            + self.spec.critical_path().mul_f64(self.queue.stretch)
+        self.accepted + self.allowed()
+    }
+
+    /// Returns the time that the job may take by the latency target and the stretch of
+    /// its queue.
+    pub(crate) fn allowed(&self) -> Duration {
+        self.queue.latency_target + self.spec.critical_path().mul_f64(self.queue.stretch)
     }
 
     /// Returns when the result of the job is of no more use to the caller; absent for
     /// recurring jobs and for jobs with long-running tasks.
-    pub fn overdue(&self) -> Option<Moment> {
+    pub(crate) fn overdue(&self) -> Option<Moment> {
         let long_running = self.spec.steps.iter().any(|step| step.long_running);
         let runs_once = self.spec.recurrence.is_none() && !long_running;
-        let allowed = self.objective() - self.accepted;
-        runs_once.then(|| self.accepted + allowed * OVERDUE_FACTOR)
+        runs_once.then(|| self.accepted + self.allowed() * OVERDUE_FACTOR)
     }
 }
 
