--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -5,7 +5,7 @@
 use crate::fleet::RunOutcome;
 use crate::workflow::WorkflowState;
 
-use super::JobDelay;
+use super::{JobDelay, WorkerCounts};
 
 /// Why no worker can take a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -81,6 +81,22 @@
         /// The number of tasks of the job that a worker may be running.
         running: usize,
     },
+    /// Nothing of a job has run for a while, although a task of it may start. Recorded
+    /// once for each such period.
+    JobIdle {
+        /// The id of the job.
+        id: String,
+        /// The name of its most urgent waiting task.
+        task: String,
+        /// The image that the task runs.
+        image: String,
+        /// How long nothing of the job has run.
+        idle: u64,
+        /// Whether more than half of the pool's processors are idle.
+        idle_pool: bool,
+        /// How many workers could take the task, by check.
+        workers: WorkerCounts,
+    },
     /// A run that a former owner started was found and continues.
     Adopted {
         /// The name of the task.
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod event;
 mod gang;
+mod idle;
 mod impaired;
 mod order;
 mod place;
@@ -22,6 +23,7 @@
 
 pub use delay::JobDelay;
 pub use event::{Event, WaitReason};
+pub use idle::WorkerCounts;
 pub use order::Order;
 pub use scheduler::{Scheduler, Term};
 pub use write::{Batch, PairRecord, RosterEntry, StateRecord};
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -8,7 +8,7 @@
 use crate::moment::Moment;
 use crate::workflow::{ActiveWorkflow, Step, Task, TaskKey, TaskName};
 
-use super::{Scheduler, WaitReason};
+use super::{Scheduler, WaitReason, WorkerCounts};
 
 /// The processors that serving tasks use on average, as a share of what they
 /// declare.
@@ -220,6 +220,31 @@
         }
     }
 
+    /// Counts the workers that pass each check for a waiting task.
+    pub(super) fn worker_counts(
+        &self,
+        workflow: &ActiveWorkflow,
+        task: &Task,
+        now: Moment,
+    ) -> WorkerCounts {
+        let step = workflow.step(task.name);
+        let image = self.images.find(&step.image);
+        let mut counts = WorkerCounts::default();
+        let open = self.workers.values().filter(|worker| {
+            worker.registration.pool == workflow.queue.pool && worker.is_open(now)
+        });
+        for worker in open {
+            let fits = fits(worker, step, task.name);
+            let interferes =
+                step.best_effort && self.would_interfere(worker, image, ACCEPTED_LOG_ODDS);
+            counts.open += 1;
+            counts.fitting += usize::from(fits);
+            counts.harmless += usize::from(fits && !interferes);
+            counts.on_target += usize::from(fits && !was_over_target(worker, now));
+        }
+        counts
+    }
+
     /// Finds out why a task waits although these workers have the capacity for it.
     fn fitting_wait_reason(&self, fitting: &[&Worker], step: &Step) -> WaitReason {
         let image = self.images.find(&step.image);
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use super::delay::Delays;
+use super::idle::IdleJobs;
 use super::place::{Candidates, PlacementFailures};
 use super::rank::{Rank, rank};
 use super::waiting::WaitList;
@@ -89,6 +90,7 @@
     pub(super) former_workers: HashSet<WorkerKey>,
     pub(super) waiting: WaitList,
     pub(super) delays: Delays,
+    pub(super) idle_jobs: IdleJobs,
     pub(super) recurring: BTreeSet<WorkflowKey>,
     pub(super) recently_ended: HashMap<WorkflowId, Moment>,
     /// The jobs for which the log already says why they wait.
@@ -125,6 +127,7 @@
             former_workers: HashSet::new(),
             waiting: WaitList::default(),
             delays: Delays::default(),
+            idle_jobs: IdleJobs::default(),
             recurring: BTreeSet::new(),
             recently_ended: HashMap::new(),
             logged_waits: HashSet::new(),
@@ -233,6 +236,7 @@
             self.place_waiting(now);
             self.record_delays(elapsed, now);
             self.record_waits(now);
+            self.record_idle_jobs(now);
         }
         std::mem::take(&mut self.orders)
     }
--- a/src/schedule/tests/delays.rs
+++ b/src/schedule/tests/delays.rs
@@ -16,6 +16,14 @@
         lines.collect::<Vec<String>>().join("\n")
     }
 
+    /// The events about idle jobs since the last call, one per line as in the log.
+    fn idle_jobs(&mut self) -> String {
+        let events = self.scheduler.take_events().into_iter();
+        let idle = events.filter(|event| matches!(event, Event::JobIdle { .. }));
+        let lines = idle.map(|event| serde_json::to_string(&event).unwrap());
+        lines.collect::<Vec<String>>().join("\n")
+    }
+
     /// Reports the runs as they are, and plans, each half second until `millis`.
     fn run_until(&mut self, millis: u64, running: &[(TaskName, u64)]) {
         while self.now < millis {
@@ -162,3 +170,22 @@
     shard.scheduler.cancel(WorkflowId(1), at(10));
     insta::assert_snapshot!(shard.delays(), @r#"{"event":"job_ended","id":"0000000000000001","state":"Cancelled","after":10,"work":4000,"delay":{"waits":{},"overtaken":0,"throttled":0,"evictions":1}}"#);
 }
+
+#[test]
+fn an_idle_job_says_which_check_leaves_it_no_worker() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![serving(1, 1, "video")], 1, 0));
+    shard.submit(active_workflow(2, vec![best_effort(1, 4, "quiet")], 2, 1));
+    shard.plan();
+    let running: Vec<_> = shard.confirm().iter().map(|run| (run.1, run.2)).collect();
+    let images = &mut shard.scheduler.images;
+    let (video, loud) = (images.key("video"), images.key("loud"));
+    shard.scheduler.pairs.restore(video, loud, 4.0);
+    shard.submit(active_workflow(3, vec![best_effort(1, 1, "loud")], 3, 1));
+    shard.submit(active_workflow(4, vec![step(1, 9)], 4, 0));
+    shard.run_until(2_000, &running);
+    insta::assert_snapshot!(shard.idle_jobs(), @r#"
+    {"event":"job_idle","id":"0000000000000004","task":"0000000000000004.0.0.0","image":"","idle":1500,"idle_pool":false,"workers":{"open":1,"fitting":0,"harmless":0,"on_target":0}}
+    {"event":"job_idle","id":"0000000000000003","task":"0000000000000003.0.0.0","image":"loud","idle":1500,"idle_pool":false,"workers":{"open":1,"fitting":1,"harmless":0,"on_target":1}}
+    "#);
+}
