--- a/src/fleet/capacity.rs
+++ b/src/fleet/capacity.rs
@@ -32,6 +32,19 @@
             && self.accelerators >= need.accelerators
     }
 
+    /// Returns the processor time that a task uses at a speed in percent of full speed, in
+    /// thousandths of a core.
+    ///
+    /// ```
+    /// use lycheelock::fleet::Capacity;
+    ///
+    /// let task = Capacity { millicores: 3000, ..Capacity::default() };
+    /// assert_eq!(task.at_speed(50), 1500);
+    /// ```
+    pub const fn at_speed(self, speed: u8) -> u32 {
+        (self.millicores as u64 * speed as u64 / 100) as u32
+    }
+
     /// Subtracts `used`; a resource that is overcommitted becomes 0.
     pub const fn minus(self, used: Self) -> Self {
         Self {
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -13,6 +13,7 @@
 mod rank;
 mod registry;
 mod scheduler;
+mod slow;
 mod starts;
 #[cfg(test)]
 mod tests;
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -1,13 +1,13 @@
 //! Chooses a worker for a task.
 
-use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use crate::fleet::{Capacity, Worker, WorkerKey};
 use crate::interference::ImageKey;
 use crate::moment::Moment;
-use crate::workflow::{ActiveWorkflow, Step, Task, TaskKey, TaskName};
+use crate::workflow::{ActiveWorkflow, FULL_SPEED, Step, Task, TaskName};
 
+use super::slow::was_over_target;
 use super::{Scheduler, WaitReason, WorkerCounts};
 
 /// The processors that serving tasks use on average, as a share of what they
@@ -33,13 +33,6 @@
 /// The highest log odds of interference that a best-effort task accepts after
 /// that time.
 const ACCEPTED_LOG_ODDS: f64 = 1.5;
-/// The waiting time after which a best-effort task accepts any risk of
-/// interference, if no task of its job runs and most of its pool is idle. Such a
-/// stuck task is throttled if it does interfere.
-const STUCK_DELAY: Duration = Duration::from_millis(2000);
-/// How long a worker takes no stuck best-effort tasks after one of its tails was
-/// over its target.
-const OVER_TARGET_DELAY: Duration = Duration::from_secs(3);
 /// The longest time that a task waits for a worker on the rack of its data, as
 /// it would run several times as long on any other.
 const MAX_DATA_RACK_DELAY: Duration = Duration::from_millis(1500);
@@ -47,6 +40,35 @@
 /// that it already runs.
 const CROWDING_PENALTY: i64 = 500;
 
+/// How much interference with serving tasks a placement accepts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Risk {
+    /// Interference is less probable than not.
+    Unlikely,
+    /// Interference is probable, but not nearly certain.
+    Possible,
+    /// Any interference, but the run is slow where interference is probable.
+    Slow,
+}
+
+impl Risk {
+    /// The highest log odds of interference that are accepted at full speed.
+    const fn log_odds(self) -> f64 {
+        match self {
+            Self::Unlikely => 0.0,
+            Self::Possible | Self::Slow => ACCEPTED_LOG_ODDS,
+        }
+    }
+}
+
+/// A worker for a task, and the speed at which the task runs there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Placement {
+    pub worker: WorkerKey,
+    /// In percent of full speed.
+    pub speed: u8,
+}
+
 /// The workers on which a task may be placed.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Candidates {
@@ -80,11 +102,13 @@
     image: Option<String>,
     best_effort: bool,
     need: Capacity,
+    risk: Risk,
 }
 
 impl PlacementFailures {
-    /// Whether a task of this step cannot be placed in this pass either.
-    pub fn covers(&self, pool: &str, step: &Step) -> bool {
+    /// Whether a task of this step that accepts this risk cannot be placed in this pass
+    /// either.
+    pub fn covers(&self, pool: &str, step: &Step, risk: Risk) -> bool {
         let matches = |failure: &PlacementFailure| {
             let image = failure
                 .image
@@ -93,9 +117,11 @@
             image
                 && failure.pool == pool
                 && failure.best_effort == step.best_effort
+                && failure.risk >= risk
                 && step.need.holds(failure.need)
         };
-        self.held_back.contains(&step.best_effort) || self.rows.iter().any(matches)
+        let held_back = risk < Risk::Slow && self.held_back.contains(&step.best_effort);
+        held_back || self.rows.iter().any(matches)
     }
 
     /// Holds back all later tasks of this pass of the same kind as this gang:
@@ -106,7 +132,7 @@
 
     /// Records a step that could not be placed. Steps with placement constraints
     /// are skipped, as their failure says nothing about other steps.
-    pub fn record(&mut self, pool: &str, step: &Step) {
+    pub fn record(&mut self, pool: &str, step: &Step, risk: Risk) {
         let unconstrained = step.label.is_none() && step.worker_limit.is_none();
         let plain = unconstrained && step.data_rack.is_none() && !step.gang;
         if plain {
@@ -115,6 +141,7 @@
                 image: step.best_effort.then(|| step.image.clone()),
                 best_effort: step.best_effort,
                 need: step.need,
+                risk,
             });
         }
     }
@@ -128,60 +155,49 @@
         workflow: &ActiveWorkflow,
         task: &Task,
         candidates: &Candidates,
+        risk: Risk,
         now: Moment,
-    ) -> Option<WorkerKey> {
+    ) -> Option<Placement> {
         let (step, name) = (workflow.step(task.name), task.name);
         let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
         let image = self.images.find(&step.image);
-        let takes_risk = now - task.ready >= RISK_DELAY;
-        let stuck = self.is_stuck_task(workflow, task, now);
-        let risk = if stuck {
-            f64::INFINITY
-        } else if takes_risk {
-            ACCEPTED_LOG_ODDS
-        } else {
-            0.0
-        };
-        let fitting = self.workers.iter().filter(|(_, worker)| {
-            worker.registration.pool == workflow.queue.pool
-                && worker.is_open(now)
-                && candidates.contains(worker)
-                && (!waits_for_rack || is_on_data_rack(worker, step))
-                && !(stuck && was_over_target(worker, now))
-                && fits(worker, step, name)
-                && !(step.best_effort && self.would_interfere(worker, image, risk))
+        let open: Vec<(WorkerKey, &Worker)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                worker.registration.pool == workflow.queue.pool
+                    && worker.is_open(now)
+                    && candidates.contains(worker)
+                    && (!waits_for_rack || is_on_data_rack(worker, step))
+            })
+            .collect();
+        let fitting = open.iter().filter(|(_, worker)| {
+            fits(worker, step, name)
+                && !(step.best_effort && self.would_interfere(worker, image, risk.log_odds()))
         });
         let scored = fitting.map(|(key, worker)| {
             let image_affinity = image_affinity(worker, step, image);
-            (score(worker, step, name) + image_affinity, key)
+            (score(worker, step, name) + image_affinity, *key)
         });
-        scored.max().map(|(_, key)| key)
-    }
-
-    /// Whether a best-effort task has waited for long and no task of its job runs,
-    /// although most of its pool is idle.
-    pub(super) fn is_stuck(&self, key: TaskKey, now: Moment) -> bool {
-        let task = &self.ledger.tasks[key];
-        self.is_stuck_task(&self.ledger.workflows[task.workflow], task, now)
-    }
-
-    fn is_stuck_task(&self, workflow: &ActiveWorkflow, task: &Task, now: Moment) -> bool {
-        let waits = workflow.step(task.name).best_effort && now - task.ready >= STUCK_DELAY;
-        waits
-            && self.idle_pools.contains(&workflow.queue.pool)
-            && self.ledger.is_idle(task.workflow)
+        let fast = scored.max().map(|(_, worker)| Placement {
+            worker,
+            speed: FULL_SPEED,
+        });
+        if fast.is_some() || risk < Risk::Slow {
+            return fast;
+        }
+        self.choose_slow(open.iter(), step, name, now)
     }
 
-    /// Finds the pools whose open workers have more than half of their processors
-    /// idle.
-    pub(super) fn find_idle_pools(&self, now: Moment) -> HashSet<String> {
-        let mut pools: HashMap<&str, i64> = HashMap::new();
-        for worker in self.workers.values().filter(|worker| worker.is_open(now)) {
-            let whole = i64::from(worker.registration.capacity.millicores);
-            *pools.entry(&worker.registration.pool).or_default() += idle(worker) * 2 - whole;
+    /// The interference that a waiting task accepts now.
+    pub(super) fn risk(&self, workflow: &ActiveWorkflow, task: &Task, now: Moment) -> Risk {
+        if self.is_stuck(workflow, task, now) {
+            Risk::Slow
+        } else if now - task.ready >= RISK_DELAY {
+            Risk::Possible
+        } else {
+            Risk::Unlikely
         }
-        let idle_pools = pools.into_iter().filter(|(_, surplus)| *surplus > 0);
-        idle_pools.map(|(pool, _)| pool.to_owned()).collect()
     }
 
     /// Finds out why no worker can take a task now.
@@ -267,13 +283,6 @@
     }
 }
 
-/// Whether a tail on the worker was over its target recently.
-fn was_over_target(worker: &Worker, now: Moment) -> bool {
-    worker
-        .over_target_at
-        .is_some_and(|at| now - at < OVER_TARGET_DELAY)
-}
-
 /// The score for placing a serving task beside the images that a worker serves.
 /// Tasks of one image are placed together, so that best-effort tasks find workers
 /// without an image that they would interfere with.
@@ -302,7 +311,7 @@
         && has_capacity(worker, step)
 }
 
-fn has_label(worker: &Worker, step: &Step) -> bool {
+pub(super) fn has_label(worker: &Worker, step: &Step) -> bool {
     let labels = &worker.registration.labels;
     step.label
         .as_ref()
@@ -314,7 +323,7 @@
     accelerators && has_memory(worker, step) && has_processors(worker, step)
 }
 
-fn has_memory(worker: &Worker, step: &Step) -> bool {
+pub(super) fn has_memory(worker: &Worker, step: &Step) -> bool {
     let free = worker.free().memory;
     if !step.best_effort {
         return free >= step.need.memory;
@@ -343,7 +352,7 @@
 
 /// The idle processors, in millicores, that a further best-effort task could
 /// use.
-fn idle(worker: &Worker) -> i64 {
+pub(super) fn idle(worker: &Worker) -> i64 {
     let declared = i64::from(worker.used.millicores);
     let long_running = i64::from(worker.long_running_cpu);
     let busy = declared - long_running + (long_running as f64 * SERVING_USAGE_SHARE) as i64;
@@ -374,7 +383,7 @@
 
 /// The number of tasks of the same step and occurrence that the worker may be
 /// running.
-fn count_of_step(worker: &Worker, name: TaskName) -> usize {
+pub(super) fn count_of_step(worker: &Worker, name: TaskName) -> usize {
     let first = TaskName { index: 0, ..name };
     let last = TaskName {
         index: u32::MAX,
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -9,7 +9,7 @@
 
 use super::delay::Delays;
 use super::idle::IdleJobs;
-use super::place::{Candidates, PlacementFailures};
+use super::place::{Candidates, Placement, PlacementFailures, Risk};
 use super::rank::{Rank, rank};
 use super::waiting::WaitList;
 use super::write::Writes;
@@ -19,8 +19,8 @@
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
 use crate::workflow::{
-    ActiveWorkflow, JobTransition, Ledger, Progress, Stage, Step, TaskKey, TaskName, WorkflowId,
-    WorkflowKey, WorkflowState,
+    ActiveWorkflow, FULL_SPEED, JobTransition, Ledger, Progress, Stage, Step, TaskKey, TaskName,
+    WorkflowId, WorkflowKey, WorkflowState,
 };
 
 /// The range of run numbers for one term. Run numbers start at the fencing token
@@ -336,20 +336,21 @@
             let later_member = step.gang && task.name.index > 0;
             let gated =
                 task.restart_gate > Moment::default() && task.restart_gate >= self.confirmed;
-            let covered = failures.covers(&workflow.queue.pool, step) && !self.is_stuck(key, now);
+            let risk = self.risk(workflow, task, now);
+            let covered = failures.covers(&workflow.queue.pool, step, risk);
             if gated || later_member || covered {
                 continue;
             }
             let gang = step.gang;
             let holds_back =
                 gang && (GANG_HOLD_DELAY..GANG_RELEASE_DELAY).contains(&(now - task.ready));
-            if self.place_task(key, now) {
+            if self.place_task(key, risk, now) {
                 self.waiting.remove(key);
             } else if holds_back {
                 failures.hold_back(self.step_of(key));
             } else {
                 let workflow = &self.ledger.workflows[self.ledger.tasks[key].workflow];
-                failures.record(&workflow.queue.pool, self.step_of(key));
+                failures.record(&workflow.queue.pool, self.step_of(key), risk);
             }
         }
     }
@@ -359,35 +360,33 @@
         self.ledger.workflows[task.workflow].step(task.name)
     }
 
-    fn place_task(&mut self, key: TaskKey, now: Moment) -> bool {
+    fn place_task(&mut self, key: TaskKey, risk: Risk, now: Moment) -> bool {
         if self.is_gang(key) {
-            return self.place_gang(key, now);
+            return self.place_gang(key, risk, now);
         }
-        let Some(worker) = self.choose_for(key, now) else {
+        let Some(placement) = self.choose_for(key, risk, now) else {
             return false;
         };
         let run = self.next_run();
-        self.assign(key, worker, run, now);
+        self.assign(key, placement, run, now);
         self.send_start(key, now);
         true
     }
 
-    pub(super) fn choose_for(&self, key: TaskKey, now: Moment) -> Option<WorkerKey> {
+    pub(super) fn choose_for(&self, key: TaskKey, risk: Risk, now: Moment) -> Option<Placement> {
         let task = &self.ledger.tasks[key];
-        self.choose(
-            &self.ledger.workflows[task.workflow],
-            task,
-            &Candidates::All,
-            now,
-        )
+        let workflow = &self.ledger.workflows[task.workflow];
+        self.choose(workflow, task, &Candidates::All, risk, now)
     }
 
     /// Assigns a run of a task to a worker and adds the capacity that it uses.
-    pub(super) fn assign(&mut self, key: TaskKey, worker: WorkerKey, run: u64, now: Moment) {
+    pub(super) fn assign(&mut self, key: TaskKey, placement: Placement, run: u64, now: Moment) {
+        let Placement { worker, speed } = placement;
         self.ledger.tasks[key].run = run;
         self.ledger.tasks[key].lease_end = None;
         self.ledger.set_stage(key, Stage::Starting(worker), now);
-        self.ledger.tasks[key].speed = crate::workflow::FULL_SPEED;
+        self.ledger.tasks[key].speed = FULL_SPEED;
+        self.ledger.tasks[key].allowed_speed = speed;
         self.add_usage(key, worker);
     }
 
@@ -410,6 +409,10 @@
         self.record(event);
         self.record_placement(key);
         self.order(worker, Order::Start { task: key, run });
+        let allowed = self.ledger.tasks[key].allowed_speed;
+        if allowed < FULL_SPEED {
+            self.throttle(key, worker, allowed);
+        }
     }
 
     fn start_recurring(&mut self, now: Moment) {
--- /dev/null
+++ b/src/schedule/slow.rs
@@ -0,0 +1,126 @@
+//! Slow runs: a best-effort task of which the whole job starves runs at a low speed where
+//! it would interfere with serving tasks at full speed.
+
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use super::Scheduler;
+use super::place::{Placement, count_of_step, has_label, has_memory, idle};
+use crate::fleet::{Worker, WorkerKey};
+use crate::moment::Moment;
+use crate::workflow::{ActiveWorkflow, FULL_SPEED, Step, Task, TaskName};
+
+/// The waiting time after which a best-effort task accepts to run slowly where it probably
+/// interferes, if no task of its job runs and most of its pool is idle.
+const STUCK_DELAY: Duration = Duration::from_millis(2000);
+/// The same for the tasks of a job that is overdue or was accepted long ago, also in a busy
+/// pool.
+const STARVED_DELAY: Duration = Duration::from_millis(1500);
+/// The time since its acceptance after which a job counts as accepted long ago.
+const MAX_JOB_DELAY: Duration = Duration::from_secs(20);
+/// The share of a worker's processors that its slow tasks use. A best-effort task that
+/// uses so little hardly interferes.
+const SLOW_SHARE: f64 = 0.04;
+/// The lower limit on the speed of a slow task, in percent of full speed.
+const MIN_SLOW_SPEED: u8 = 10;
+/// The upper limit on the speed of a slow task, in percent of full speed.
+const MAX_SLOW_SPEED: u8 = 90;
+/// How long slow tasks prefer other workers after a tail on a worker was over its target.
+const OVER_TARGET_DELAY: Duration = Duration::from_secs(3);
+
+impl Scheduler {
+    /// Chooses the worker for a task that runs slowly: the one on which it is fastest within
+    /// the share of such tasks, preferably without a recent tail over its target.
+    pub(super) fn choose_slow<'a>(
+        &self,
+        workers: impl Iterator<Item = &'a (WorkerKey, &'a Worker)>,
+        step: &Step,
+        name: TaskName,
+        now: Moment,
+    ) -> Option<Placement> {
+        let fitting = workers.filter(|(_, worker)| fits_slowly(worker, step, name));
+        let ranked = fitting.map(|(key, worker)| {
+            let speed = slow_speed(worker, self.slow_cpu(worker), step);
+            let strained = was_over_target(worker, now);
+            (strained, Reverse(speed), worker.worst_tail, *key)
+        });
+        ranked.min().map(|row| Placement {
+            worker: row.3,
+            speed: row.1.0,
+        })
+    }
+
+    /// The processors, in millicores, that slow tasks may use on a worker.
+    fn slow_cpu(&self, worker: &Worker) -> u32 {
+        let tasks = worker.tasks.values();
+        let slow = tasks.filter(|key| self.ledger.tasks[**key].allowed_speed < FULL_SPEED);
+        slow.map(|key| {
+            self.step_of(*key)
+                .need
+                .at_speed(self.ledger.tasks[*key].allowed_speed)
+        })
+        .sum()
+    }
+
+    /// Whether a best-effort task has waited for long and no task of its job runs,
+    /// although most of its pool is idle or its job has already waited too long.
+    pub(super) fn is_stuck(&self, workflow: &ActiveWorkflow, task: &Task, now: Moment) -> bool {
+        let waited = now - task.ready;
+        if !workflow.step(task.name).best_effort || waited < STARVED_DELAY {
+            return false;
+        }
+        if !self.ledger.is_idle(task.workflow) {
+            return false;
+        }
+        let idle_pool = || self.idle_pools.contains(&workflow.queue.pool);
+        (waited >= STUCK_DELAY && idle_pool()) || is_starved(workflow, now)
+    }
+
+    /// Finds the pools whose open workers have more than half of their processors
+    /// idle.
+    pub(super) fn find_idle_pools(&self, now: Moment) -> HashSet<String> {
+        let mut pools: HashMap<&str, i64> = HashMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_open(now)) {
+            let whole = i64::from(worker.registration.capacity.millicores);
+            *pools.entry(&worker.registration.pool).or_default() += idle(worker) * 2 - whole;
+        }
+        let idle_pools = pools.into_iter().filter(|(_, surplus)| *surplus > 0);
+        idle_pools.map(|(pool, _)| pool.to_owned()).collect()
+    }
+}
+
+/// Whether a job has waited for so long that even a slow run serves its caller better
+/// than none.
+fn is_starved(workflow: &ActiveWorkflow, now: Moment) -> bool {
+    let is_overdue = || workflow.overdue().is_some_and(|overdue| overdue <= now);
+    now - workflow.accepted >= MAX_JOB_DELAY || is_overdue()
+}
+
+/// Whether a tail on the worker was over its target recently.
+pub(super) fn was_over_target(worker: &Worker, now: Moment) -> bool {
+    worker
+        .over_target_at
+        .is_some_and(|at| now - at < OVER_TARGET_DELAY)
+}
+
+/// Whether a best-effort task fits on the worker if it runs slowly.
+fn fits_slowly(worker: &Worker, step: &Step, name: TaskName) -> bool {
+    has_label(worker, step)
+        && step
+            .worker_limit
+            .is_none_or(|limit| count_of_step(worker, name) < limit as usize)
+        && worker.free().accelerators >= step.need.accelerators
+        && has_memory(worker, step)
+        && idle(worker) >= i64::from(step.need.at_speed(MIN_SLOW_SPEED))
+}
+
+/// The speed, in percent, of a further slow task on a worker whose slow tasks may use
+/// `used` millicores.
+fn slow_speed(worker: &Worker, used: u32, step: &Step) -> u8 {
+    let whole = f64::from(worker.registration.capacity.millicores);
+    let left = (whole * SLOW_SHARE) as u32;
+    let left = u64::from(left.saturating_sub(used)) * 100;
+    let speed = left / u64::from(step.need.millicores.max(1));
+    speed.clamp(u64::from(MIN_SLOW_SPEED), u64::from(MAX_SLOW_SPEED)) as u8
+}
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod delays;
 mod ends;
+mod idle;
 mod interference;
 mod overload;
 mod placing;
--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::place::Risk;
 use super::{Event, Order, Scheduler};
 use crate::fleet::{LiveRun, StopOrder, WorkerKey, WorkerReport};
 use crate::interference::{ImageKey, Neighbour, Observation, Tail};
@@ -30,6 +31,17 @@
     step: Step,
 }
 
+/// What is done with a best-effort run after a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Adjustment {
+    /// Its speed stays as it is.
+    Keep,
+    /// It goes on at this speed, in percent of full speed.
+    Speed(u8),
+    /// It is stopped for this reason, to continue elsewhere.
+    Stop(&'static str),
+}
+
 impl Scheduler {
     /// Updates the evidence for interference from the tails that a worker
     /// reports, and throttles the best-effort tasks that cause it.
@@ -73,7 +85,8 @@
 
     /// Sets the speed of each best-effort task, by whether it interferes with a
     /// serving image that is over its target. Tasks that interfere and write
-    /// checkpoints are stopped instead, so that they continue elsewhere.
+    /// checkpoints are stopped instead, so that they continue elsewhere; slow tasks
+    /// only if another worker can run them at full speed.
     fn throttle_tasks(
         &mut self,
         key: WorkerKey,
@@ -85,34 +98,23 @@
         if !alarm && now - self.workers[key].throttled_at < THROTTLE_DELAY {
             return;
         }
+        let running = rows.iter().filter(|row| {
+            let stage = self.ledger.tasks[row.task].stage;
+            row.step.best_effort && stage == Stage::Running(key)
+        });
+        let adjustments: Vec<(TaskKey, Adjustment)> = running
+            .map(|row| (row.task, self.adjustment(row, over_target, alarm, now)))
+            .collect();
         let mut changed = false;
-        let mut stopped = Vec::new();
-        let best_effort = rows.iter().filter(|row| row.step.best_effort);
-        for row in best_effort {
-            let speed = self.ledger.tasks[row.task].speed;
-            let interferes_with = |serving: &ImageKey| self.pairs.is_harmful(*serving, row.image);
-            let interferes = over_target.iter().any(interferes_with);
-            let running = self.ledger.tasks[row.task].stage == Stage::Running(key);
-            if interferes && running && row.step.checkpoints {
-                stopped.push(row.task);
-                continue;
+        for (task, adjustment) in adjustments {
+            match adjustment {
+                Adjustment::Keep => continue,
+                Adjustment::Speed(speed) => self.throttle(task, key, speed),
+                Adjustment::Stop(reason) => self.stop(task, reason, now),
             }
-            let next = if alarm {
-                0
-            } else {
-                next_speed(speed, interferes)
-            };
-            if next != speed && running {
-                self.ledger.tasks[row.task].speed = next;
-                let order = self.stop_order(row.task);
-                self.order(key, Order::Throttle(order, next));
-                changed = true;
-            }
-        }
-        for task in &stopped {
-            self.stop(*task, "it interferes with a serving task", now);
+            changed = true;
         }
-        if changed || !stopped.is_empty() {
+        if changed {
             let worker = &mut self.workers[key];
             worker.throttled_at = now;
             let event = Event::Throttled {
@@ -123,6 +125,44 @@
         }
     }
 
+    /// Decides what is done with a best-effort run after a report.
+    fn adjustment(
+        &self,
+        row: &ReportedTask<'_>,
+        over_target: &[ImageKey],
+        alarm: bool,
+        now: Moment,
+    ) -> Adjustment {
+        let task = &self.ledger.tasks[row.task];
+        let is_slow = task.allowed_speed < FULL_SPEED;
+        let interferes_with = |serving: &ImageKey| self.pairs.is_harmful(*serving, row.image);
+        let interferes = over_target.iter().any(interferes_with);
+        let can_move = || self.choose_for(row.task, Risk::Unlikely, now).is_some();
+        if row.step.checkpoints && is_slow && can_move() {
+            return Adjustment::Stop("another worker can run it at full speed");
+        }
+        if row.step.checkpoints && !is_slow && interferes {
+            return Adjustment::Stop("it interferes with a serving task");
+        }
+        let next = if alarm {
+            0
+        } else {
+            next_speed(task.speed, interferes).min(task.allowed_speed)
+        };
+        if next == task.speed {
+            Adjustment::Keep
+        } else {
+            Adjustment::Speed(next)
+        }
+    }
+
+    /// Orders a worker to run a task at a speed, in percent of full speed.
+    pub(super) fn throttle(&mut self, task: TaskKey, worker: WorkerKey, speed: u8) {
+        self.ledger.tasks[task].speed = speed;
+        let order = self.stop_order(task);
+        self.order(worker, Order::Throttle(order, speed));
+    }
+
     fn reported_tasks<'a>(&mut self, report: &'a WorkerReport) -> Vec<ReportedTask<'a>> {
         let mut rows = Vec::with_capacity(report.running.len());
         for run in &report.running {
--- a/src/schedule/usage.rs
+++ b/src/schedule/usage.rs
@@ -15,7 +15,7 @@
         }
         let mut need = step.need;
         if step.best_effort {
-            target.best_effort_cpu += need.millicores;
+            target.best_effort_cpu += need.at_speed(task.allowed_speed);
             need.millicores = 0;
         } else if step.long_running {
             target.long_running_cpu += need.millicores;
@@ -44,7 +44,8 @@
         }
         let mut need = step.need;
         if step.best_effort {
-            target.best_effort_cpu = target.best_effort_cpu.saturating_sub(need.millicores);
+            let cpu = need.at_speed(task.allowed_speed);
+            target.best_effort_cpu = target.best_effort_cpu.saturating_sub(cpu);
             need.millicores = 0;
         } else if step.long_running {
             target.long_running_cpu = target.long_running_cpu.saturating_sub(need.millicores);
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -109,6 +109,8 @@
     pub ready: Moment,
     /// The speed to which the task is throttled, in percent of full speed.
     pub speed: u8,
+    /// The highest speed of the current run, in percent of full speed.
+    pub allowed_speed: u8,
     /// The progress of the current run.
     pub progress: RunProgress,
     /// The task restarts only once the store has confirmed the ownership after this
@@ -296,6 +298,7 @@
                     since: now,
                     ready: now,
                     speed: FULL_SPEED,
+                    allowed_speed: FULL_SPEED,
                     progress: RunProgress::default(),
                     restart_gate: Moment::default(),
                     confirmed: false,
