--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -4,6 +4,7 @@
 mod delays;
 mod ends;
 mod idle;
+mod idle_jobs;
 mod interference;
 mod overload;
 mod placing;
