--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// The longest time, in milliseconds, that a job may have nothing running although
+/// workers have the capacity for a task of it.
+const MAX_IDLE: u64 = 3_000;
+/// The same for a task of a long-running step, since the end of its last run.
+const MAX_LONG_RUNNING_IDLE: u64 = 6_000;
 /// The time between two reports of a worker, in milliseconds.
 const REPORT_INTERVAL: u64 = 250;
 
@@ -31,6 +36,71 @@
         .collect()
 }
 
+#[test]
+fn long_running_tasks_wait_for_the_quarantine_of_all_workers() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    let tasks = [1, 2, 3, 4].map(|id| name(id, 0, 0));
+    for task in tasks {
+        let id = task.workflow.0;
+        shard.submit(active_workflow(id, vec![serving(1, 1, "video")], id, 0));
+    }
+    let mut running: Vec<(usize, TaskName, u64, u64)> = Vec::new();
+    let mut numbers = [0, 0];
+    let mut longest = Duration::ZERO;
+    while shard.now < 60_000 {
+        shard.now += REPORT_INTERVAL;
+        let now = shard.now;
+        for (worker, number) in numbers.iter_mut().enumerate() {
+            let (mut live, mut ends) = (Vec::new(), Vec::new());
+            for (_, task, run, started) in running.iter().filter(|run| run.0 == worker) {
+                if now - started < 2_000 {
+                    live.push((*task, *run));
+                } else {
+                    *number += 1;
+                    ends.push((*number, *task, *run, RunOutcome::Failed));
+                }
+            }
+            shard.report(worker, &live, &ends);
+        }
+        running.retain(|run| now - run.3 < 2_000);
+        shard.plan();
+        let started = shard.confirm();
+        running.extend(started.iter().map(|run| (run.0, run.1, run.2, now)));
+        for task in tasks.map(|task| shard.task(task)) {
+            let task = &shard.scheduler.ledger.tasks[task];
+            if task.stage == Stage::Waiting {
+                longest = longest.max(at(now) - task.ready);
+            }
+        }
+    }
+    assert!(
+        longest <= Duration::from_millis(MAX_LONG_RUNNING_IDLE),
+        "{longest:?}"
+    );
+}
+
+#[test]
+fn workers_that_refused_starts_for_a_time_are_not_used_long_after() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    for id in 1..=6 {
+        shard.submit(active_workflow(id, vec![step(1, 1)], id, 0));
+    }
+    while shard.now < 14_500 {
+        shard.now += REPORT_INTERVAL;
+        shard.report_all();
+        shard.plan();
+        for (worker, order) in std::mem::take(&mut shard.orders) {
+            if let Order::Start { task, run } = order {
+                let now = at(shard.now);
+                shard.scheduler.start_order(worker, task, run, now);
+                shard.scheduler.on_start_refused(worker, task, run, now);
+            }
+        }
+    }
+    // Calm for 4 s, then idle for 3 s.
+    assert!(shard.starts_by(14_500 + 4_000 + MAX_IDLE, &[]));
+}
+
 #[test]
 fn a_best_effort_task_as_wide_as_a_worker_never_starts_beside_a_small_serving_task() {
     let mut shard = Shard::first_owner(&["w0", "w1"]);
