--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -36,6 +36,42 @@
         .collect()
 }
 
+#[test]
+fn a_gang_that_fits_no_worker_holds_back_tasks_that_fit() {
+    let gang = Step {
+        gang: true,
+        ..step(2, 20)
+    };
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![gang], 1, 0));
+    shard.plan();
+    assert!(!shard.starts_by(500, &[]));
+    shard.submit(active_workflow(2, vec![step(1, 1)], 2, 1));
+    assert!(shard.starts_by(500 + MAX_IDLE, &[]));
+}
+
+#[test]
+fn a_gang_that_waits_for_the_end_of_a_member_holds_back_tasks_that_fit() {
+    let gang = Step {
+        gang: true,
+        ..step(2, 5)
+    };
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![gang], 1, 0));
+    shard.plan();
+    let runs = shard.confirm();
+    let (first, task, run) = runs[0];
+    let silent = shard.workers.remove(1 - first);
+    shard.now = 500;
+    let ends = [(1, task, run, RunOutcome::MemberEnded)];
+    shard.report_with(0, 1, Vec::new(), &ends);
+    assert_eq!(shard.stage(task), Stage::Waiting);
+    assert_eq!(shard.stage(runs[1].1), Stage::Running(silent));
+    assert!(!shard.starts_by(1_000, &[]));
+    shard.submit(active_workflow(2, vec![step(1, 1)], 2, 1));
+    assert!(shard.starts_by(1_000 + MAX_IDLE, &[]));
+}
+
 #[test]
 fn long_running_tasks_wait_for_the_quarantine_of_all_workers() {
     let mut shard = Shard::first_owner(&["w0", "w1"]);
