--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -72,6 +72,29 @@
     assert!(shard.starts_by(1_000 + MAX_IDLE, &[]));
 }
 
+#[test]
+fn a_stuck_best_effort_gang_never_starts() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![serving(1, 1, "video")], 1, 0));
+    shard.submit(active_workflow(2, vec![best_effort(1, 2, "loud")], 2, 1));
+    shard.plan();
+    let runs = shard.confirm();
+    for now in [600, 1_200, 1_800] {
+        shard.now = now;
+        let loud = runs.iter().map(|run| {
+            let tail = run.1 == name(1, 0, 0);
+            live(run.1, run.2, if tail { 60 } else { 1_900 })
+        });
+        shard.report_with(0, 1, loud.collect(), &[]);
+    }
+    let gang = Step {
+        gang: true,
+        ..best_effort(2, 1, "loud")
+    };
+    shard.submit(active_workflow(3, vec![gang], 3, 1));
+    assert!(shard.starts_by(20_000, &rows(&runs, 10)));
+}
+
 #[test]
 fn long_running_tasks_wait_for_the_quarantine_of_all_workers() {
     let mut shard = Shard::first_owner(&["w0", "w1"]);
