--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -173,3 +173,41 @@
     shard.submit(active_workflow(2, vec![best_effort(1, 8, "batch")], 2, 1));
     assert!(shard.starts_by(30_000, &rows(&runs, 10)));
 }
+
+#[test]
+fn a_run_stays_paused_when_a_throttle_order_takes_effect_late() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![serving(1, 1, "video")], 1, 0));
+    shard.submit(active_workflow(2, vec![best_effort(1, 1, "quiet")], 2, 2));
+    shard.plan();
+    let runs = shard.confirm();
+    let report = |shard: &mut Shard, tail: u32, used: u32| {
+        let rows = runs.iter().map(|run| LiveRun {
+            progress: 40,
+            ..live(
+                run.1,
+                run.2,
+                if run.1 == name(1, 0, 0) { tail } else { used },
+            )
+        });
+        shard.report_with(0, 1, rows.collect(), &[]);
+        shard.plan();
+    };
+    for now in [600, 1_200] {
+        shard.now = now;
+        report(&mut shard, 60, 900);
+    }
+    assert!(shard.orders().contains("at 0"), "{}", shard.orders());
+    while shard.now < 10_000 {
+        shard.now += REPORT_INTERVAL;
+        report(&mut shard, 5, 0);
+    }
+    // The worker carries out the order to pause only now; the later ones are answered.
+    let mut ordered = false;
+    while shard.now < 40_000 {
+        shard.now += REPORT_INTERVAL;
+        report(&mut shard, 5, 0);
+        ordered |= !shard.orders.is_empty();
+    }
+    assert!(ordered, "the run is paused for good");
+}
