--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -211,3 +211,27 @@
     }
     assert!(ordered, "the run is paused for good");
 }
+
+#[test]
+fn a_delayed_start_is_sent_although_the_capacity_has_shrunk() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 6)], 1, 0));
+    shard.plan();
+    let Order::Start { task, run } = shard.orders[0].1 else {
+        panic!("a start is ordered");
+    };
+    let smaller = Registration {
+        capacity: Capacity {
+            millicores: 4 * CORE,
+            ..registration("w0").capacity
+        },
+        ..registration("w0")
+    };
+    shard.scheduler.on_registry(vec![smaller], at(100));
+    shard.now = 6_000;
+    shard.report(0, &[], &[]);
+    let sent = shard
+        .scheduler
+        .start_order(shard.workers[0], task, run, at(shard.now));
+    assert_eq!(sent, None);
+}
