--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -95,6 +95,29 @@
     assert!(shard.starts_by(20_000, &rows(&runs, 10)));
 }
 
+#[test]
+fn a_fresh_task_covers_one_that_accepts_more_risk() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![serving(1, 1, "video")], 1, 0));
+    shard.submit(active_workflow(2, vec![best_effort(1, 2, "loud")], 2, 1));
+    shard.submit(active_workflow(3, vec![step(1, 3)], 3, 0));
+    shard.plan();
+    let runs = shard.confirm();
+    shard.now = 600;
+    let loud = runs.iter().map(|run| {
+        let tail = run.1 == name(1, 0, 0);
+        live(run.1, run.2, if tail { 60 } else { 1_900 })
+    });
+    shard.report_with(0, 1, loud.collect(), &[]);
+    shard.submit(active_workflow(4, vec![best_effort(1, 1, "loud")], 4, 2));
+    let quiet = rows(&runs, 10);
+    assert!(!shard.starts_by(1_350, &quiet));
+    shard.submit(active_workflow(5, vec![best_effort(1, 1, "loud")], 5, 1));
+    assert!(shard.starts_by(1_600, &quiet));
+    let started: Vec<TaskName> = shard.confirm().into_iter().map(|run| run.1).collect();
+    assert_eq!(started, [name(4, 0, 0)]);
+}
+
 #[test]
 fn long_running_tasks_wait_for_the_quarantine_of_all_workers() {
     let mut shard = Shard::first_owner(&["w0", "w1"]);
