--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -197,6 +197,20 @@
     assert!(shard.starts_by(30_000, &rows(&runs, 10)));
 }
 
+#[test]
+fn a_best_effort_task_with_nearly_all_memory_never_starts_on_an_empty_worker() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    let large = Step {
+        need: Capacity {
+            memory: 7_500,
+            ..step(1, 1).need
+        },
+        ..best_effort(1, 1, "batch")
+    };
+    shard.submit(active_workflow(1, vec![large], 1, 0));
+    assert!(shard.starts_by(30_000, &[]));
+}
+
 #[test]
 fn a_run_stays_paused_when_a_throttle_order_takes_effect_late() {
     let mut shard = Shard::first_owner(&["w0"]);
