--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -272,3 +272,47 @@
         .start_order(shard.workers[0], task, run, at(shard.now));
     assert_eq!(sent, None);
 }
+
+#[test]
+fn an_unanswered_start_is_not_stopped_once_a_report_does_not_list_it() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(
+        1,
+        vec![
+            step(1, 6),
+            Step {
+                after: vec![0],
+                ..step(1, 1)
+            },
+        ],
+        1,
+        0,
+    ));
+    shard.plan();
+    let (first, task, run) = shard.confirm()[0];
+    let second = 1 - first;
+    shard.now = 6_000;
+    shard.report(second, &[], &[]);
+    shard.plan();
+    shard.now = 6_100;
+    shard.report(second, &[], &[]);
+    shard.plan();
+    let Order::Start {
+        task: key,
+        run: later,
+    } = shard.orders[0].1
+    else {
+        panic!("the task starts on the other worker");
+    };
+    let worker = shard.workers[second];
+    let sent = shard.scheduler.start_order(worker, key, later, at(6_100));
+    assert!(sent.is_some(), "the order is on its way");
+    shard.now = 6_200;
+    shard.report(first, &[], &[(1, task, run, RunOutcome::Done)]);
+    shard.plan();
+    let (_, Order::Stop(stop)) = shard.orders[0] else {
+        panic!("the later run is stopped");
+    };
+    shard.report(second, &[], &[]);
+    assert!(shard.scheduler.wants_stop(worker, &stop));
+}
