--- a/src/schedule/tests/idle_jobs.rs
+++ b/src/schedule/tests/idle_jobs.rs
@@ -316,3 +316,25 @@
     shard.report(second, &[], &[]);
     assert!(shard.scheduler.wants_stop(worker, &stop));
 }
+
+#[test]
+fn a_gang_starts_before_the_store_confirms_that_a_lost_member_has_no_newer_owner() {
+    let gang = Step {
+        gang: true,
+        ..step(2, 5)
+    };
+    let mut shard = Shard::first_owner(&["w0", "w1", "w2"]);
+    shard.submit(active_workflow(1, vec![gang], 1, 0));
+    shard.plan();
+    let runs = shard.confirm();
+    let lost = runs.iter().find(|run| run.1 == name(1, 0, 1)).unwrap().0;
+    let other = runs.iter().find(|run| run.1 == name(1, 0, 0)).unwrap();
+    shard.now = 6_000;
+    let ends = [(1, other.1, other.2, RunOutcome::MemberEnded)];
+    for worker in (0..3).filter(|worker| *worker != lost) {
+        let ends = if worker == other.0 { &ends[..] } else { &[] };
+        shard.report(worker, &[], ends);
+    }
+    shard.plan_confirmed(at(5_900));
+    assert_eq!(shard.orders(), "");
+}
