Tests: a worker whose capacity shrinks and grows while it runs

LIMIT: a registry entry with a smaller capacity stops further starts at once, runs that are being stopped count until their end is reported, and the capacity is used again when it has grown. The test passes on the current code. What it does not cover is `a_delayed_start_is_sent_although_the_capacity_has_shrunk`.

--- a/src/schedule/tests/workers.rs
+++ b/src/schedule/tests/workers.rs
@@ -151,3 +151,41 @@
     }
     assert_eq!(shard.stage(task), Stage::Stopping(shard.workers[worker]));
 }
+
+#[test]
+fn a_shrunken_worker_gets_no_task_until_what_is_stopped_has_ended() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    let of_cores = |cores: u32| Registration {
+        capacity: Capacity {
+            millicores: cores * CORE,
+            ..registration("w0").capacity
+        },
+        ..registration("w0")
+    };
+    shard.submit(active_workflow(1, vec![step(2, 3)], 1, 0));
+    shard.plan();
+    let runs: Vec<_> = shard.confirm().iter().map(|run| (run.1, run.2)).collect();
+    shard.scheduler.on_registry(vec![of_cores(4)], at(100));
+    shard.submit(active_workflow(2, vec![step(1, 1), step(1, 4)], 2, 0));
+    shard.now = 200;
+    shard.report(0, &runs, &[]);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    shard.scheduler.cancel(WorkflowId(1), at(300));
+    shard.plan();
+    insta::assert_snapshot!(shard.orders(), @r"
+    w0: stop 0000000000000001.0.0.0 run 100000001
+    w0: stop 0000000000000001.0.0.1 run 100000002
+    ");
+    shard.now = 400;
+    let ended = (1, runs[0].0, runs[0].1, RunOutcome::Stopped);
+    shard.report(0, &runs[1..], &[ended]);
+    shard.plan();
+    insta::assert_snapshot!(shard.orders(), @"w0: start 0000000000000002.0.0.0 run 100000003");
+    let small = shard.confirm();
+    shard.scheduler.on_registry(vec![of_cores(8)], at(500));
+    shard.now = 600;
+    shard.report(0, &[runs[1], (small[0].1, small[0].2)], &[]);
+    shard.plan();
+    insta::assert_snapshot!(shard.orders(), @"w0: start 0000000000000002.0.1.0 run 100000004");
+}
