--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -169,3 +169,22 @@
     shard.plan();
     assert!(shard.orders().contains("start"), "{}", shard.orders());
 }
+
+#[test]
+fn the_roster_is_written_without_end_while_a_closed_worker_does_not_answer() {
+    let term = Term {
+        fence: FENCE,
+        recovery_deadline: Some(at(10_000)),
+    };
+    let mut shard = Shard::new(term, &["w0", "dead"]);
+    let roster = vec![
+        roster_entry("w0", None),
+        roster_entry("dead", Some(vec![name(1, 0, 0)])),
+    ];
+    shard.scheduler.on_roster(roster, at(0));
+    shard.report(0, &[], &[]);
+    for _ in 0..3 {
+        shard.write();
+    }
+    assert!(!shard.scheduler.is_urgent());
+}
