--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -188,3 +188,35 @@
     }
     assert!(!shard.scheduler.is_urgent());
 }
+
+#[test]
+fn a_task_that_is_done_runs_again_if_its_occurrence_is_not_due_by_the_new_owners_clock() {
+    let mut shard = Shard::later_owner(&["w0"]);
+    let definition = Workflow {
+        steps: vec![step(1, 1)],
+        recurrence: Some(Recurrence {
+            times: 2,
+            start: Duration::ZERO,
+            interval: Duration::from_secs(2),
+        }),
+        ..Workflow::default()
+    };
+    let recurring = ActiveWorkflow {
+        spec: Arc::new(definition),
+        due_times: vec![at(0), at(2_000)],
+        ..active_workflow(1, Vec::new(), 1, 0)
+    };
+    let done = |occurrence| TaskRecord {
+        occurrence,
+        done: true,
+        ..TaskRecord::default()
+    };
+    shard.now = 1_000;
+    shard.restore(recurring, &[done(0), done(1)]);
+    shard.report(0, &[], &[]);
+    shard.write();
+    shard.now = 2_100;
+    shard.report(0, &[], &[]);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+}
