--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -3,11 +3,11 @@
 
 mod delays;
 mod ends;
-mod idle;
 mod idle_jobs;
 mod interference;
 mod overload;
 mod placing;
+mod slow;
 mod takeover;
 mod workers;
 
