--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -156,15 +156,19 @@
         };
     }
 
-    /// Whether the worker may get new tasks.
+    /// Whether the worker may get new tasks and is not in quarantine.
     pub fn is_open(&self, now: Moment) -> bool {
+        self.accepts_tasks(now) && !self.failures.is_quarantined(now)
+    }
+
+    /// Whether the worker may get new tasks, in quarantine or not.
+    pub fn accepts_tasks(&self, now: Moment) -> bool {
         self.listed
             && self.in_roster
             && self.synced
             && self.unknown_runs.is_empty()
             && self.registration.availability == Availability::Ready
             && now - self.last_contact < MAX_REPORT_AGE
-            && !self.failures.is_quarantined(now)
             && self.avoided_until.is_none_or(|until| until <= now)
     }
 
--- a/src/schedule/gang.rs
+++ b/src/schedule/gang.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use super::place::{Candidates, Risk};
+use super::place::{Candidates, Tolerance};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey};
 
@@ -27,7 +27,7 @@
     }
 
     /// Places all members at once, under one run number, or none of them.
-    pub(super) fn place_gang(&mut self, task: TaskKey, risk: Risk, now: Moment) -> bool {
+    pub(super) fn place_gang(&mut self, task: TaskKey, tolerance: Tolerance, now: Moment) -> bool {
         let members = self.members(task);
         let waiting = |task: &TaskKey| self.ledger.tasks[*task].stage == Stage::Waiting;
         if !members.iter().all(waiting) {
@@ -42,7 +42,7 @@
         let candidate_sets = self.candidate_sets(task, now);
         let placed = candidate_sets
             .iter()
-            .any(|candidates| self.assign_all(&members, run, candidates, risk, now));
+            .any(|candidates| self.assign_all(&members, run, candidates, tolerance, now));
         if !placed {
             return false;
         }
@@ -77,14 +77,14 @@
         members: &[TaskKey],
         run: u64,
         candidates: &Candidates,
-        risk: Risk,
+        tolerance: Tolerance,
         now: Moment,
     ) -> bool {
         let mut placed = Vec::new();
         for member in members {
             let task = &self.ledger.tasks[*member];
             let workflow = &self.ledger.workflows[task.workflow];
-            let Some(placement) = self.choose(workflow, task, candidates, risk, now) else {
+            let Some(placement) = self.choose(workflow, task, candidates, tolerance, now) else {
                 self.undo_assignments(&placed, now);
                 return false;
             };
--- a/src/schedule/impaired.rs
+++ b/src/schedule/impaired.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use super::place::Risk;
+use super::place::Tolerance;
 use crate::fleet::{LiveRun, WorkerKey, WorkerReport};
 use crate::moment::Moment;
 use crate::workflow::{FULL_SPEED, Stage, TaskKey};
@@ -131,6 +131,6 @@
             |task: &&TaskKey| matches!(self.ledger.tasks[**task].stage, Stage::Running(_));
         let down = members.len() - members.iter().filter(running).count();
         let tolerable = step.may_miss == 0 || down < step.may_miss as usize;
-        tolerable && !step.gang && self.choose_for(task, Risk::Unlikely, now).is_some()
+        tolerable && !step.gang && self.choose_for(task, Tolerance::NONE, now).is_some()
     }
 }
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -36,6 +36,9 @@
 /// The longest time that a task waits for a worker on the rack of its data, as
 /// it would run several times as long on any other.
 const MAX_DATA_RACK_DELAY: Duration = Duration::from_millis(1500);
+/// The waiting time after which a task is placed on a worker in quarantine, if most
+/// workers are: then the work is the more probable cause of the failures.
+const MAX_QUARANTINE_DELAY: Duration = Duration::from_secs(2);
 /// The score, in millicores, that a worker loses for each task of the same step
 /// that it already runs.
 const CROWDING_PENALTY: i64 = 500;
@@ -61,6 +64,28 @@
     }
 }
 
+/// What a placement accepts, by how long its task has waited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Tolerance {
+    /// How much interference is accepted.
+    pub risk: Risk,
+    /// Whether workers in quarantine are accepted, if most of the workers are.
+    pub quarantine: bool,
+}
+
+impl Tolerance {
+    /// What a task accepts that has not waited.
+    pub const NONE: Self = Self {
+        risk: Risk::Unlikely,
+        quarantine: false,
+    };
+
+    /// Whether this accepts all that `other` accepts.
+    const fn includes(self, other: Self) -> bool {
+        self.risk as u8 >= other.risk as u8 && (self.quarantine || !other.quarantine)
+    }
+}
+
 /// A worker for a task, and the speed at which the task runs there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Placement {
@@ -102,13 +127,13 @@
     image: Option<String>,
     best_effort: bool,
     need: Capacity,
-    risk: Risk,
+    tolerance: Tolerance,
 }
 
 impl PlacementFailures {
-    /// Whether a task of this step that accepts this risk cannot be placed in this pass
+    /// Whether a task of this step with this tolerance cannot be placed in this pass
     /// either.
-    pub fn covers(&self, pool: &str, step: &Step, risk: Risk) -> bool {
+    pub fn covers(&self, pool: &str, step: &Step, tolerance: Tolerance) -> bool {
         let matches = |failure: &PlacementFailure| {
             let image = failure
                 .image
@@ -117,10 +142,10 @@
             image
                 && failure.pool == pool
                 && failure.best_effort == step.best_effort
-                && failure.risk >= risk
+                && failure.tolerance.includes(tolerance)
                 && step.need.holds(failure.need)
         };
-        let held_back = risk < Risk::Slow && self.held_back.contains(&step.best_effort);
+        let held_back = tolerance.risk < Risk::Slow && self.held_back.contains(&step.best_effort);
         held_back || self.rows.iter().any(matches)
     }
 
@@ -132,7 +157,7 @@
 
     /// Records a step that could not be placed. Steps with placement constraints
     /// are skipped, as their failure says nothing about other steps.
-    pub fn record(&mut self, pool: &str, step: &Step, risk: Risk) {
+    pub fn record(&mut self, pool: &str, step: &Step, tolerance: Tolerance) {
         let unconstrained = step.label.is_none() && step.worker_limit.is_none();
         let plain = unconstrained && step.data_rack.is_none() && !step.gang;
         if plain {
@@ -141,7 +166,7 @@
                 image: step.best_effort.then(|| step.image.clone()),
                 best_effort: step.best_effort,
                 need: step.need,
-                risk,
+                tolerance,
             });
         }
     }
@@ -155,22 +180,27 @@
         workflow: &ActiveWorkflow,
         task: &Task,
         candidates: &Candidates,
-        risk: Risk,
+        tolerance: Tolerance,
         now: Moment,
     ) -> Option<Placement> {
         let (step, name) = (workflow.step(task.name), task.name);
         let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
         let image = self.images.find(&step.image);
-        let open: Vec<(WorkerKey, &Worker)> = self
+        let risk = tolerance.risk;
+        let mut open: Vec<(WorkerKey, &Worker)> = self
             .workers
             .iter()
             .filter(|(_, worker)| {
                 worker.registration.pool == workflow.queue.pool
-                    && worker.is_open(now)
+                    && worker.accepts_tasks(now)
                     && candidates.contains(worker)
+                    && has_label(worker, step)
                     && (!waits_for_rack || is_on_data_rack(worker, step))
             })
             .collect();
+        if !tolerance.quarantine || !is_mostly_quarantined(&open, now) {
+            open.retain(|(_, worker)| worker.is_open(now));
+        }
         let fitting = open.iter().filter(|(_, worker)| {
             fits(worker, step, name)
                 && !(step.best_effort && self.would_interfere(worker, image, risk.log_odds()))
@@ -189,8 +219,20 @@
         self.choose_slow(open.iter(), step, name, now)
     }
 
-    /// The interference that a waiting task accepts now.
-    pub(super) fn risk(&self, workflow: &ActiveWorkflow, task: &Task, now: Moment) -> Risk {
+    /// What a waiting task accepts now.
+    pub(super) fn tolerance(
+        &self,
+        workflow: &ActiveWorkflow,
+        task: &Task,
+        now: Moment,
+    ) -> Tolerance {
+        Tolerance {
+            risk: self.risk(workflow, task, now),
+            quarantine: now - task.ready >= MAX_QUARANTINE_DELAY,
+        }
+    }
+
+    fn risk(&self, workflow: &ActiveWorkflow, task: &Task, now: Moment) -> Risk {
         if self.is_stuck(workflow, task, now) {
             Risk::Slow
         } else if now - task.ready >= RISK_DELAY {
@@ -283,6 +325,14 @@
     }
 }
 
+/// Whether more than half of the workers are in quarantine.
+fn is_mostly_quarantined(workers: &[(WorkerKey, &Worker)], now: Moment) -> bool {
+    let quarantined = workers
+        .iter()
+        .filter(|(_, worker)| worker.failures.is_quarantined(now));
+    quarantined.count() * 2 > workers.len()
+}
+
 /// The score for placing a serving task beside the images that a worker serves.
 /// Tasks of one image are placed together, so that best-effort tasks find workers
 /// without an image that they would interfere with.
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -9,7 +9,7 @@
 
 use super::delay::Delays;
 use super::idle::IdleJobs;
-use super::place::{Candidates, Placement, PlacementFailures, Risk};
+use super::place::{Candidates, Placement, PlacementFailures, Tolerance};
 use super::rank::{Rank, rank};
 use super::waiting::WaitList;
 use super::write::Writes;
@@ -336,21 +336,21 @@
             let later_member = step.gang && task.name.index > 0;
             let gated =
                 task.restart_gate > Moment::default() && task.restart_gate >= self.confirmed;
-            let risk = self.risk(workflow, task, now);
-            let covered = failures.covers(&workflow.queue.pool, step, risk);
+            let tolerance = self.tolerance(workflow, task, now);
+            let covered = failures.covers(&workflow.queue.pool, step, tolerance);
             if gated || later_member || covered {
                 continue;
             }
             let gang = step.gang;
             let holds_back =
                 gang && (GANG_HOLD_DELAY..GANG_RELEASE_DELAY).contains(&(now - task.ready));
-            if self.place_task(key, risk, now) {
+            if self.place_task(key, tolerance, now) {
                 self.waiting.remove(key);
             } else if holds_back {
                 failures.hold_back(self.step_of(key));
             } else {
                 let workflow = &self.ledger.workflows[self.ledger.tasks[key].workflow];
-                failures.record(&workflow.queue.pool, self.step_of(key), risk);
+                failures.record(&workflow.queue.pool, self.step_of(key), tolerance);
             }
         }
     }
@@ -360,11 +360,11 @@
         self.ledger.workflows[task.workflow].step(task.name)
     }
 
-    fn place_task(&mut self, key: TaskKey, risk: Risk, now: Moment) -> bool {
+    fn place_task(&mut self, key: TaskKey, tolerance: Tolerance, now: Moment) -> bool {
         if self.is_gang(key) {
-            return self.place_gang(key, risk, now);
+            return self.place_gang(key, tolerance, now);
         }
-        let Some(placement) = self.choose_for(key, risk, now) else {
+        let Some(placement) = self.choose_for(key, tolerance, now) else {
             return false;
         };
         let run = self.next_run();
@@ -373,10 +373,15 @@
         true
     }
 
-    pub(super) fn choose_for(&self, key: TaskKey, risk: Risk, now: Moment) -> Option<Placement> {
+    pub(super) fn choose_for(
+        &self,
+        key: TaskKey,
+        tolerance: Tolerance,
+        now: Moment,
+    ) -> Option<Placement> {
         let task = &self.ledger.tasks[key];
         let workflow = &self.ledger.workflows[task.workflow];
-        self.choose(workflow, task, &Candidates::All, risk, now)
+        self.choose(workflow, task, &Candidates::All, tolerance, now)
     }
 
     /// Assigns a run of a task to a worker and adds the capacity that it uses.
--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::place::Risk;
+use super::place::Tolerance;
 use super::{Event, Order, Scheduler};
 use crate::fleet::{LiveRun, StopOrder, WorkerKey, WorkerReport};
 use crate::interference::{ImageKey, Neighbour, Observation, Tail};
@@ -137,7 +137,7 @@
         let is_slow = task.allowed_speed < FULL_SPEED;
         let interferes_with = |serving: &ImageKey| self.pairs.is_harmful(*serving, row.image);
         let interferes = over_target.iter().any(interferes_with);
-        let can_move = || self.choose_for(row.task, Risk::Unlikely, now).is_some();
+        let can_move = || self.choose_for(row.task, Tolerance::NONE, now).is_some();
         if row.step.checkpoints && is_slow && can_move() {
             return Adjustment::Stop("another worker can run it at full speed");
         }
