--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -378,8 +378,11 @@
     if !step.best_effort {
         return free >= step.need.memory;
     }
-    let reserve = f64::from(worker.registration.capacity.memory) * URGENT_MEMORY_SHARE;
-    f64::from(free) - reserve >= f64::from(step.need.memory)
+    let whole = f64::from(worker.registration.capacity.memory);
+    let (need, reserve) = (f64::from(step.need.memory), whole * URGENT_MEMORY_SHARE);
+    // A task that never fits beside the reserve may use it.
+    let reserve = if need + reserve > whole { 0.0 } else { reserve };
+    f64::from(free) - reserve >= need
 }
 
 fn has_processors(worker: &Worker, step: &Step) -> bool {
