--- a/src/schedule/gang.rs
+++ b/src/schedule/gang.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use super::place::{Candidates, Tolerance};
+use super::place::{Candidates, Tolerance, has_label};
+use crate::fleet::Worker;
 use crate::moment::Moment;
-use crate::workflow::{Stage, TaskKey};
+use crate::workflow::{Stage, Step, TaskKey};
 
 /// The longest time that a gang waits for free capacity on a single rack.
 const MAX_RACK_DELAY: Duration = Duration::from_millis(1500);
@@ -53,6 +54,20 @@
         true
     }
 
+    /// Whether a gang waits for capacity only: no member has a run, and the open workers
+    /// of its pool could hold all members if they were empty.
+    pub(super) fn waits_for_capacity(&self, task: TaskKey, now: Moment) -> bool {
+        let members = self.members(task);
+        let waiting = |task: &TaskKey| self.ledger.tasks[*task].stage == Stage::Waiting;
+        let step = self.step_of(task);
+        let workflow = &self.ledger.workflows[self.ledger.tasks[task].workflow];
+        let open = self.workers.values().filter(|worker| {
+            worker.registration.pool == workflow.queue.pool && worker.is_open(now)
+        });
+        let places: u32 = open.map(|worker| places_on(worker, step)).sum();
+        members.iter().all(waiting) && places >= step.count
+    }
+
     /// The sets of workers on which a gang may be placed, the preferred first. A
     /// gang that asks for a single rack waits for one for a limited time, as it
     /// runs slower across several.
@@ -101,3 +116,17 @@
         }
     }
 }
+
+/// The number of tasks of a step that a worker could hold if it were empty.
+fn places_on(worker: &Worker, step: &Step) -> u32 {
+    if !has_label(worker, step) {
+        return 0;
+    }
+    let (whole, need) = (worker.registration.capacity, step.need);
+    let times = |whole: u32, need: u32| whole.checked_div(need).unwrap_or(step.count);
+    times(whole.millicores, need.millicores)
+        .min(times(whole.memory, need.memory))
+        .min(times(whole.accelerators, need.accelerators))
+        .min(step.worker_limit.unwrap_or(step.count))
+        .min(step.count)
+}
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -116,7 +116,14 @@
 #[derive(Debug, Default)]
 pub(super) struct PlacementFailures {
     rows: Vec<PlacementFailure>,
-    held_back: Vec<bool>,
+    held_back: Vec<HeldBack>,
+}
+
+/// The tasks of a pool that wait behind a gang: the best-effort ones or the others.
+#[derive(Debug)]
+struct HeldBack {
+    pool: String,
+    best_effort: bool,
 }
 
 /// The requirements of a task that could not be placed. The image is set only
@@ -145,14 +152,19 @@
                 && failure.tolerance.includes(tolerance)
                 && step.need.holds(failure.need)
         };
-        let held_back = tolerance.risk < Risk::Slow && self.held_back.contains(&step.best_effort);
+        let waits_behind =
+            |held: &HeldBack| held.pool == pool && held.best_effort == step.best_effort;
+        let held_back = tolerance.risk < Risk::Slow && self.held_back.iter().any(waits_behind);
         held_back || self.rows.iter().any(matches)
     }
 
-    /// Holds back all later tasks of this pass of the same kind as this gang:
-    /// best-effort or not.
-    pub fn hold_back(&mut self, gang: &Step) {
-        self.held_back.push(gang.best_effort);
+    /// Holds back all later tasks of this pass in the same pool and of the same kind as
+    /// this gang: best-effort or not.
+    pub fn hold_back(&mut self, pool: &str, gang: &Step) {
+        self.held_back.push(HeldBack {
+            pool: pool.to_owned(),
+            best_effort: gang.best_effort,
+        });
     }
 
     /// Records a step that could not be placed. Steps with placement constraints
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -342,12 +342,14 @@
                 continue;
             }
             let gang = step.gang;
-            let holds_back =
-                gang && (GANG_HOLD_DELAY..GANG_RELEASE_DELAY).contains(&(now - task.ready));
+            let holds_back = gang
+                && (GANG_HOLD_DELAY..GANG_RELEASE_DELAY).contains(&(now - task.ready))
+                && self.waits_for_capacity(key, now);
             if self.place_task(key, tolerance, now) {
                 self.waiting.remove(key);
             } else if holds_back {
-                failures.hold_back(self.step_of(key));
+                let workflow = &self.ledger.workflows[self.ledger.tasks[key].workflow];
+                failures.hold_back(&workflow.queue.pool, self.step_of(key));
             } else {
                 let workflow = &self.ledger.workflows[self.ledger.tasks[key].workflow];
                 failures.record(&workflow.queue.pool, self.step_of(key), tolerance);
