Ledger: a new owner keeps the progress of an occurrence that its clock calls early (TWICE)

Callers would see: a task of a recurring job runs again although it was done.

Cause: the stored progress was applied only to occurrences that are due by the new owner's clock; that of later ones was dropped, and their tasks started when due. Change: occurrences with stored progress are created at once, as the former owner began them.

--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -173,7 +173,7 @@
         }
         let mut unblocked = self.ledger.unblock(key, inherited, now);
         if let Some(progress) = progress {
-            let transition = self.ledger.restore(key, progress, now);
+            let transition = self.ledger.restore(key, progress, inherited, now);
             self.apply_transition(key, transition, now);
             unblocked.extend(self.ledger.unblock(key, inherited, now));
         }
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -263,6 +263,24 @@
         live.then(|| workflow.due_times.get(workflow.occurrences.len()).copied())?
     }
 
+    fn create_started_occurrences(
+        &mut self,
+        key: WorkflowKey,
+        progress: &Progress,
+        recovering: bool,
+        now: Moment,
+    ) {
+        let workflow = &self.workflows[key];
+        let records = progress.tasks.iter();
+        let last = records.map(|record| record.occurrence as usize).max();
+        let started = last
+            .map_or(0, |last| last + 1)
+            .min(workflow.due_times.len());
+        for number in workflow.occurrences.len()..started {
+            self.create_occurrence(key, number, recovering, now);
+        }
+    }
+
     fn create_occurrence(
         &mut self,
         key: WorkflowKey,
@@ -442,8 +460,16 @@
     }
 
     /// Restores the progress that a former owner stored. Returns whether
-    /// the job has ended by it.
-    pub fn restore(&mut self, key: WorkflowKey, progress: &Progress, now: Moment) -> JobTransition {
+    /// the job has ended by it. Occurrences with progress are created even if they are not
+    /// due by this host's clock, as they were by the former owner's.
+    pub fn restore(
+        &mut self,
+        key: WorkflowKey,
+        progress: &Progress,
+        recovering: bool,
+        now: Moment,
+    ) -> JobTransition {
+        self.create_started_occurrences(key, progress, recovering, now);
         let mut transition = JobTransition::Unchanged;
         for record in &progress.tasks {
             let name = TaskName {
