Gangs: a gang waits until the store has confirmed the loss of each member

Callers would see: two runs of a gang's member at once (TWICE), if a newer owner had renewed the run that seems lost.

Cause: only the first member's gate was read, and a gang restarts as a whole. Change: it waits for the gates of all members.

--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -334,8 +334,12 @@
             let step = workflow.step(task.name);
             // A gang is placed as a whole when its first task is reached.
             let later_member = step.gang && task.name.index > 0;
-            let gated =
-                task.restart_gate > Moment::default() && task.restart_gate >= self.confirmed;
+            let gated = if step.gang {
+                let members = self.members(key);
+                members.iter().any(|member| self.is_gated(*member))
+            } else {
+                self.is_gated(key)
+            };
             let tolerance = self.tolerance(workflow, task, now);
             let covered = failures.covers(&workflow.queue.pool, step, tolerance);
             if gated || later_member || covered {
@@ -357,6 +361,13 @@
         }
     }
 
+    /// Whether a task waits until the store has confirmed that no newer owner renewed its
+    /// last run.
+    fn is_gated(&self, key: TaskKey) -> bool {
+        let gate = self.ledger.tasks[key].restart_gate;
+        gate > Moment::default() && gate >= self.confirmed
+    }
+
     pub(super) fn step_of(&self, key: TaskKey) -> &Step {
         let task = &self.ledger.tasks[key];
         self.ledger.workflows[task.workflow].step(task.name)
