--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -25,6 +25,12 @@
         if task.stage != Stage::Starting(worker) || task.run != run {
             return None;
         }
+        let first = task.lease_end.is_none();
+        if first && !self.holds_its_tasks(worker) {
+            self.lose(key, "the worker's capacity has shrunk", now);
+            return None;
+        }
+        let task = &self.ledger.tasks[key];
         let workflow = &self.ledger.workflows[task.workflow];
         let target = self.workers.get_mut(worker)?;
         let clock = target.clock?;
@@ -45,6 +51,12 @@
         })
     }
 
+    /// Whether a worker's capacity, which may have shrunk, holds all its tasks.
+    fn holds_its_tasks(&self, worker: WorkerKey) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_none_or(|worker| worker.registration.capacity.holds(worker.used))
+    }
+
     /// Processes the reply to a start order.
     pub fn on_start(
         &mut self,
