Roster: a closed worker of a former owner does not keep the roster unwritten

Operators would see: writes of the roster without pause for up to 11 s after a takeover, while a worker that the former owner closed does not answer. The store counts each.

Cause: such a worker never counted as recorded. Change: one that is listed as closed does.

--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -300,9 +300,11 @@
                 self.workers[*key].in_roster = true;
             }
         }
-        let is_recorded =
-            |worker: &Worker| worker.in_roster || (worker.synced && !worker.responsive);
-        let all = self.workers.values().all(is_recorded);
+        let is_recorded = |(key, worker): (WorkerKey, &Worker)| {
+            let closed = worker.synced && !worker.responsive;
+            worker.in_roster || closed || self.closed_workers.contains_key(&key)
+        };
+        let all = self.workers.iter().all(is_recorded);
         self.writes.roster = if all && version == self.writes.roster_version {
             RosterState::Written
         } else {
