Log: a worker's crash, and the runs that may have caused it

A worker counts as crashed when it reports a new incarnation, when another worker answers at its address, or when one does so after its leases have ended; not when it is draining, silent, cut off or only unregistered. The event worker_crashed names the runs that had not survived long enough to be ruled out, for how long each is known to have survived, and the crashes under its task before. The counts are kept with the job's progress; nothing acts on them yet. Records of earlier versions decode as before (serde default).

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -64,8 +64,11 @@
                 return;
             }
             Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
-            Err(WorkerFault::Refused(reason)) => {
-                log::warn!("worker {} refused {}: {reason}", api.id(), order.task);
+            Err(fault @ (WorkerFault::Replaced | WorkerFault::Refused(_))) => {
+                log::warn!("worker {} refused {}: {fault}", api.id(), order.task);
+                if fault == WorkerFault::Replaced {
+                    owned.decide(|scheduler, _| scheduler.on_replaced(key));
+                }
                 owned.decide(|scheduler, now| scheduler.on_start_refused(key, task, run, now));
                 return owned.wake();
             }
@@ -139,6 +142,9 @@
             }
             Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
             Err(fault) => {
+                if fault == WorkerFault::Replaced {
+                    owned.decide(|scheduler, _| scheduler.on_replaced(key));
+                }
                 let refused = matches!(fault, WorkerFault::ConnectionRefused(_));
                 owned.decide(|scheduler, _| scheduler.on_poll_failed(key, refused));
                 log_responsiveness(&api, &mut responsive, Some(&fault));
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -70,6 +70,8 @@
     pub in_roster: bool,
     /// Whether the worker answered recently; the roster marks one that did not as closed.
     pub responsive: bool,
+    /// Whether the worker is known to have ended: another one answers at its address.
+    pub replaced: bool,
     /// Whether the worker has answered this owner, so that it refuses former owners.
     pub synced: bool,
     /// The resources that the worker's tasks declare. The processor time of
@@ -124,6 +126,7 @@
             listed: true,
             in_roster: false,
             responsive: true,
+            replaced: false,
             synced: false,
             used: Capacity::default(),
             long_running_cpu: 0,
@@ -166,6 +169,7 @@
         self.listed
             && self.in_roster
             && self.synced
+            && !self.replaced
             && self.unknown_runs.is_empty()
             && self.registration.availability == Availability::Ready
             && now - self.last_contact < MAX_REPORT_AGE
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -37,6 +37,9 @@
     /// owner.
     #[error("the worker follows a newer owner")]
     Fenced,
+    /// Another worker answers at the address, so the addressed one has ended.
+    #[error("another worker answers at the address")]
+    Replaced,
     /// The worker refused the order; it had no effect.
     #[error("refused: {0}")]
     Refused(String),
@@ -261,6 +264,7 @@
                 Ok(StartReply::LeaseExpired(answer.clock_ms.max(0.0) as u64))
             }
             (StatusCode::CONFLICT, "room") => Ok(StartReply::NoCapacity),
+            (StatusCode::MISDIRECTED_REQUEST, _) => Err(WorkerFault::Replaced),
             (_, reason) => Err(WorkerFault::Refused(format!("status {status} {reason}"))),
         }
     }
@@ -366,5 +370,8 @@
     if answer.reason == "fence" {
         return WorkerFault::Fenced;
     }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return WorkerFault::Replaced;
+    }
     WorkerFault::Refused(format!("status {status} {}", answer.reason))
 }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -25,6 +25,7 @@
             return;
         }
         self.check_incarnation(key, report.incarnation, now);
+        self.check_lost(key, report.incarnation);
         let worker = &mut self.workers[key];
         worker.clock = Some(Clock::new(report.clock, now));
         worker.last_contact = now;
@@ -109,6 +110,7 @@
         let keys: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in keys {
             if !self.workers[key].tasks.is_empty() {
+                self.keep_lost(key, now);
                 self.lose_all(key, "its lease has ended on a silent worker", now);
             }
             self.workers[key].unknown_runs.clear();
@@ -215,6 +217,7 @@
         }
         let known = worker.synced;
         if known {
+            self.record_crash(key, "it has a new incarnation");
             self.lose_all(key, "the worker restarted", now);
         }
         self.workers[key].registration.incarnation = incarnation;
@@ -395,6 +398,7 @@
             }
             _ => return self.stop_unknown(key, run, now),
         }
+        self.record_survival(task, now);
         let known = &mut self.ledger.tasks[task];
         if known.checkpoint != run.checkpoint && !run.checkpoint.is_empty() {
             known.checkpoint.clone_from(&run.checkpoint);
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -5,7 +5,7 @@
 use crate::fleet::RunOutcome;
 use crate::workflow::WorkflowState;
 
-use super::{JobDelay, WorkerCounts};
+use super::{CrashedRun, JobDelay, WorkerCounts};
 
 /// Why no worker can take a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -184,6 +184,17 @@
         /// The labels of the worker, separated by spaces.
         labels: String,
     },
+    /// A worker is known to have crashed.
+    WorkerCrashed {
+        /// The id of the worker.
+        worker: String,
+        /// What shows that it has crashed.
+        evidence: &'static str,
+        /// The runs that may have caused the crash.
+        suspects: Vec<CrashedRun>,
+        /// The number of other runs that ended with the worker.
+        others: usize,
+    },
     /// The speed of best-effort tasks on a worker was changed, or some were
     /// stopped there.
     #[serde(rename = "paced")]
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -2,6 +2,7 @@
 //! worker runs each task, and when. Together with `workflow` it is the counterpart
 //! of `jobs`, which serves lycheelock's own protocol.
 
+mod crash;
 mod delay;
 mod ends;
 mod event;
@@ -22,6 +23,7 @@
 mod waiting;
 mod write;
 
+pub use crash::CrashedRun;
 pub use delay::JobDelay;
 pub use event::{Event, WaitReason};
 pub use idle::WorkerCounts;
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -7,6 +7,7 @@
 
 use slotmap::SlotMap;
 
+use super::crash::LostWorkers;
 use super::delay::Delays;
 use super::idle::IdleJobs;
 use super::place::{Candidates, Placement, PlacementFailures, Tolerance};
@@ -91,6 +92,7 @@
     pub(super) waiting: WaitList,
     pub(super) delays: Delays,
     pub(super) idle_jobs: IdleJobs,
+    pub(super) lost_workers: LostWorkers,
     pub(super) recurring: BTreeSet<WorkflowKey>,
     pub(super) recently_ended: HashMap<WorkflowId, Moment>,
     /// The jobs for which the log already says why they wait.
@@ -128,6 +130,7 @@
             waiting: WaitList::default(),
             delays: Delays::default(),
             idle_jobs: IdleJobs::default(),
+            lost_workers: LostWorkers::default(),
             recurring: BTreeSet::new(),
             recently_ended: HashMap::new(),
             logged_waits: HashSet::new(),
@@ -402,6 +405,7 @@
         let Placement { worker, speed } = placement;
         self.ledger.tasks[key].run = run;
         self.ledger.tasks[key].lease_end = None;
+        self.ledger.tasks[key].survived = Duration::ZERO;
         self.ledger.set_stage(key, Stage::Starting(worker), now);
         self.ledger.tasks[key].speed = FULL_SPEED;
         self.ledger.tasks[key].allowed_speed = speed;
--- /dev/null
+++ b/src/workflow/crashes.rs
@@ -0,0 +1,94 @@
+//! The crashes of workers under a task, and what they say about the task.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// The time after which a run is no suspect if its worker crashes.
+const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+/// The factor by which that time grows with each later crash, so that a task that
+/// crashes its workers late becomes a suspect as well.
+const SURVIVAL_FACTOR: u32 = 6;
+/// The limit on the later crashes that count.
+const MAX_LATE_CRASHES: usize = 3;
+/// A run that survives for this long clears its task of all crashes.
+const RECORD_RETENTION: Duration = Duration::from_secs(60);
+
+/// A crash of a worker under a run that was a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectedCrash {
+    /// The number of the run.
+    pub run: u64,
+    /// Whether no other run on the worker was a suspect.
+    pub sole: bool,
+}
+
+/// The crashes of workers under one task. They are told apart by the numbers of the
+/// runs that they ended, so that a crash counts once.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    suspected: Vec<SuspectedCrash>,
+    late: Vec<u64>,
+}
+
+impl CrashRecord {
+    /// Whether no crash is recorded.
+    pub const fn is_empty(&self) -> bool {
+        self.suspected.is_empty() && self.late.is_empty()
+    }
+
+    /// Returns the number of recorded crashes.
+    pub const fn count(&self) -> usize {
+        self.suspected.len() + self.late.len()
+    }
+
+    /// Returns for how long a run must survive to be no suspect.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lycheelock::workflow::CrashRecord;
+    ///
+    /// let mut crashes = CrashRecord::default();
+    /// assert_eq!(crashes.survival_time(), Duration::from_millis(500));
+    /// crashes.record_late(7);
+    /// assert_eq!(crashes.survival_time(), Duration::from_secs(3));
+    /// ```
+    pub fn survival_time(&self) -> Duration {
+        SURVIVAL_TIME * SURVIVAL_FACTOR.pow(self.late.len() as u32)
+    }
+
+    /// Records a crash under a run that was a suspect.
+    pub fn record_suspected(&mut self, run: u64, sole: bool) {
+        if self.suspected.iter().all(|crash| crash.run != run) {
+            self.suspected.push(SuspectedCrash { run, sole });
+        }
+    }
+
+    /// Records a crash under a run that had survived for long enough.
+    pub fn record_late(&mut self, run: u64) {
+        if !self.late.contains(&run) && self.late.len() < MAX_LATE_CRASHES {
+            self.late.push(run);
+        }
+    }
+
+    /// Records for how long a run has survived.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use lycheelock::workflow::CrashRecord;
+    ///
+    /// let mut crashes = CrashRecord::default();
+    /// crashes.record_suspected(7, false);
+    /// crashes.record_survival(Duration::from_millis(400));
+    /// assert_eq!(crashes.count(), 1);
+    /// crashes.record_survival(Duration::from_millis(500));
+    /// assert!(crashes.is_empty());
+    /// ```
+    pub fn record_survival(&mut self, survived: Duration) {
+        if survived >= RECORD_RETENTION {
+            *self = Self::default();
+        } else if survived >= self.survival_time() {
+            self.suspected.retain(|crash| crash.sole);
+        }
+    }
+}
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -6,7 +6,9 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use super::{Progress, Step, TaskName, TaskRecord, Workflow, WorkflowId, WorkflowState};
+use super::{
+    CrashRecord, Progress, Step, TaskName, TaskRecord, Workflow, WorkflowId, WorkflowState,
+};
 use crate::fleet::WorkerKey;
 use crate::moment::Moment;
 use crate::routing::Queue;
@@ -98,6 +100,10 @@
     pub run: u64,
     /// The runs that failed, kept because a worker may report their ends again.
     pub failed: Vec<u64>,
+    /// The crashes of workers under the task.
+    pub crashes: CrashRecord,
+    /// For how long the current run is known to have survived on its worker.
+    pub survived: Duration,
     /// The end of the lease in the start order, in milliseconds of the worker's clock;
     /// absent until the order is sent.
     pub lease_end: Option<u64>,
@@ -311,6 +317,8 @@
                     stage,
                     run: 0,
                     failed: Vec::new(),
+                    crashes: CrashRecord::default(),
+                    survived: Duration::ZERO,
                     lease_end: None,
                     checkpoint: String::new(),
                     since: now,
@@ -444,7 +452,10 @@
     pub fn progress(&self, key: WorkflowKey) -> Progress {
         let tasks = self.all_tasks(key).map(|task| &self.tasks[task]);
         let changed = tasks.filter(|task| {
-            task.stage == Stage::Done || !task.failed.is_empty() || !task.checkpoint.is_empty()
+            task.stage == Stage::Done
+                || !task.failed.is_empty()
+                || !task.checkpoint.is_empty()
+                || !task.crashes.is_empty()
         });
         let records = changed.map(|task| TaskRecord {
             occurrence: task.name.occurrence,
@@ -453,6 +464,7 @@
             done: task.stage == Stage::Done,
             failed: task.failed.clone(),
             checkpoint: task.checkpoint.clone(),
+            crashes: task.crashes.clone(),
         });
         Progress {
             tasks: records.collect(),
@@ -483,6 +495,7 @@
             };
             self.tasks[task].failed.clone_from(&record.failed);
             self.tasks[task].checkpoint.clone_from(&record.checkpoint);
+            self.tasks[task].crashes.clone_from(&record.crashes);
             if record.done {
                 let ended = self.finish(task, now);
                 transition = if ended == JobTransition::Unchanged {
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -4,6 +4,7 @@
 //! Serves the users' platform, together with `schedule`; the counterpart for
 //! lycheelock's own protocol is `jobs`.
 
+mod crashes;
 mod ledger;
 mod name;
 mod progress;
@@ -11,6 +12,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use crashes::{CrashRecord, SuspectedCrash};
 pub use ledger::{
     ActiveWorkflow, FULL_SPEED, JobTransition, Ledger, OVERDUE_FACTOR, Occurrence, RunProgress,
     Stage, Task, TaskKey, WorkflowKey, due_times,
--- a/src/workflow/progress.rs
+++ b/src/workflow/progress.rs
@@ -2,11 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::CrashRecord;
+
 /// The progress of a job as it is stored.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
-    /// The tasks that completed, failed at least once or have a checkpoint; all others
-    /// start from the beginning.
+    /// The tasks that completed, failed at least once, have a checkpoint or had their
+    /// worker crash; all others start from the beginning.
     pub tasks: Vec<TaskRecord>,
 }
 
@@ -25,4 +27,7 @@
     pub failed: Vec<u64>,
     /// The last checkpoint of the task; empty if there is none.
     pub checkpoint: String,
+    /// The crashes of workers under the task; records of earlier versions have none.
+    #[serde(default, skip_serializing_if = "CrashRecord::is_empty")]
+    pub crashes: CrashRecord,
 }
