--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler in virtual time, with one shard and simulated worker
 //! reports.
 
+mod crashes;
 mod delays;
 mod ends;
 mod idle_jobs;
@@ -93,7 +94,7 @@
         id: id.to_owned(),
         incarnation: 1,
         pool: "pool".to_owned(),
-        address: "10.0.0.1:80".to_owned(),
+        address: format!("{id}.test:80"),
         zone: "a".to_owned(),
         labels: vec!["kind".to_owned(), format!("rack-{id}")],
         capacity: Capacity {
@@ -315,7 +316,7 @@
 fn roster_entry(id: &str, closed: Option<Vec<TaskName>>) -> RosterEntry {
     RosterEntry {
         id: id.to_owned(),
-        address: "10.0.0.1:80".to_owned(),
+        address: format!("{id}.test:80"),
         zone: "a".to_owned(),
         closed,
     }
