Schedule: a task that crashes its workers is given up

Cause: a run that ends with its worker left no trace at its task. Only runs that ended 'failed' count as attempts, and a crash is no end: the run was lost, as after a cut, and the task was placed again at once, beside others, so that every crash had several runs under it.

Ruled out: that the count dies with the owner.

A run is a suspect of its worker's crash if it had not survived there for 500 ms, or for 3, 18 or 108 s after earlier crashes that came later than that. A suspect starts alone (schedule::trial): on the worker with the fewest runs, reserved until its other runs have survived, and one of a job at a time until one has survived. A run that survives, or ends by itself, clears its task, but for crashes of which it was the sole suspect. After two crashes, the last as the sole suspect, or three, the task is given up and its job fails. Members of a gang share a run number, a trial and their fate. Attempts stay a separate count.

Counter-examples that shaped it: a worker that is cut off or draining looks like a crashed one until another answers at its address, so only that or a new incarnation counts; start orders queue behind one another, so a run whose order was not sent is no suspect; all runs of a long-running task have survived 500 ms when it crashes its worker after seconds, so the time grows; a failed placement of other tasks must not hold back a suspect with a reserved worker, nor the other way round.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -67,7 +67,7 @@
             Err(fault @ (WorkerFault::Replaced | WorkerFault::Refused(_))) => {
                 log::warn!("worker {} refused {}: {fault}", api.id(), order.task);
                 if fault == WorkerFault::Replaced {
-                    owned.decide(|scheduler, _| scheduler.on_replaced(key));
+                    owned.decide(|scheduler, now| scheduler.on_replaced(key, now));
                 }
                 owned.decide(|scheduler, now| scheduler.on_start_refused(key, task, run, now));
                 return owned.wake();
@@ -143,7 +143,7 @@
             Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
             Err(fault) => {
                 if fault == WorkerFault::Replaced {
-                    owned.decide(|scheduler, _| scheduler.on_replaced(key));
+                    owned.decide(|scheduler, now| scheduler.on_replaced(key, now));
                 }
                 let refused = matches!(fault, WorkerFault::ConnectionRefused(_));
                 owned.decide(|scheduler, _| scheduler.on_poll_failed(key, refused));
--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -9,7 +9,7 @@
 use super::{Event, Scheduler};
 use crate::fleet::{Availability, WorkerKey};
 use crate::moment::Moment;
-use crate::workflow::{Stage, Task, TaskKey, TaskName};
+use crate::workflow::{JobTransition, SURVIVAL_TIME, Stage, Task, TaskKey, TaskName};
 
 /// How long the runs of a worker whose leases have ended are kept, as the worker may
 /// turn out to have crashed.
@@ -55,26 +55,26 @@
 impl Scheduler {
     /// Processes an answer of another worker at a worker's address: the worker has
     /// ended. Unless it was leaving, it has crashed.
-    pub fn on_replaced(&mut self, key: WorkerKey) {
+    pub fn on_replaced(&mut self, key: WorkerKey, now: Moment) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
         let first = !std::mem::replace(&mut worker.replaced, true);
         if first && worker.registration.availability == Availability::Ready {
-            self.record_crash(key, "another worker answers at its address");
+            self.record_crash(key, "another worker answers at its address", now);
         }
     }
 
     /// Records the crash of a worker for the runs that it had, or had when its leases
     /// ended.
-    pub(super) fn record_crash(&mut self, key: WorkerKey, evidence: &'static str) {
+    pub(super) fn record_crash(&mut self, key: WorkerKey, evidence: &'static str, now: Moment) {
         let mut runs = self.runs_on(key);
         let worker = &self.workers[key].registration;
         if let Some(lost) = self.lost_workers.by_address.remove(&worker.address) {
             runs.extend(lost.runs);
         }
         let id = worker.id.clone();
-        self.record_crashed_runs(id, evidence, &runs);
+        self.record_crashed_runs(&id, evidence, &runs, now);
     }
 
     /// Keeps the runs of a silent worker whose leases have ended.
@@ -97,14 +97,14 @@
 
     /// Checks, when a worker answers, whether the one that was lost at its address has
     /// crashed.
-    pub(super) fn check_lost(&mut self, key: WorkerKey, incarnation: u64) {
+    pub(super) fn check_lost(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
         let worker = &self.workers[key].registration;
         let Some(lost) = self.lost_workers.by_address.remove(&worker.address) else {
             return;
         };
         if (&lost.id, lost.incarnation) != (&worker.id, incarnation) {
             let evidence = "another worker answers at its address";
-            self.record_crashed_runs(lost.id, evidence, &lost.runs);
+            self.record_crashed_runs(&lost.id, evidence, &lost.runs, now);
         }
     }
 
@@ -130,7 +130,13 @@
         runs.collect()
     }
 
-    fn record_crashed_runs(&mut self, worker: String, evidence: &'static str, runs: &[RunState]) {
+    fn record_crashed_runs(
+        &mut self,
+        worker: &str,
+        evidence: &'static str,
+        runs: &[RunState],
+        now: Moment,
+    ) {
         let known = runs.iter().filter_map(|run| {
             let key = self.ledger.find_task(run.task)?;
             Some((key, *run))
@@ -138,7 +144,7 @@
         let (suspects, others): (Vec<_>, Vec<_>) = known
             .partition(|(key, run)| run.survived < self.ledger.tasks[*key].crashes.survival_time());
         self.record(Event::WorkerCrashed {
-            worker,
+            worker: worker.to_owned(),
             evidence,
             suspects: suspects
                 .iter()
@@ -146,11 +152,14 @@
                 .collect(),
             others: others.len(),
         });
-        // The members of a gang share a run number and cannot be told apart.
-        let sole = suspects.iter().all(|(_, run)| run.run == suspects[0].1.run);
+        let sole_run = sole_suspect(suspects.iter().map(|(_, run)| *run));
         for (key, run) in &suspects {
+            let sole = sole_run == Some(run.run);
             let crashes = &mut self.ledger.tasks[*key].crashes;
             crashes.record_suspected(run.run, sole);
+            if sole {
+                self.forget_survivors(run.task.workflow);
+            }
         }
         for (key, run) in &others {
             self.ledger.tasks[*key].crashes.record_late(run.run);
@@ -159,6 +168,40 @@
             let workflow = self.ledger.tasks[*key].workflow;
             self.writes.mark_progress_changed(workflow);
         }
+        for (key, _) in suspects {
+            self.give_up_hopeless(key, worker, now);
+        }
+    }
+
+    /// Gives up a task if its crashes show that it causes them. A task that has
+    /// survived meanwhile, elsewhere, is not given up.
+    fn give_up_hopeless(&mut self, key: TaskKey, worker: &str, now: Moment) {
+        let task = &self.ledger.tasks[key];
+        let survives = task.survived >= task.crashes.survival_time();
+        if !task.crashes.is_hopeless() || (survives && task.stage.worker().is_some()) {
+            return;
+        }
+        let event = Event::TaskGivenUp {
+            task: task.name.to_string(),
+            run: task.run,
+            worker: worker.to_owned(),
+            crashes: task.crashes.suspected().to_vec(),
+        };
+        let workflow = task.workflow;
+        let transition = self.ledger.give_up(key);
+        if transition != JobTransition::Unchanged {
+            self.record(event);
+            self.apply_transition(workflow, transition, now);
+        }
+    }
+
+    /// Records that the current run of a task ended by itself, so that it did not
+    /// crash its worker.
+    pub(super) fn record_own_end(&mut self, key: TaskKey) {
+        let task = &mut self.ledger.tasks[key];
+        let survived = task.survived.max(task.crashes.survival_time());
+        task.survived = survived;
+        task.crashes.record_survival(survived);
     }
 
     fn crashed_run(&self, key: TaskKey, run: &RunState) -> CrashedRun {
@@ -171,6 +214,21 @@
     }
 }
 
+/// Returns the run that is the sole likely cause of a crash: the only one that had just
+/// started or, if none had, the only suspect. The members of a gang share a run
+/// number and cannot be told apart.
+fn sole_suspect(suspects: impl Iterator<Item = RunState>) -> Option<u64> {
+    let (just_started, earlier): (Vec<RunState>, Vec<RunState>) =
+        suspects.partition(|run| run.survived < SURVIVAL_TIME);
+    let likely = if just_started.is_empty() {
+        earlier
+    } else {
+        just_started
+    };
+    let first = likely.first()?.run;
+    likely.iter().all(|run| run.run == first).then_some(first)
+}
+
 /// Whether the worker may have begun the task's run: the start order was sent, or the
 /// run was reported.
 fn may_have_begun(task: &Task) -> bool {
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -25,7 +25,7 @@
             return;
         }
         self.check_incarnation(key, report.incarnation, now);
-        self.check_lost(key, report.incarnation);
+        self.check_lost(key, report.incarnation, now);
         let worker = &mut self.workers[key];
         worker.clock = Some(Clock::new(report.clock, now));
         worker.last_contact = now;
@@ -217,7 +217,7 @@
         }
         let known = worker.synced;
         if known {
-            self.record_crash(key, "it has a new incarnation");
+            self.record_crash(key, "it has a new incarnation", now);
             self.lose_all(key, "the worker restarted", now);
         }
         self.workers[key].registration.incarnation = incarnation;
@@ -284,6 +284,9 @@
     ) -> bool {
         let workflow = self.ledger.tasks[task].workflow;
         let long_running = self.ledger.workflows[workflow].step(end.task).long_running;
+        if ours && matches!(end.outcome, RunOutcome::Done | RunOutcome::Failed) {
+            self.record_own_end(task);
+        }
         if ours {
             self.release(task, end.outcome, now);
         }
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use crate::fleet::RunOutcome;
-use crate::workflow::WorkflowState;
+use crate::workflow::{SuspectedCrash, WorkflowState};
 
 use super::{CrashedRun, JobDelay, WorkerCounts};
 
@@ -195,6 +195,17 @@
         /// The number of other runs that ended with the worker.
         others: usize,
     },
+    /// A task is given up, as workers crash under it; its job fails.
+    TaskGivenUp {
+        /// The name of the task.
+        task: String,
+        /// The number of the last run.
+        run: u64,
+        /// The id of the last worker that crashed.
+        worker: String,
+        /// The recorded crashes, the oldest first.
+        crashes: Vec<SuspectedCrash>,
+    },
     /// The speed of best-effort tasks on a worker was changed, or some were
     /// stopped there.
     #[serde(rename = "paced")]
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -19,6 +19,7 @@
 #[cfg(test)]
 mod tests;
 mod throttle;
+mod trial;
 mod usage;
 mod waiting;
 mod write;
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -199,12 +199,14 @@
         let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
         let image = self.images.find(&step.image);
         let risk = tolerance.risk;
+        let trial = self.trial_rule(workflow, task);
         let mut open: Vec<(WorkerKey, &Worker)> = self
             .workers
             .iter()
-            .filter(|(_, worker)| {
+            .filter(|(key, worker)| {
                 worker.registration.pool == workflow.queue.pool
                     && worker.accepts_tasks(now)
+                    && self.allows(trial, *key, name)
                     && candidates.contains(worker)
                     && has_label(worker, step)
                     && (!waits_for_rack || is_on_data_rack(worker, step))
@@ -219,9 +221,10 @@
         });
         let scored = fitting.map(|(key, worker)| {
             let image_affinity = image_affinity(worker, step, image);
-            (score(worker, step, name) + image_affinity, *key)
+            let score = score(worker, step, name) + image_affinity;
+            (self.trial_score(trial, *key), score, *key)
         });
-        let fast = scored.max().map(|(_, worker)| Placement {
+        let fast = scored.max().map(|(_, _, worker)| Placement {
             worker,
             speed: FULL_SPEED,
         });
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -12,6 +12,7 @@
 use super::idle::IdleJobs;
 use super::place::{Candidates, Placement, PlacementFailures, Tolerance};
 use super::rank::{Rank, rank};
+use super::trial::Trials;
 use super::waiting::WaitList;
 use super::write::Writes;
 use super::{Event, Order};
@@ -93,6 +94,7 @@
     pub(super) delays: Delays,
     pub(super) idle_jobs: IdleJobs,
     pub(super) lost_workers: LostWorkers,
+    pub(super) trials: Trials,
     pub(super) recurring: BTreeSet<WorkflowKey>,
     pub(super) recently_ended: HashMap<WorkflowId, Moment>,
     /// The jobs for which the log already says why they wait.
@@ -131,6 +133,7 @@
             delays: Delays::default(),
             idle_jobs: IdleJobs::default(),
             lost_workers: LostWorkers::default(),
+            trials: Trials::default(),
             recurring: BTreeSet::new(),
             recently_ended: HashMap::new(),
             logged_waits: HashSet::new(),
@@ -228,6 +231,7 @@
         self.expire_leases(now);
         self.finish_recovery(now);
         self.start_recurring(now);
+        self.end_trials(now);
         let elapsed = now - self.last_ranked;
         if elapsed < RERANK_INTERVAL {
             self.place_waiting(now);
@@ -343,8 +347,10 @@
             } else {
                 self.is_gated(key)
             };
+            // What holds back other tasks says nothing of the worker of a trial.
+            let needs_trial = self.needs_trial(key);
             let tolerance = self.tolerance(workflow, task, now);
-            let covered = failures.covers(&workflow.queue.pool, step, tolerance);
+            let covered = !needs_trial && failures.covers(&workflow.queue.pool, step, tolerance);
             if gated || later_member || covered {
                 continue;
             }
@@ -357,7 +363,7 @@
             } else if holds_back {
                 let workflow = &self.ledger.workflows[self.ledger.tasks[key].workflow];
                 failures.hold_back(&workflow.queue.pool, self.step_of(key));
-            } else {
+            } else if !needs_trial {
                 let workflow = &self.ledger.workflows[self.ledger.tasks[key].workflow];
                 failures.record(&workflow.queue.pool, self.step_of(key), tolerance);
             }
@@ -383,6 +389,9 @@
         let Some(placement) = self.choose_for(key, tolerance, now) else {
             return false;
         };
+        if !self.begin_trial(key, placement.worker, now) {
+            return false;
+        }
         let run = self.next_run();
         self.assign(key, placement, run, now);
         self.send_start(key, now);
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::fleet::StopOrder;
 
-/// The time after which a crashed worker answers again.
+/// The time after which a crashed worker mostly answers again.
 const RESTART_DELAY: u64 = 3_000;
 /// The interval at which simulated workers report.
 const REPORT_INTERVAL: u64 = 250;
@@ -33,6 +33,10 @@
     starts: std::collections::BTreeMap<TaskName, usize>,
     crashes: usize,
     ended: Vec<(String, WorkflowState)>,
+    /// The time after which a crashed worker answers again.
+    restart_delay: u64,
+    /// The state of the generator of crashes without a cause; absent if there are none.
+    random: Option<u64>,
     /// Whether a worker comes back under another id instead of a new incarnation.
     renames: bool,
 }
@@ -54,6 +58,8 @@
             starts: std::collections::BTreeMap::new(),
             crashes: 0,
             ended: Vec::new(),
+            restart_delay: RESTART_DELAY,
+            random: None,
             renames: false,
         }
     }
@@ -82,11 +88,12 @@
             .runs
             .iter()
             .any(|(task, _, end)| task.workflow == WorkflowId(self.deadly) && *end <= now);
-        if crash {
+        let strikes = self.random.as_mut().is_some_and(strikes);
+        if crash || (strikes && now >= simulated.down_until) {
             simulated.runs.clear();
             simulated.ended.clear();
             simulated.incarnation += 1;
-            simulated.down_until = now + RESTART_DELAY;
+            simulated.down_until = now + self.restart_delay;
             self.crashes += 1;
             return;
         }
@@ -113,7 +120,7 @@
     fn rename(&mut self, worker: usize) {
         let (shard, simulated) = (&mut self.shard, &mut self.workers[worker]);
         let old = shard.workers[worker];
-        shard.scheduler.on_replaced(old);
+        shard.scheduler.on_replaced(old, at(shard.now));
         let mut entry = shard.scheduler.workers[old].registration.clone();
         entry.id = format!("{}-again", entry.id);
         entry.incarnation = shard.now;
@@ -221,6 +228,14 @@
     }
 }
 
+/// Whether a worker crashes without a cause in this step, about once in 3000 steps.
+fn strikes(state: &mut u64) -> bool {
+    *state = state
+        .wrapping_mul(6_364_136_223_846_793_005)
+        .wrapping_add(1);
+    (*state >> 33).is_multiple_of(3000)
+}
+
 const DEADLY: u64 = 1;
 const IDS: [&str; 6] = ["w0", "w1", "w2", "w3", "w4", "w5"];
 const SOUND_JOBS: std::ops::Range<u64> = 2..42;
@@ -320,3 +335,138 @@
     assert_eq!(fleet.state_of(DEADLY), Some(WorkflowState::Failed));
     assert!(fleet.most_starts() <= 3, "{:?}", fleet.starts);
 }
+
+#[test]
+fn a_task_is_given_up_although_its_workers_come_back_after_their_leases() {
+    for restart_delay in [1_000, 6_000, 12_000] {
+        let mut fleet = fleet_with_deadly_job(10, step(1, 1));
+        fleet.renames = true;
+        fleet.restart_delay = restart_delay;
+        fleet.run_until(90_000);
+        assert_given_up(&fleet);
+        assert_sound_jobs_done(&fleet);
+    }
+}
+
+#[test]
+fn sound_jobs_are_not_given_up_when_their_workers_crash_without_a_cause() {
+    let mut crashes = 0;
+    for seed in 1..=30 {
+        let mut fleet = CrashingFleet::new(&IDS, DEADLY, 10);
+        fleet.random = Some(seed);
+        for id in 2..122 {
+            fleet.shard.submit(sound_job(id));
+            fleet.run_until((id - 1) * 400);
+        }
+        fleet.run_until(90_000);
+        crashes += fleet.crashes;
+        for id in 2..122 {
+            let state = fleet.state_of(id);
+            assert_eq!(state, Some(WorkflowState::Done), "seed {seed}, job {id}");
+        }
+    }
+    assert!(crashes > 80, "{crashes}");
+}
+
+/// The tasks that are suspects of crashes, by the log.
+fn suspects(shard: &mut Shard) -> Vec<String> {
+    let events = shard.scheduler.take_events().into_iter();
+    let suspects = events.filter_map(|event| match event {
+        Event::WorkerCrashed { suspects, .. } => Some(suspects),
+        _ => None,
+    });
+    suspects.flatten().map(|run| run.task).collect()
+}
+
+/// A shard with two workers, the first of which has just started a task.
+fn shard_with_started_task() -> Shard {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let started = shard.confirm();
+    if started[0].0 == 1 {
+        shard.workers.swap(0, 1);
+    }
+    shard
+}
+
+#[test]
+fn a_worker_that_was_cut_off_has_not_crashed() {
+    let mut shard = shard_with_started_task();
+    shard.now = 12_000;
+    shard.plan();
+    shard.report(0, &[], &[]);
+    shard.scheduler.on_poll_failed(shard.workers[1], true);
+    assert_eq!(suspects(&mut shard), [""; 0]);
+    assert!(
+        shard
+            .scheduler
+            .collect(true, at(12_000))
+            .progress
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_worker_that_left_after_draining_has_not_crashed() {
+    let mut shard = shard_with_started_task();
+    let draining = Registration {
+        availability: Availability::Draining,
+        ..shard.scheduler.workers[shard.workers[0]]
+            .registration
+            .clone()
+    };
+    let other = shard.scheduler.workers[shard.workers[1]]
+        .registration
+        .clone();
+    shard.scheduler.on_registry(vec![draining, other], at(0));
+    shard.scheduler.on_replaced(shard.workers[0], at(100));
+    assert_eq!(suspects(&mut shard), [""; 0]);
+}
+
+#[test]
+fn only_runs_that_have_just_started_are_suspects() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let first = shard.confirm()[0];
+    shard.now = 600;
+    shard.report(0, &[(first.1, first.2)], &[]);
+    shard.submit(active_workflow(2, vec![step(1, 1)], 2, 0));
+    // Placed and sent, but queued behind the first: it was never ordered.
+    shard.submit(active_workflow(3, vec![step(1, 1)], 3, 0));
+    shard.plan();
+    let orders = std::mem::take(&mut shard.orders);
+    shard.orders = orders[..1].to_vec();
+    assert_eq!(shard.confirm().len(), 1);
+    shard.now = 700;
+    shard.report_with(0, 2, Vec::new(), &[]);
+    assert_eq!(suspects(&mut shard), [name(2, 0, 0).to_string()]);
+}
+
+#[test]
+fn a_suspect_starts_alone_and_is_cleared_once_it_survives() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.submit(active_workflow(2, vec![step(1, 1)], 2, 0));
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 2);
+    shard.now = 100;
+    shard.report_with(0, 2, Vec::new(), &[]);
+    shard.write();
+    let mut alone = Vec::new();
+    for step in 0..8 {
+        shard.now += 400;
+        shard.plan();
+        alone.push((step, shard.confirm().len()));
+        let worker = &shard.scheduler.workers[shard.workers[0]];
+        let tasks = worker.tasks.iter();
+        let running: Vec<LiveRun> = tasks
+            .map(|(name, key)| live(*name, shard.scheduler.ledger.tasks[*key].run, 0))
+            .collect();
+        shard.report_with(0, 2, running, &[]);
+    }
+    insta::assert_snapshot!(format!("{alone:?}"), @"[(0, 1), (1, 0), (2, 0), (3, 1), (4, 0), (5, 0), (6, 0), (7, 0)]");
+    let tasks = shard.scheduler.ledger.tasks.values();
+    assert!(tasks.into_iter().all(|task| task.crashes.is_empty()));
+}
--- /dev/null
+++ b/src/schedule/trial.rs
@@ -0,0 +1,174 @@
+//! Trials: a task under which a worker has crashed starts alone on a worker, so that
+//! the next crash shows whether the task is the cause.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use super::Scheduler;
+use crate::fleet::{Worker, WorkerKey};
+use crate::moment::Moment;
+use crate::workflow::{ActiveWorkflow, SURVIVAL_TIME, Stage, Task, TaskKey, TaskName, WorkflowId};
+
+/// How long a trial waits until all other runs on its worker have survived; then it
+/// begins beside them.
+const MAX_TRIAL_DELAY: Duration = Duration::from_secs(2);
+/// The longest trial. A task that crashes its workers later is given up once it has
+/// been a suspect of several crashes.
+const MAX_TRIAL: Duration = Duration::from_secs(10);
+/// How long a worker is reserved for a trial that does not begin.
+const MAX_RESERVATION: Duration = Duration::from_secs(4);
+/// One in this many workers of a pool may have a trial at a time.
+const TRIAL_DIVISOR: usize = 4;
+
+/// The trial of a task on a worker. No other task starts there meanwhile.
+#[derive(Debug, Clone, Copy)]
+struct Trial {
+    task: TaskName,
+    gang: bool,
+    reserved: Moment,
+    begun: bool,
+}
+
+/// The trials that go on.
+#[derive(Debug, Default)]
+pub(super) struct Trials {
+    by_worker: HashMap<WorkerKey, Trial>,
+    /// The jobs of which a task has survived its trial. As their tasks do not all
+    /// crash their workers, several of them may be on trial at a time.
+    survivors: HashSet<WorkflowId>,
+}
+
+/// The workers on which a task may start as far as trials are concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TrialRule {
+    /// The task needs no trial: any worker without one.
+    NoTrial,
+    /// The worker that is reserved for the trial of the task.
+    Reserved(WorkerKey),
+    /// Any worker without a trial; the task's own trial begins there.
+    Trial,
+    /// None until other trials have ended.
+    NotYet,
+}
+
+impl Scheduler {
+    /// Finds out on which workers a task may start as far as trials are concerned.
+    pub(super) fn trial_rule(&self, workflow: &ActiveWorkflow, task: &Task) -> TrialRule {
+        let trials = &self.trials.by_worker;
+        if !task.crashes.is_suspect() {
+            return TrialRule::NoTrial;
+        }
+        let own = trials.iter().find(|(_, trial)| trial.shares(task.name));
+        if let Some((key, trial)) = own {
+            // The members of a gang need several workers, so none is theirs alone.
+            return if trial.gang {
+                TrialRule::Trial
+            } else {
+                TrialRule::Reserved(*key)
+            };
+        }
+        let pool = &workflow.queue.pool;
+        let in_pool = |worker: &&Worker| worker.registration.pool == *pool;
+        let limit = self.workers.values().filter(in_pool).count() / TRIAL_DIVISOR;
+        let survivors = self.trials.survivors.contains(&workflow.id);
+        let blocks = |trial: &Trial| trial.task.workflow == workflow.id;
+        if trials.len() >= limit.max(1) || (!survivors && trials.values().any(blocks)) {
+            return TrialRule::NotYet;
+        }
+        TrialRule::Trial
+    }
+
+    /// Whether a task, or a member of its gang, needs a trial.
+    pub(super) fn needs_trial(&self, key: TaskKey) -> bool {
+        let is_suspect = |key: &TaskKey| self.ledger.tasks[*key].crashes.is_suspect();
+        is_suspect(&key) || (self.is_gang(key) && self.members(key).iter().any(is_suspect))
+    }
+
+    /// Whether a rule allows a start on a worker.
+    pub(super) fn allows(&self, rule: TrialRule, key: WorkerKey, task: TaskName) -> bool {
+        let trial = self.trials.by_worker.get(&key);
+        match rule {
+            TrialRule::NoTrial | TrialRule::Trial => trial.is_none_or(|trial| trial.shares(task)),
+            TrialRule::Reserved(reserved) => reserved == key,
+            TrialRule::NotYet => false,
+        }
+    }
+
+    /// The first part of a worker's score, which counts for trials only: the worker that is reserved for it, else the
+    /// one with the fewest runs, as a crash ends all of them.
+    pub(super) fn trial_score(&self, rule: TrialRule, key: WorkerKey) -> (bool, usize) {
+        if rule == TrialRule::NoTrial {
+            return (false, 0);
+        }
+        let reserved = self.trials.by_worker.contains_key(&key);
+        (reserved, usize::MAX - self.workers[key].tasks.len())
+    }
+
+    /// Begins the trial of a task on a worker if it needs one. Returns false if it has
+    /// to wait: the worker is then reserved until its other runs have survived.
+    pub(super) fn begin_trial(&mut self, key: TaskKey, worker: WorkerKey, now: Moment) -> bool {
+        let task = &self.ledger.tasks[key];
+        if !task.crashes.is_suspect() {
+            return true;
+        }
+        let reservation = Trial {
+            task: task.name,
+            gang: self.is_gang(key),
+            reserved: now,
+            begun: false,
+        };
+        let known = self.trials.by_worker.get(&worker).copied();
+        let mut trial = known.unwrap_or(reservation);
+        trial.begun = now - trial.reserved >= MAX_TRIAL_DELAY || self.is_quiet(worker, &trial);
+        self.trials.by_worker.insert(worker, trial);
+        trial.begun
+    }
+
+    /// Whether all runs on a worker have survived, but for those that share the trial.
+    fn is_quiet(&self, worker: WorkerKey, trial: &Trial) -> bool {
+        let tasks = self.workers[worker].tasks.values();
+        let mut others = tasks
+            .map(|task| &self.ledger.tasks[*task])
+            .filter(|task| !trial.shares(task.name));
+        others.all(|task| task.survived >= SURVIVAL_TIME)
+    }
+
+    /// Ends the trials whose task has survived or left its worker, and reservations
+    /// that were not used.
+    pub(super) fn end_trials(&mut self, now: Moment) {
+        let mut trials = std::mem::take(&mut self.trials);
+        trials.by_worker.retain(|worker, trial| {
+            let Some(task) = self.ledger.find_task(trial.task) else {
+                return false;
+            };
+            let task = &self.ledger.tasks[task];
+            let time = task.crashes.survival_time().min(MAX_TRIAL);
+            let survived = trial.begun && task.survived >= time;
+            if survived {
+                trials.survivors.insert(trial.task.workflow);
+            }
+            let waits = task.stage == Stage::Waiting && now - trial.reserved < MAX_RESERVATION;
+            let runs = task.stage.worker() == Some(*worker);
+            !survived && if trial.begun { runs } else { waits }
+        });
+        let survivors = &mut trials.survivors;
+        survivors.retain(|workflow| self.ledger.find(*workflow).is_some());
+        self.trials = trials;
+    }
+
+    /// Forgets that a task of a job has survived its trial.
+    pub(super) fn forget_survivors(&mut self, workflow: WorkflowId) {
+        self.trials.survivors.remove(&workflow);
+    }
+}
+
+impl Trial {
+    /// Whether a task is the one on trial, or a member of its gang.
+    fn shares(&self, task: TaskName) -> bool {
+        let same_gang = TaskName {
+            index: task.index,
+            ..self.task
+        };
+        self.task == task || (self.gang && same_gang == task)
+    }
+}
--- a/src/workflow/crashes.rs
+++ b/src/workflow/crashes.rs
@@ -4,16 +4,22 @@
 
 use serde::{Deserialize, Serialize};
 
-/// The time after which a run is no suspect if its worker crashes.
-const SURVIVAL_TIME: Duration = Duration::from_millis(500);
-/// The factor by which that time grows with each later crash, so that a task that
-/// crashes its workers late becomes a suspect as well.
+/// The time after which a run is no likely cause of a crash of its worker.
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+/// The factor by which the time to survive grows with each later crash, so that a task
+/// that crashes its workers late becomes a suspect as well.
 const SURVIVAL_FACTOR: u32 = 6;
 /// The limit on the later crashes that count.
 const MAX_LATE_CRASHES: usize = 3;
 /// A run that survives for this long clears its task of all crashes.
 const RECORD_RETENTION: Duration = Duration::from_secs(60);
 
+/// The number of crashes after which a task is given up if it was the sole suspect of
+/// the last one.
+const MAX_SOLE_CRASHES: usize = 2;
+/// The number of crashes after which a task is given up in any case.
+const MAX_SUSPECTED_CRASHES: usize = 3;
+
 /// A crash of a worker under a run that was a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectedCrash {
@@ -32,6 +38,11 @@
 }
 
 impl CrashRecord {
+    /// Returns the crashes with the task as a suspect, the oldest first.
+    pub fn suspected(&self) -> &[SuspectedCrash] {
+        &self.suspected
+    }
+
     /// Whether no crash is recorded.
     pub const fn is_empty(&self) -> bool {
         self.suspected.is_empty() && self.late.is_empty()
@@ -42,6 +53,30 @@
         self.suspected.len() + self.late.len()
     }
 
+    /// Whether the task may be what crashed a worker.
+    pub const fn is_suspect(&self) -> bool {
+        !self.suspected.is_empty()
+    }
+
+    /// Whether the task is to be given up.
+    ///
+    /// ```
+    /// use lycheelock::workflow::CrashRecord;
+    ///
+    /// let mut crashes = CrashRecord::default();
+    /// crashes.record_suspected(7, true);
+    /// assert!(!crashes.is_hopeless());
+    /// crashes.record_suspected(8, false);
+    /// assert!(!crashes.is_hopeless());
+    /// crashes.record_suspected(9, true);
+    /// assert!(crashes.is_hopeless());
+    /// ```
+    pub fn is_hopeless(&self) -> bool {
+        let count = self.suspected.len();
+        let sole = self.suspected.last().is_some_and(|crash| crash.sole);
+        count >= MAX_SUSPECTED_CRASHES || (count >= MAX_SOLE_CRASHES && sole)
+    }
+
     /// Returns for how long a run must survive to be no suspect.
     ///
     /// ```
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -422,6 +422,16 @@
         JobTransition::Ended(WorkflowState::Failed)
     }
 
+    /// Gives up a task: its job fails.
+    pub fn give_up(&mut self, key: TaskKey) -> JobTransition {
+        let workflow = &mut self.workflows[self.tasks[key].workflow];
+        if workflow.state.is_final() {
+            return JobTransition::Unchanged;
+        }
+        workflow.state = WorkflowState::Failed;
+        JobTransition::Ended(WorkflowState::Failed)
+    }
+
     /// Marks a job as cancelled.
     pub fn cancel(&mut self, key: WorkflowKey) {
         self.workflows[key].state = WorkflowState::Cancelled;
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -12,7 +12,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use crashes::{CrashRecord, SuspectedCrash};
+pub use crashes::{CrashRecord, SURVIVAL_TIME, SuspectedCrash};
 pub use ledger::{
     ActiveWorkflow, FULL_SPEED, JobTransition, Ledger, OVERDUE_FACTOR, Occurrence, RunProgress,
     Stage, Task, TaskKey, WorkflowKey, due_times,
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -86,7 +86,7 @@
     Running,
     /// All tasks completed.
     Done,
-    /// A task failed as often as the queue allows.
+    /// A task failed as often as the queue allows, or crashed its workers.
     Failed,
     /// A caller cancelled the job.
     Cancelled,
--- a/src/workflow/tests.rs
+++ b/src/workflow/tests.rs
@@ -73,3 +73,28 @@
     let expected = [0, 4_000_000, 9_000_000].map(Moment::from_micros);
     assert_eq!(found, expected);
 }
+
+#[test]
+fn stored_progress_without_crashes_can_still_be_read() {
+    #[derive(serde::Serialize)]
+    struct EarlierRecord {
+        occurrence: u32,
+        step: u32,
+        index: u32,
+        done: bool,
+        failed: Vec<u64>,
+        checkpoint: String,
+    }
+    let earlier = EarlierRecord {
+        occurrence: 0,
+        step: 1,
+        index: 2,
+        done: false,
+        failed: vec![7],
+        checkpoint: "c".to_owned(),
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&earlier, &mut bytes).unwrap();
+    let record: super::TaskRecord = ciborium::from_reader(bytes.as_slice()).unwrap();
+    assert_eq!((record.failed, record.crashes.is_empty()), (vec![7], true));
+}
