--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -137,6 +137,9 @@
         runs: &[RunState],
         now: Moment,
     ) {
+        if runs.is_empty() {
+            return;
+        }
         let known = runs.iter().filter_map(|run| {
             let key = self.ledger.find_task(run.task)?;
             Some((key, *run))
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -470,3 +470,11 @@
     let tasks = shard.scheduler.ledger.tasks.values();
     assert!(tasks.into_iter().all(|task| task.crashes.is_empty()));
 }
+
+#[test]
+fn a_worker_without_runs_that_is_replaced_is_no_crash_in_the_log() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.scheduler.take_events();
+    shard.scheduler.on_replaced(shard.workers[0], at(100));
+    assert!(shard.scheduler.take_events().is_empty());
+}
--- a/src/schedule/trial.rs
+++ b/src/schedule/trial.rs
@@ -94,8 +94,8 @@
         }
     }
 
-    /// The first part of a worker's score, which counts for trials only: the worker that is reserved for it, else the
-    /// one with the fewest runs, as a crash ends all of them.
+    /// The first part of a worker's score. It counts for trials only: the reserved
+    /// worker comes first, then that with the fewest runs, as a crash ends all of them.
     pub(super) fn trial_score(&self, rule: TrialRule, key: WorkerKey) -> (bool, usize) {
         if rule == TrialRule::NoTrial {
             return (false, 0);
