Dispatch: a request whose answers are lost is not sent on and on

Retries were limited for the whole service, so that one idempotent request that crashes its workers could use up the stored budget: the new test saw it sent to 21 workers of 20 in a millisecond of virtual time.

After three lost answers the request is answered 'unknown' (AnswerLost). Not counted: refusals, failures that a worker answers, proof that it did not run.

--- a/src/dispatch/state.rs
+++ b/src/dispatch/state.rs
@@ -11,6 +11,9 @@
 use crate::moment::Moment;
 use crate::placement::Placement;
 
+/// The number of lost answers after which a request is not sent again: it may be what
+/// crashes its workers.
+const MAX_LOST_ATTEMPTS: u32 = 3;
 /// The weight of a new sample in the moving average of the service time.
 const SMOOTHING_FACTOR: f64 = 0.05;
 /// The time that a request waits while no worker is usable.
@@ -112,6 +115,8 @@
     arrival: Arrival,
     /// The workers to which the request has been sent.
     tried: Vec<WorkerKey>,
+    /// The number of attempts whose answers were lost.
+    lost: u32,
     /// Whether an attempt may have run.
     unresolved: bool,
     /// The time since which the request waits for a slot; none before it waits and once it is sent.
@@ -147,6 +152,7 @@
         self.requests.insert(Request {
             arrival,
             tried: Vec::new(),
+            lost: 0,
             unresolved: false,
             waiting_since: None,
         })
@@ -273,6 +279,10 @@
         if now >= request.arrival.deadline {
             return self.refuse(key, ErrorKind::DeadlinePassed);
         }
+        request.lost += u32::from(failure == AttemptFailure::Lost);
+        if request.lost >= MAX_LOST_ATTEMPTS {
+            return self.refuse(key, ErrorKind::AnswerLost);
+        }
         let exempt = failure == AttemptFailure::PeerRefused;
         let service = request.arrival.service.clone();
         if !exempt && !self.budgets.entry(service).or_default().withdraw() {
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -169,3 +169,19 @@
     let step = dispatch.on_failure(key, AttemptFailure::PeerRefused, &mut candidates, at(10));
     assert!(matches!(step, Step::Wait(_)));
 }
+
+#[test]
+fn a_request_does_not_crash_server_after_server() {
+    let mut placement = placement(20, 2);
+    let mut dispatch = Dispatch::default();
+    let key = dispatch.arrive(arrival(false));
+    let mut sends = 0;
+    let mut step = dispatch.next(key, &mut candidates(&mut placement), at(0));
+    while let Step::Send { .. } = step {
+        sends += 1;
+        let mut candidates = candidates(&mut placement);
+        step = dispatch.on_failure(key, AttemptFailure::Lost, &mut candidates, at(1));
+    }
+    assert!(sends <= 3, "{sends} sends");
+    assert_eq!(step, Step::Refuse(ErrorKind::AnswerLost));
+}
