Schedule: a worker that answers after a misdirected call is open again

A call answered by another worker (421) closed its target for good in this owner's eyes, also if the target itself answered a later poll. Found on reading the fix; the test failed before. A report now proves that the worker is there.

--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -30,6 +30,7 @@
         worker.clock = Some(Clock::new(report.clock, now));
         worker.last_contact = now;
         worker.responsive = true;
+        worker.replaced = false;
         let first = !std::mem::replace(&mut worker.synced, true);
         if !worker.in_roster {
             // The next write of the roster marks the worker as open.
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -478,3 +478,13 @@
     shard.scheduler.on_replaced(shard.workers[0], at(100));
     assert!(shard.scheduler.take_events().is_empty());
 }
+
+#[test]
+fn a_worker_that_answers_again_after_a_misdirected_call_gets_tasks() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.scheduler.on_replaced(shard.workers[0], at(100));
+    shard.report(0, &[], &[]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 1);
+}
