Schedule: a worker that does not tell its incarnation has not crashed

A worker whose leases had ended in a cut counted as crashed if its next report had no incarnation. Found on reading the fix; the test failed before.

--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -102,7 +102,8 @@
         let Some(lost) = self.lost_workers.by_address.remove(&worker.address) else {
             return;
         };
-        if (&lost.id, lost.incarnation) != (&worker.id, incarnation) {
+        let returned = lost.id == worker.id && [0, lost.incarnation].contains(&incarnation);
+        if !returned {
             let evidence = "another worker answers at its address";
             self.record_crashed_runs(&lost.id, evidence, &lost.runs, now);
         }
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -488,3 +488,12 @@
     shard.plan();
     assert_eq!(shard.confirm().len(), 1);
 }
+
+#[test]
+fn a_cut_off_worker_that_does_not_tell_its_incarnation_has_not_crashed() {
+    let mut shard = shard_with_started_task();
+    shard.now = 12_000;
+    shard.plan();
+    shard.report_with(0, 0, Vec::new(), &[]);
+    assert_eq!(suspects(&mut shard), [""; 0]);
+}
