Schedule: trials are limited by pool

The limit, a quarter of a pool's workers, was compared with the trials of all pools, so that a small pool had to wait for the trials of a large one. Found on reading the fix; the test failed before.

--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -497,3 +497,29 @@
     shard.report_with(0, 0, Vec::new(), &[]);
     assert_eq!(suspects(&mut shard), [""; 0]);
 }
+
+#[test]
+fn the_trials_of_one_pool_do_not_hold_back_those_of_another() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    let other = Registration {
+        pool: "other".to_owned(),
+        ..registration("w1")
+    };
+    let entries = vec![registration("w0"), other];
+    shard.scheduler.on_registry(entries, at(0));
+    for (id, pool) in [(1, "pool"), (2, "other")] {
+        let mut workflow = active_workflow(id, vec![step(1, 1)], id, 0);
+        let queue = Arc::make_mut(&mut workflow.queue);
+        queue.pool = pool.to_owned();
+        shard.submit(workflow);
+    }
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 2);
+    for worker in 0..2 {
+        shard.report_with(worker, 2, Vec::new(), &[]);
+    }
+    shard.write();
+    shard.now = 100;
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 2);
+}
--- a/src/schedule/trial.rs
+++ b/src/schedule/trial.rs
@@ -70,9 +70,11 @@
         let pool = &workflow.queue.pool;
         let in_pool = |worker: &&Worker| worker.registration.pool == *pool;
         let limit = self.workers.values().filter(in_pool).count() / TRIAL_DIVISOR;
+        let trial_workers = trials.keys().filter_map(|key| self.workers.get(*key));
+        let tried = trial_workers.filter(in_pool).count();
         let survivors = self.trials.survivors.contains(&workflow.id);
         let blocks = |trial: &Trial| trial.task.workflow == workflow.id;
-        if trials.len() >= limit.max(1) || (!survivors && trials.values().any(blocks)) {
+        if tried >= limit.max(1) || (!survivors && trials.values().any(blocks)) {
             return TrialRule::NotYet;
         }
         TrialRule::Trial
