Registry: an odd number in a worker's entry no longer panics

Callers saw, in a process test: one registry entry with "remaining_ms":1e300, written by another program, and after the next takeover no job of the shard started. The daemon stayed up and ready: the task that restores the shard had panicked (Duration::from_secs_f64), and with it died the shard's jobs, on each host that claimed it.

Such an entry is ignored and logged as before (value_ignored). A capacity that no worker can have is refused as well: it was kept as the largest u32, and a sum of it with another overflows.

Before: both new tests fail (unit: panic in time.rs; process: "job did not reach state done"). After: both pass.

--- /dev/null
+++ b/src/platform/fleet/decode.rs
@@ -0,0 +1,64 @@
+//! The errors for values that cannot be decoded, and the checks that several formats
+//! share.
+
+use std::time::Duration;
+
+use thiserror::Error;
+
+/// The limit on a span of time.
+pub(super) const MAX_SPAN: Duration = Duration::from_hours(366 * 24);
+/// The limit on an amount of a resource: 100,000 cores in thousandths, or as many MB.
+pub(super) const MAX_AMOUNT: u32 = 100_000_000;
+
+/// Why a value cannot be decoded.
+#[derive(Debug, Error)]
+pub enum DecodeError {
+    /// The value is not JSON, or its fields have other names or types.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// A span of time is longer than allowed.
+    #[error("{field} of {millis:e} ms: give at most {} ms", limit.as_millis())]
+    Span {
+        /// The name of the field.
+        field: &'static str,
+        /// The value of the field, in milliseconds.
+        millis: f64,
+        /// The longest span that the field may have.
+        limit: Duration,
+    },
+    /// An amount of a resource is larger than allowed.
+    #[error("{field} of {value:e}: give at most {MAX_AMOUNT}")]
+    Amount {
+        /// The name of the field.
+        field: &'static str,
+        /// The value of the field.
+        value: f64,
+    },
+}
+
+/// Decodes a span of time in milliseconds of at most `limit`; a negative one becomes
+/// zero.
+pub(super) fn span(
+    field: &'static str,
+    millis: f64,
+    limit: Duration,
+) -> Result<Duration, DecodeError> {
+    if millis > limit.as_millis() as f64 {
+        return Err(DecodeError::Span {
+            field,
+            millis,
+            limit,
+        });
+    }
+    let millis = millis.max(0.0);
+    let fraction = Duration::from_secs_f64(millis.fract() / 1000.0);
+    Ok(Duration::from_millis(millis as u64) + fraction)
+}
+
+/// Decodes an amount of a resource; a negative one becomes zero.
+pub(super) fn amount(field: &'static str, value: f64) -> Result<u32, DecodeError> {
+    if value > f64::from(MAX_AMOUNT) {
+        return Err(DecodeError::Amount { field, value });
+    }
+    Ok(value.max(0.0) as u32)
+}
--- a/src/platform/fleet/mod.rs
+++ b/src/platform/fleet/mod.rs
@@ -6,13 +6,17 @@
 //! of the platform's formats.
 
 mod configuration;
+mod decode;
 mod job;
 mod keys;
 mod registry;
 mod store;
+#[cfg(test)]
+mod tests;
 mod worker;
 
 pub use configuration::read_queues;
+pub use decode::DecodeError;
 pub use job::{DEADLINE_HEADER, read_workflow, write_pending, write_state};
 pub use keys::{CONFIGURATION_KEY, OPERATOR_PREFIX, REGISTRY_PREFIX};
 pub use registry::read_worker;
--- a/src/platform/fleet/registry.rs
+++ b/src/platform/fleet/registry.rs
@@ -1,9 +1,8 @@
 //! The entries under which workers register themselves in the store.
 
-use std::time::Duration;
-
 use serde::Deserialize;
 
+use super::decode::{DecodeError, MAX_SPAN, amount, span};
 use super::keys::REGISTRY_PREFIX;
 use super::store::Item;
 use crate::fleet::{Availability, Capacity, Registration};
@@ -51,13 +50,15 @@
 ///
 /// Fails if the value is not a registry entry; another program may have written
 /// it.
-pub fn read_worker(item: &Item) -> Result<Registration, serde_json::Error> {
+pub fn read_worker(item: &Item) -> Result<Registration, DecodeError> {
     let entry: RegistryRow = serde_json::from_slice(&item.value.0)?;
     let id = item.key.strip_prefix(REGISTRY_PREFIX).unwrap_or(&item.key);
     let availability = match entry.state {
         StateWord::Ready => Availability::Ready,
         StateWord::Draining => Availability::Draining,
     };
+    let remaining = entry.remaining_ms;
+    let remaining = remaining.map(|left| span("remaining_ms", left, MAX_SPAN));
     Ok(Registration {
         id: id.to_owned(),
         incarnation: entry.born,
@@ -66,13 +67,11 @@
         zone: entry.zone,
         labels: entry.labels,
         capacity: Capacity {
-            millicores: entry.capacity.cpu.max(0.0) as u32,
-            memory: entry.capacity.mem_mb.max(0.0) as u32,
-            accelerators: entry.capacity.gpu.max(0.0) as u32,
+            millicores: amount("capacity.cpu", entry.capacity.cpu)?,
+            memory: amount("capacity.mem_mb", entry.capacity.mem_mb)?,
+            accelerators: amount("capacity.gpu", entry.capacity.gpu)?,
         },
         availability,
-        remaining: entry
-            .remaining_ms
-            .map(|left| Duration::from_secs_f64(left.max(0.0) / 1000.0)),
+        remaining: remaining.transpose()?,
     })
 }
--- /dev/null
+++ b/src/platform/fleet/tests.rs
@@ -0,0 +1,71 @@
+use serde_json::{Value, json};
+
+use super::read_worker;
+use super::store::{Bytes, Item};
+
+/// A number of levels that overflows the stack of a recursive parser.
+const DEEP_LEVELS: usize = 100_000;
+
+fn deep() -> String {
+    "[".repeat(DEEP_LEVELS) + &"]".repeat(DEEP_LEVELS)
+}
+
+/// The registry entry of a worker, with one field set to a JSON text.
+fn worker_with(field: &str, text: &str) -> Vec<u8> {
+    let mut entry = json!({
+        "backend": "pool", "address": "10.0.0.1:80", "zone": "a", "state": "ready",
+        "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0}, "labels": ["kind", "rack"],
+    });
+    entry[field] = Value::from("marker");
+    entry.to_string().replace("\"marker\"", text).into_bytes()
+}
+
+/// Describes the worker that a registry entry names, or why it names none.
+fn registered(value: Vec<u8>) -> String {
+    let item = Item {
+        key: "servers/w1".to_owned(),
+        value: Bytes(value),
+        revision: 1,
+    };
+    match read_worker(&item) {
+        Ok(worker) => format!(
+            "{} {} {:?} {:?} {:?}",
+            worker.address, worker.incarnation, worker.labels, worker.capacity, worker.remaining
+        ),
+        Err(error) => format!("ignored: {error}"),
+    }
+}
+
+#[test]
+fn odd_registry_entry_names_no_worker_and_does_not_panic() {
+    let deep = deep();
+    let fields = [
+        ("unknown field", "extra", "1"),
+        ("deep, unknown field", "extra", &deep),
+        ("deep labels", "labels", &deep),
+        ("remaining, fraction", "remaining_ms", "1500.5"),
+        ("remaining, huge", "remaining_ms", "1e300"),
+        ("remaining, infinite", "remaining_ms", "1e999"),
+        ("remaining, negative", "remaining_ms", "-1"),
+        (
+            "capacity, huge",
+            "capacity",
+            r#"{"cpu":1e300,"mem_mb":-1e300}"#,
+        ),
+        ("capacity, infinite", "capacity", r#"{"cpu":1e999}"#),
+        ("born, above u64", "born", "18446744073709551616"),
+        ("born, negative", "born", "-1"),
+        ("zone, number", "zone", "5"),
+        ("labels, object", "labels", "{}"),
+        ("labels, none", "labels", "[]"),
+        ("state, unknown", "state", r#""lost""#),
+    ];
+    let mut lines: Vec<String> = fields
+        .iter()
+        .map(|(name, field, text)| format!("{name}: {}", registered(worker_with(field, text))))
+        .collect();
+    lines.push(format!("no JSON: {}", registered(b"\xff{".to_vec())));
+    lines.push(format!("empty: {}", registered(Vec::new())));
+    lines.push(format!("deep: {}", registered(deep.into_bytes())));
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/tests/fleet/deployment.rs
+++ b/tests/fleet/deployment.rs
@@ -37,6 +37,11 @@
         assert!(status.is_ok_and(|status| status.success()));
     }
 
+    /// Whether the process has not exited.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.0.try_wait(), Ok(None))
+    }
+
     /// Waits for the process to exit. Returns its exit code, or `None` after the
     /// timeout or if a signal ended it.
     pub fn wait(&mut self, timeout: Duration) -> Option<i32> {
--- /dev/null
+++ b/tests/fleet/odd.rs
@@ -0,0 +1,68 @@
+//! Tests with values in the store that other programs wrote and that no worker,
+//! caller or operator would write.
+
+use serde_json::{Value, json};
+
+use crate::deployment::Deployment;
+use crate::{JOB_TIMEOUT, assert_all_done, job_id, steps};
+
+/// A number of levels that overflows the stack of a recursive parser.
+const DEEP_LEVELS: usize = 100_000;
+
+/// The registry entry of a worker at which nobody listens, with one field set to a
+/// JSON text.
+fn worker_with(field: &str, text: &str) -> Vec<u8> {
+    let mut entry = json!({
+        "backend": "pool", "address": "127.0.0.1:9", "zone": "a", "version": "v1",
+        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+        "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0}, "labels": ["kind", "rack"],
+    });
+    entry[field] = Value::from("marker");
+    entry.to_string().replace("\"marker\"", text).into_bytes()
+}
+
+fn odd_workers() -> Vec<Vec<u8>> {
+    let deep = "[".repeat(DEEP_LEVELS) + &"]".repeat(DEEP_LEVELS);
+    let fields = [
+        ("extra", deep.as_str()),
+        ("labels", &deep),
+        ("labels", "[]"),
+        ("labels", "{}"),
+        ("remaining_ms", "1e300"),
+        ("remaining_ms", "1e999"),
+        ("remaining_ms", "-1"),
+        ("capacity", r#"{"cpu":1e300,"mem_mb":1e300}"#),
+        ("born", "18446744073709551616"),
+        ("address", r#""127.0.0.1:99999""#),
+        ("address", r#""127.0.0.1:0""#),
+        ("address", r#""127.0.0.1""#),
+        ("address", r#""host name:1""#),
+        ("address", r#""""#),
+        ("zone", r#""no/such\nzone""#),
+        ("zone", "5"),
+    ];
+    let mut odd: Vec<Vec<u8>> = fields
+        .iter()
+        .map(|(field, text)| worker_with(field, text))
+        .collect();
+    odd.extend([deep.into_bytes(), b"\xff{".to_vec(), Vec::new()]);
+    odd
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_registry_entries_stop_no_daemon_and_no_job() {
+    let mut deployment = Deployment::start("odd", 2, 2).await;
+    for (number, value) in odd_workers().iter().enumerate() {
+        let key = format!("servers/odd{number}");
+        deployment.store.put_bytes(&key, value);
+    }
+    let owner = deployment.owner().await;
+    deployment.kill(owner);
+    deployment.wait_for_owner_other_than(owner).await;
+    let other = 1 - owner;
+    let id = job_id(1);
+    let status = deployment.submit(other, &id, "once", steps(3)).await;
+    assert_eq!(status, 200);
+    assert_all_done(&deployment, &[id], JOB_TIMEOUT).await;
+    assert!(deployment.entries[other].is_running());
+}
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -101,10 +101,14 @@
 
     /// Writes a key without a lease, as the operator or a worker does.
     pub fn put(&self, key: &str, value: &Value) {
-        let bytes = serde_json::to_vec(value).unwrap();
+        self.put_bytes(key, &serde_json::to_vec(value).unwrap());
+    }
+
+    /// Writes a key with any bytes, without a lease.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
         let mut inner = self.inner.lock().unwrap();
         inner.revision += 1;
-        inner.write(key, BASE64_STANDARD.encode(bytes), 0);
+        inner.write(key, BASE64_STANDARD.encode(value), 0);
         drop(inner);
         self.changed.notify_waiters();
     }
