Store: one value that is not base64 no longer hides the whole page

Callers saw, in a process test: with one such value among the registry entries, no job of the shard started after a takeover. The client of the store failed to decode the page, restore read it again every 150 ms, without end. In a watch the same item was taken for the removal of its key, as the other form of a change accepts any further fields.

Change: such a value is read as no bytes. No format accepts these, so its reader ignores and logs it like any other odd value; the other items hold.

Before: the process test failed ("job did not reach state done"). After: it passes; a unit test pins the decoded changes.

--- a/src/platform/fleet/store.rs
+++ b/src/platform/fleet/store.rs
@@ -37,7 +37,8 @@
     }
 }
 
-/// Bytes that are transmitted as standard base64 with padding.
+/// Bytes that are transmitted as standard base64 with padding. Other text is read as no
+/// bytes, which no format accepts, so that one odd value does not make a page unreadable.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Bytes(pub Vec<u8>);
 
@@ -63,8 +64,7 @@
     }
 
     fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Bytes, E> {
-        let decoded = BASE64_STANDARD.decode(text);
-        decoded.map(Bytes).map_err(serde::de::Error::custom)
+        Ok(Bytes(BASE64_STANDARD.decode(text).unwrap_or_default()))
     }
 }
 
--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -1,7 +1,7 @@
 use serde_json::{Value, json};
 
 use super::read_worker;
-use super::store::{Bytes, Item};
+use super::store::{Bytes, Change, Item};
 
 /// A number of levels that overflows the stack of a recursive parser.
 const DEEP_LEVELS: usize = 100_000;
@@ -69,3 +69,19 @@
     lines.push(format!("deep: {}", registered(deep.into_bytes())));
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+#[test]
+fn value_that_is_not_base64_leaves_rest_of_page_readable() {
+    let page = json!([
+        {"key": "servers/w1", "value": "e30=", "rev": 3},
+        {"key": "servers/w2", "value": "?", "rev": 4},
+        {"key": "servers/w3", "rev": 5, "removed": true},
+    ]);
+    let changes: Vec<Change> = serde_json::from_value(page).unwrap();
+    let lines: Vec<String> = changes.iter().map(|change| format!("{change:?}")).collect();
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    Written(Item { key: "servers/w1", value: Bytes([123, 125]), revision: 3 })
+    Written(Item { key: "servers/w2", value: Bytes([]), revision: 4 })
+    Removed { key: "servers/w3", revision: 5 }
+    "#);
+}
--- a/tests/fleet/odd.rs
+++ b/tests/fleet/odd.rs
@@ -56,6 +56,8 @@
         let key = format!("servers/odd{number}");
         deployment.store.put_bytes(&key, value);
     }
+    let not_base64 = "?".to_owned();
+    deployment.store.put_text("servers/odd", not_base64);
     let owner = deployment.owner().await;
     deployment.kill(owner);
     deployment.wait_for_owner_other_than(owner).await;
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -106,9 +106,14 @@
 
     /// Writes a key with any bytes, without a lease.
     pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.put_text(key, BASE64_STANDARD.encode(value));
+    }
+
+    /// Writes a key whose value is transmitted as this text, which should be base64.
+    pub fn put_text(&self, key: &str, value: String) {
         let mut inner = self.inner.lock().unwrap();
         inner.revision += 1;
-        inner.write(key, BASE64_STANDARD.encode(value), 0);
+        inner.write(key, value, 0);
         drop(inner);
         self.changed.notify_waiters();
     }
