Registry: an entry whose address cannot be connected to names no worker

Seen: an entry with port 99999, port 0, no port or no address was kept as a worker. Jobs were done beside it (process test per variant), but it went into the roster, and in a takeover a worker of the roster that never answers holds the inherited tasks back until all leases of the former owner have ended (a_job_accepted_after_the_claim_starts_although_a_worker_is_silent pins that wait for silent workers). It was also polled without end.

Change: the address is parsed when the entry is decoded, into a SocketAddr; an entry with another one is ignored and logged. The stored roster keeps its format; an entry of it with such an address, from an older version, is skipped: no owner could send orders there.

Limits: an address at which nobody listens still is a worker until it is removed; only its own answer could tell.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -1,5 +1,6 @@
 //! The state that all tasks of the daemon share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -116,7 +117,7 @@
     }
 
     /// Creates a client of the worker at this address.
-    pub(super) fn worker(&self, id: &str, address: &str) -> WorkerApi {
+    pub(super) fn worker(&self, id: &str, address: SocketAddr) -> WorkerApi {
         WorkerApi::new(self.client.clone(), id, address, ORDER_TIMEOUT)
     }
 
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -167,7 +167,7 @@
             .lock()
             .expect("no holder panics")
             .insert(key, sender);
-        let api = self.node.worker(&entry.id, &entry.address);
+        let api = self.node.worker(&entry.id, entry.address);
         self.spawn(worker::send_orders(
             self.clone(),
             key,
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -1,5 +1,6 @@
 //! The orders of a shard's owner to a worker, and the worker's answers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Capacity;
@@ -25,7 +26,7 @@
     /// The pool that the worker belongs to.
     pub pool: String,
     /// The address to which orders are sent.
-    pub address: String,
+    pub address: SocketAddr,
     /// The worker's availability zone.
     pub zone: String,
     /// The worker's kind and its rack, in this order.
--- a/src/platform/fleet/decode.rs
+++ b/src/platform/fleet/decode.rs
@@ -1,6 +1,7 @@
 //! The errors for values that cannot be decoded, and the checks that several formats
 //! share.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use thiserror::Error;
@@ -34,6 +35,14 @@
         /// The value of the field.
         value: f64,
     },
+    /// An address cannot be connected to.
+    #[error("{field} {value:?}: give an IP address and a port such as 10.0.0.1:80")]
+    Address {
+        /// The name of the field.
+        field: &'static str,
+        /// The value of the field.
+        value: String,
+    },
 }
 
 /// Decodes a span of time in milliseconds of at most `limit`; a negative one becomes
@@ -62,3 +71,13 @@
     }
     Ok(value.max(0.0) as u32)
 }
+
+/// Decodes the address of a listening process.
+pub(super) fn address(field: &'static str, value: String) -> Result<SocketAddr, DecodeError> {
+    let can_listen = |address: &SocketAddr| {
+        let ip = address.ip();
+        address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast()
+    };
+    let address = value.parse().ok().filter(can_listen);
+    address.ok_or(DecodeError::Address { field, value })
+}
--- a/src/platform/fleet/registry.rs
+++ b/src/platform/fleet/registry.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-use super::decode::{DecodeError, MAX_SPAN, amount, span};
+use super::decode::{DecodeError, MAX_SPAN, address, amount, span};
 use super::keys::REGISTRY_PREFIX;
 use super::store::Item;
 use crate::fleet::{Availability, Capacity, Registration};
@@ -63,7 +63,7 @@
         id: id.to_owned(),
         incarnation: entry.born,
         pool: entry.backend,
-        address: entry.address,
+        address: address("address", entry.address)?,
         zone: entry.zone,
         labels: entry.labels,
         capacity: Capacity {
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -1,6 +1,7 @@
 //! The client of a worker.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use reqwest::{Client, StatusCode};
@@ -229,7 +230,7 @@
 
     /// Creates a client for the worker at `address`. Unanswered orders fail after
     /// `timeout`.
-    pub fn new(client: Client, id: &str, address: &str, timeout: Duration) -> Self {
+    pub fn new(client: Client, id: &str, address: SocketAddr, timeout: Duration) -> Self {
         Self {
             client,
             id: id.to_owned(),
--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -2,6 +2,7 @@
 //! them.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -49,7 +50,7 @@
 /// until a worker answers there again.
 #[derive(Debug, Default)]
 pub(super) struct LostWorkers {
-    by_address: HashMap<String, LostWorker>,
+    by_address: HashMap<SocketAddr, LostWorker>,
 }
 
 impl Scheduler {
@@ -92,7 +93,7 @@
             runs,
             since: now,
         };
-        lost.insert(worker.registration.address.clone(), entry);
+        lost.insert(worker.registration.address, entry);
     }
 
     /// Checks, when a worker answers, whether the one that was lost at its address has
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -43,7 +43,10 @@
             let key = match self.by_id.get(&entry.id).copied() {
                 Some(key) => key,
                 None => {
-                    let key = self.add_worker(entry.registration(), now);
+                    let Some(registration) = entry.registration() else {
+                        continue;
+                    };
+                    let key = self.add_worker(registration, now);
                     self.workers[key].listed = false;
                     added.push(key);
                     key
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -13,6 +13,7 @@
 mod workers;
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -89,12 +90,19 @@
     }
 }
 
+/// The address of a worker; each id has its own.
+fn address(id: &str) -> SocketAddr {
+    let last = id.bytes().rev().take(2).collect::<Vec<u8>>();
+    let previous = last.get(1).copied().unwrap_or_default();
+    SocketAddr::from(([10, 0, previous, last[0]], 80))
+}
+
 fn registration(id: &str) -> Registration {
     Registration {
         id: id.to_owned(),
         incarnation: 1,
         pool: "pool".to_owned(),
-        address: format!("{id}.test:80"),
+        address: address(id),
         zone: "a".to_owned(),
         labels: vec!["kind".to_owned(), format!("rack-{id}")],
         capacity: Capacity {
@@ -316,7 +324,7 @@
 fn roster_entry(id: &str, closed: Option<Vec<TaskName>>) -> RosterEntry {
     RosterEntry {
         id: id.to_owned(),
-        address: format!("{id}.test:80"),
+        address: address(id).to_string(),
         zone: "a".to_owned(),
         closed,
     }
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -220,3 +220,17 @@
     shard.plan();
     assert_eq!(shard.orders(), "");
 }
+
+#[test]
+fn worker_with_invalid_address_does_not_delay_recovery() {
+    let mut shard = Shard::later_owner(&["w0"]);
+    let odd = RosterEntry {
+        address: "10.0.0.1:99999".to_owned(),
+        ..roster_entry("odd", None)
+    };
+    shard.scheduler.on_roster(vec![odd], at(0));
+    shard.report(0, &[], &[]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 1);
+}
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -26,19 +26,20 @@
 
 impl RosterEntry {
     /// Builds a registration for a worker of which only the roster entry is
-    /// known. It is marked as draining, so that it gets no tasks.
-    pub fn registration(&self) -> Registration {
-        Registration {
+    /// known. It is marked as draining, so that it gets no tasks. `None` if the
+    /// address is invalid: no owner could send orders to such a worker.
+    pub fn registration(&self) -> Option<Registration> {
+        Some(Registration {
             id: self.id.clone(),
             incarnation: 0,
             pool: String::new(),
-            address: self.address.clone(),
+            address: self.address.parse().ok()?,
             zone: self.zone.clone(),
             labels: Vec::new(),
             capacity: Capacity::default(),
             availability: Availability::Draining,
             remaining: None,
-        }
+        })
     }
 }
 
@@ -276,7 +277,7 @@
     fn roster(&self) -> Vec<RosterEntry> {
         let rows = self.workers.iter().map(|(key, worker)| RosterEntry {
             id: worker.registration.id.clone(),
-            address: worker.registration.address.clone(),
+            address: worker.registration.address.to_string(),
             zone: worker.registration.zone.clone(),
             closed: self.closed_tasks(key),
         });
