Jobs: a number that later sums cannot hold is refused when the job comes in

Callers saw, in a process test: a job with est_ms above any real time was accepted with 200; the owner's decision panicked on it ("attempt to multiply with overflow", in a release build the sum of the estimates), which poisoned the scheduler's lock, and from then on no other job started: every task of the shard ended with "no holder panics". The job lies in the store, so each later owner reads it and ends the same way. A job with "target_ms":1e300 panicked in the request itself.

Workflow::check bounds the tasks of all steps and occurrences (100,000: each is held in memory, and occurrences that are past are created at once) and the estimated work, so that sums and ranks have no overflow. Moment + Duration and the sums of used capacity saturate.

Before: job_with_impossible_estimate_stops_no_other_job fails (PoisonError). After: it passes; the unit table pins what is refused and how.

--- a/src/fleet/capacity.rs
+++ b/src/fleet/capacity.rs
@@ -57,9 +57,9 @@
 
 impl AddAssign for Capacity {
     fn add_assign(&mut self, other: Self) {
-        self.millicores += other.millicores;
-        self.memory += other.memory;
-        self.accelerators += other.accelerators;
+        self.millicores = self.millicores.saturating_add(other.millicores);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 }
 
--- a/src/moment.rs
+++ b/src/moment.rs
@@ -80,7 +80,8 @@
     type Output = Self;
 
     fn add(self, span: Duration) -> Self {
-        Self(self.0.saturating_add(span.as_micros() as u64))
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
     }
 }
 
--- a/src/platform/fleet/job.rs
+++ b/src/platform/fleet/job.rs
@@ -4,12 +4,17 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::decode::{DecodeError, MAX_SPAN, amount, span};
 use crate::fleet::Capacity;
 use crate::workflow::{Recurrence, Step, Workflow, WorkflowState};
 
 /// The header with the time that the caller waits for the answer, in milliseconds.
 pub const DEADLINE_HEADER: &str = "X-Lycheelock-Deadline-Ms";
 
+/// The limit on the due time of the first occurrence, as time since the Unix epoch: the
+/// year 2370.
+const MAX_START: Duration = Duration::from_hours(400 * 366 * 24);
+
 #[derive(Deserialize)]
 struct JobBody {
     /// Opaque text that is passed to every task at its start.
@@ -82,31 +87,45 @@
 /// assert!(read_workflow(b"{}").is_err());
 /// ```
 pub fn read_workflow(body: &[u8]) -> Result<Workflow, String> {
-    let body: JobBody = serde_json::from_slice(body).map_err(|error| error.to_string())?;
-    let recurrence = (body.times > 0.0).then(|| Recurrence {
-        times: body.times as u32,
-        start: Duration::from_millis(body.start_at_ms.max(0.0) as u64),
-        interval: Duration::from_millis(body.interval_ms.max(0.0) as u64),
-    });
-    let workflow = Workflow {
-        payload: body.spec,
-        steps: body.steps.into_iter().map(step).collect(),
-        recurrence,
-    };
+    let workflow = decode(body).map_err(|error| error.to_string())?;
     workflow.check()?;
     Ok(workflow)
 }
 
-fn step(row: StepRow) -> Step {
+fn decode(body: &[u8]) -> Result<Workflow, DecodeError> {
+    let body: JobBody = serde_json::from_slice(body)?;
+    let recurrence = if body.times > 0.0 {
+        Some(Recurrence {
+            times: amount("times", body.times)?,
+            start: span("start_at_ms", body.start_at_ms, MAX_START)?,
+            interval: span("interval_ms", body.interval_ms, MAX_SPAN)?,
+        })
+    } else {
+        None
+    };
+    let steps: Result<Vec<Step>, DecodeError> = body.steps.into_iter().map(step).collect();
+    Ok(Workflow {
+        payload: body.spec,
+        steps: steps?,
+        recurrence,
+    })
+}
+
+fn step(row: StepRow) -> Result<Step, DecodeError> {
+    let tail_target = if row.target_ms > 0.0 {
+        Some(span("target_ms", row.target_ms, MAX_SPAN)?)
+    } else {
+        None
+    };
     let non_empty = |text: String| (!text.is_empty()).then_some(text);
-    Step {
+    Ok(Step {
         count: row.count,
         need: Capacity {
-            millicores: row.cpu.max(0.0) as u32,
-            memory: row.mem_mb.max(0.0) as u32,
-            accelerators: row.gpu.max(0.0) as u32,
+            millicores: amount("cpu", row.cpu)?,
+            memory: amount("mem_mb", row.mem_mb)?,
+            accelerators: amount("gpu", row.gpu)?,
         },
-        estimate: Duration::from_millis(row.est_ms.max(0.0) as u64),
+        estimate: span("est_ms", row.est_ms, MAX_SPAN)?,
         after: row.after,
         checkpoints: row.checkpoint,
         gang: row.gang,
@@ -117,10 +136,10 @@
         speculative: row.speculative,
         long_running: row.daemon,
         image: row.image,
-        tail_target: (row.target_ms > 0.0).then(|| Duration::from_secs_f64(row.target_ms / 1000.0)),
+        tail_target,
         best_effort: row.fills,
         may_miss: row.may_miss,
-    }
+    })
 }
 
 #[derive(Serialize)]
--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -1,7 +1,7 @@
 use serde_json::{Value, json};
 
-use super::read_worker;
 use super::store::{Bytes, Change, Item};
+use super::{read_worker, read_workflow};
 
 /// A number of levels that overflows the stack of a recursive parser.
 const DEEP_LEVELS: usize = 100_000;
@@ -92,3 +92,49 @@
     Removed { key: "servers/w3", revision: 5 }
     "#);
 }
+
+/// Describes the job of one step, or why it is refused.
+fn submitted(job: &str, step: &str) -> String {
+    let body = format!(r#"{{{job}"steps":[{{"count":2{step}}}]}}"#);
+    match read_workflow(body.as_bytes()) {
+        Ok(workflow) => format!("work {}, {:?}", workflow.work(), workflow.recurrence),
+        Err(message) => format!("refused: {message}"),
+    }
+}
+
+#[test]
+fn job_with_odd_number_is_refused_and_does_not_panic() {
+    let deep = format!(r#","extra":{}"#, deep());
+    let steps = [
+        ("plain", r#","cpu":500,"est_ms":900"#),
+        ("deep", &deep),
+        ("target, huge", r#","target_ms":1e300"#),
+        ("estimate, u64", r#","est_ms":18446744073709551615"#),
+        ("estimate, infinite", r#","est_ms":1e999"#),
+        ("estimate, negative", r#","est_ms":-1"#),
+        ("processors, huge", r#","cpu":4294967295,"est_ms":900"#),
+        ("memory, huge", r#","mem_mb":1e300"#),
+        ("accelerators, huge", r#","gpu":1e300"#),
+        ("work, huge", r#","cpu":100000000,"est_ms":31622400000"#),
+        ("worker limit, above u32", r#","max_per_server":4294967296"#),
+        ("after, huge", r#","after":[18446744073709551615]"#),
+    ];
+    let jobs = [
+        ("times, huge", r#""times":1e300,"#),
+        ("times, many", r#""times":50001,"#),
+        ("start, huge", r#""times":2,"start_at_ms":1e300,"#),
+        ("interval, huge", r#""times":2,"interval_ms":1e300,"#),
+        (
+            "recurring",
+            r#""times":2,"start_at_ms":1790000000123,"interval_ms":1000.5,"#,
+        ),
+    ];
+    let steps = steps
+        .iter()
+        .map(|(name, step)| format!("{name}: {}", submitted("", step)));
+    let jobs = jobs
+        .iter()
+        .map(|(name, job)| format!("{name}: {}", submitted(job, "")));
+    let lines: Vec<String> = steps.chain(jobs).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/src/schedule/usage.rs
+++ b/src/schedule/usage.rs
@@ -15,10 +15,11 @@
         }
         let mut need = step.need;
         if step.best_effort {
-            target.best_effort_cpu += need.at_speed(task.allowed_speed);
+            let cpu = need.at_speed(task.allowed_speed);
+            target.best_effort_cpu = target.best_effort_cpu.saturating_add(cpu);
             need.millicores = 0;
         } else if step.long_running {
-            target.long_running_cpu += need.millicores;
+            target.long_running_cpu = target.long_running_cpu.saturating_add(need.millicores);
         }
         if step.tail_target.is_some() {
             *target
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -12,6 +12,11 @@
 const MAX_STEP_TASKS: u32 = 10_000;
 /// The limit on the steps of one job.
 const MAX_STEPS: usize = 1000;
+/// The limit on the tasks of all steps and occurrences of one job.
+const MAX_JOB_TASKS: u64 = 100_000;
+/// The limit on the estimated work of one occurrence, in core milliseconds. Ranks
+/// multiply the work by a thousand.
+const MAX_WORK: u128 = 1_000_000_000_000_000;
 
 /// A job of one or more steps.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -134,7 +139,31 @@
             ));
         }
         let mut steps = self.steps.iter().enumerate();
-        steps.try_for_each(|(number, step)| step.check(number))
+        steps.try_for_each(|(number, step)| step.check(number))?;
+        self.check_tasks()?;
+        self.check_work()
+    }
+
+    fn check_tasks(&self) -> Result<(), String> {
+        let times = self.recurrence.map_or(1, |recurrence| recurrence.times);
+        let each = self.task_count();
+        if u64::from(times) * u64::from(each) > MAX_JOB_TASKS {
+            return Err(format!(
+                "{times} times {each} tasks: give at most {MAX_JOB_TASKS} in sum"
+            ));
+        }
+        Ok(())
+    }
+
+    fn check_work(&self) -> Result<(), String> {
+        let work = |step: &Step| step.task_work_exact() * u128::from(step.count);
+        let work: u128 = self.steps.iter().map(work).sum();
+        if work > MAX_WORK {
+            return Err(format!(
+                "estimated work of {work} core milliseconds: give at most {MAX_WORK}"
+            ));
+        }
+        Ok(())
     }
 
     /// Returns the estimated work of all tasks, in core milliseconds.
@@ -204,7 +233,11 @@
     /// assert_eq!(step.task_work(), 5000);
     /// ```
     pub const fn task_work(&self) -> u64 {
-        self.need.millicores as u64 * self.estimate.as_millis() as u64 / 1000
+        self.task_work_exact() as u64
+    }
+
+    const fn task_work_exact(&self) -> u128 {
+        self.need.millicores as u128 * self.estimate.as_millis() / 1000
     }
 
     /// Converts a tail latency in milliseconds to percent of the target; `None` for tasks
@@ -220,8 +253,9 @@
     /// assert_eq!(Step::default().tail_percent(15), None);
     /// ```
     pub fn tail_percent(&self, millis: u32) -> Option<u32> {
-        let target = self.tail_target?.as_millis() as u32;
-        Some(millis.saturating_mul(100) / target.max(1))
+        let target = self.tail_target?.as_millis().max(1);
+        let percent = u128::from(millis) * 100 / target;
+        Some(u32::try_from(percent).unwrap_or(u32::MAX))
     }
 
     fn check(&self, number: usize) -> Result<(), String> {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -107,6 +107,7 @@
 #[case::unreadable(b"{".to_vec(), 400)]
 #[case::no_steps(br#"{"spec":"","steps":[]}"#.to_vec(), 400)]
 #[case::later_step(br#"{"spec":"","steps":[{"count":1,"after":[1]},{"count":1}]}"#.to_vec(), 400)]
+#[case::target_huge(br#"{"steps":[{"count":1,"target_ms":1e300}]}"#.to_vec(), 400)]
 #[case::too_large(vec![b' '; 70_000], 413)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invalid_input_is_rejected_without_delay(#[case] body: Vec<u8>, #[case] expected: u16) {
--- a/tests/fleet/odd.rs
+++ b/tests/fleet/odd.rs
@@ -68,3 +68,14 @@
     assert_all_done(&deployment, &[id], JOB_TIMEOUT).await;
     assert!(deployment.entries[other].is_running());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn job_with_impossible_estimate_stops_no_other_job() {
+    let deployment = Deployment::start("estimate", 1, 1).await;
+    let odd = json!([{"count": 10_000, "cpu": 500, "est_ms": u64::MAX}]);
+    let status = deployment.submit(0, &job_id(1), "once", odd).await;
+    let id = job_id(2);
+    assert_eq!(deployment.submit(0, &id, "once", steps(3)).await, 200);
+    assert_all_done(&deployment, &[id], JOB_TIMEOUT).await;
+    assert_eq!(status, 400);
+}
