Configuration: an odd number no longer ends following it

Callers saw, in a process test: after one configuration with "timeout_ms":1e300 the host applied no later one: the task that follows the configuration had panicked, the process stayed up and ready. A stretch of 1e300 would panic later, in the decisions of the owner.

Before: odd_configuration_does_not_hide_the_next_one fails (410 instead of 404). After: it passes; the unit table pins what is ignored and why.

--- a/src/platform/fleet/configuration.rs
+++ b/src/platform/fleet/configuration.rs
@@ -1,9 +1,8 @@
 //! The format of the operator's configuration.
 
-use std::time::Duration;
-
 use serde::Deserialize;
 
+use super::decode::{DecodeError, MAX_SPAN, number, span};
 use crate::routing::{Queue, Queues};
 
 #[derive(Deserialize)]
@@ -51,6 +50,8 @@
 const DEFAULT_HEADER_LIMIT: u64 = 16 << 10;
 /// The limit on a request's body, in bytes, if the operator sets none.
 const DEFAULT_BODY_LIMIT: u64 = 256 << 10;
+/// The limit on the stretch of a queue.
+const MAX_STRETCH: f64 = 1000.0;
 
 /// Decodes the queues of the operator's configuration.
 ///
@@ -63,28 +64,28 @@
 /// let queues = lycheelock::platform::fleet::read_queues(text).unwrap();
 /// assert_eq!(queues.version, 7);
 /// ```
-pub fn read_queues(value: &[u8]) -> Result<Queues, serde_json::Error> {
+pub fn read_queues(value: &[u8]) -> Result<Queues, DecodeError> {
     let document: Document = serde_json::from_slice(value)?;
-    let list = document.routes.into_iter().map(queue).collect();
+    let list: Result<Vec<Queue>, DecodeError> = document.routes.into_iter().map(queue).collect();
     let limit = |given: f64, default: u64| if given > 0.0 { given as u64 } else { default };
     Ok(Queues {
         version: document.version,
-        list,
+        list: list?,
         header_limit: limit(document.limits.max_header_bytes, DEFAULT_HEADER_LIMIT),
         body_limit: limit(document.limits.max_body_bytes, DEFAULT_BODY_LIMIT),
     })
 }
 
-fn queue(row: RouteRow) -> Queue {
-    Queue {
+fn queue(row: RouteRow) -> Result<Queue, DecodeError> {
+    Ok(Queue {
         name: row.name,
         host: row.host,
         prefix: row.prefix,
         pool: row.backend,
-        timeout: Duration::from_secs_f64(row.timeout_ms.max(0.0) / 1000.0),
-        latency_target: Duration::from_secs_f64(row.target_latency_ms.max(0.0) / 1000.0),
+        timeout: span("timeout_ms", row.timeout_ms, MAX_SPAN)?,
+        latency_target: span("target_latency_ms", row.target_latency_ms, MAX_SPAN)?,
         priority: row.priority.max(0.0) as u32,
         attempts: row.attempts.max(1.0) as u32,
-        stretch: row.stretch.max(1.0),
-    }
+        stretch: number("stretch", row.stretch, MAX_STRETCH)?.max(1.0),
+    })
 }
--- a/src/platform/fleet/decode.rs
+++ b/src/platform/fleet/decode.rs
@@ -27,13 +27,15 @@
         /// The longest span that the field may have.
         limit: Duration,
     },
-    /// An amount of a resource is larger than allowed.
-    #[error("{field} of {value:e}: give at most {MAX_AMOUNT}")]
-    Amount {
+    /// A number is larger than allowed.
+    #[error("{field} of {value:e}: give at most {limit}")]
+    Number {
         /// The name of the field.
         field: &'static str,
         /// The value of the field.
         value: f64,
+        /// The largest value that the field may have.
+        limit: f64,
     },
     /// An address cannot be connected to.
     #[error("{field} {value:?}: give an IP address and a port such as 10.0.0.1:80")]
@@ -64,12 +66,21 @@
     Ok(Duration::from_millis(millis as u64) + fraction)
 }
 
+/// Decodes a number of at most `limit`; a negative one becomes zero.
+pub(super) fn number(field: &'static str, value: f64, limit: f64) -> Result<f64, DecodeError> {
+    if value > limit {
+        return Err(DecodeError::Number {
+            field,
+            value,
+            limit,
+        });
+    }
+    Ok(value.max(0.0))
+}
+
 /// Decodes an amount of a resource; a negative one becomes zero.
 pub(super) fn amount(field: &'static str, value: f64) -> Result<u32, DecodeError> {
-    if value > f64::from(MAX_AMOUNT) {
-        return Err(DecodeError::Amount { field, value });
-    }
-    Ok(value.max(0.0) as u32)
+    number(field, value, f64::from(MAX_AMOUNT)).map(|value| value as u32)
 }
 
 /// Decodes the address of a listening process.
--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -1,7 +1,7 @@
 use serde_json::{Value, json};
 
 use super::store::{Bytes, Change, Item};
-use super::{read_worker, read_workflow};
+use super::{read_queues, read_worker, read_workflow};
 
 /// A number of levels that overflows the stack of a recursive parser.
 const DEEP_LEVELS: usize = 100_000;
@@ -138,3 +138,38 @@
     let lines: Vec<String> = steps.chain(jobs).collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Describes the only queue of a configuration, or why the configuration is ignored.
+fn configured(fields: &str) -> String {
+    let route = format!(r#"{{"name":"q","host":"h","prefix":"/","backend":"p"{fields}}}"#);
+    let text = format!(r#"{{"version":7,"routes":[{route}]}}"#);
+    match read_queues(text.as_bytes()) {
+        Ok(queues) => {
+            let queue = &queues.list[0];
+            let (timeout, target) = (queue.timeout, queue.latency_target);
+            let (priority, attempts, stretch) = (queue.priority, queue.attempts, queue.stretch);
+            format!("{timeout:?} {target:?} {priority} {attempts} {stretch}")
+        }
+        Err(error) => format!("ignored: {error}"),
+    }
+}
+
+#[test]
+fn configuration_with_odd_number_is_ignored_and_does_not_panic() {
+    let deep = format!(r#","extra":{}"#, deep());
+    let fields = [
+        ("plain", r#","timeout_ms":3000,"target_latency_ms":250.5"#),
+        ("deep", &deep),
+        ("timeout, huge", r#","timeout_ms":1e300"#),
+        ("target, huge", r#","target_latency_ms":1e300"#),
+        ("timeout, negative", r#","timeout_ms":-1e300"#),
+        ("stretch, huge", r#","stretch":1e300"#),
+        ("stretch, infinite", r#","stretch":1e999"#),
+        (
+            "attempts and priority, huge",
+            r#","attempts":1e300,"priority":1e300"#,
+        ),
+    ];
+    let lines = fields.map(|(name, fields)| format!("{name}: {}", configured(fields)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/tests/fleet/deployment.rs
+++ b/tests/fleet/deployment.rs
@@ -100,7 +100,7 @@
             running.push(worker.serve(address).await);
             store.put(&format!("servers/w{number}"), &worker.roster_entry(address));
         }
-        store.put("op/config", &configuration());
+        store.put("op/config", &configuration(1, "/q/"));
         let mut deployment = Self {
             entries: Vec::new(),
             store,
@@ -299,11 +299,12 @@
     }
 }
 
-fn configuration() -> Value {
+/// A configuration of one queue.
+pub fn configuration(version: u64, prefix: &str) -> Value {
     json!({
-        "version": 1,
+        "version": version,
         "routes": [{
-            "name": "queue", "host": "jobs.example", "prefix": "/q/", "type": "unsafe",
+            "name": "queue", "host": "jobs.example", "prefix": prefix, "type": "unsafe",
             "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 0,
             "backend": "pool", "attempts": 3, "stretch": 2.0,
         }],
--- a/tests/fleet/odd.rs
+++ b/tests/fleet/odd.rs
@@ -1,9 +1,11 @@
 //! Tests with values in the store that other programs wrote and that no worker,
 //! caller or operator would write.
 
+use std::time::Instant;
+
 use serde_json::{Value, json};
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, configuration, sleep_ms};
 use crate::{JOB_TIMEOUT, assert_all_done, job_id, steps};
 
 /// A number of levels that overflows the stack of a recursive parser.
@@ -79,3 +81,21 @@
     assert_all_done(&deployment, &[id], JOB_TIMEOUT).await;
     assert_eq!(status, 400);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_configuration_does_not_hide_the_next_one() {
+    let deployment = Deployment::start("configuration", 1, 1).await;
+    let odd = configuration(2, "/q/").to_string();
+    let odd = odd.replace("\"timeout_ms\":3000", "\"timeout_ms\":1e300");
+    deployment.store.put_bytes("op/config", odd.as_bytes());
+    assert_eq!(deployment.job_state(0, &job_id(1)).await.0, 410);
+    deployment.store.put("op/config", &configuration(3, "/r/"));
+    let deadline = Instant::now() + JOB_TIMEOUT;
+    while deployment.job_state(0, &job_id(1)).await.0 != 404 {
+        assert!(
+            Instant::now() < deadline,
+            "the configuration is not applied"
+        );
+        sleep_ms(20).await;
+    }
+}
