Worker reports: a clock or a measurement that overflows is not taken over

Seen by reading, and in a trial: a worker that gives clock_ms 1e300 was recorded with the largest u64 as its clock, and Clock::lease_end of such a reading overflows ("attempt to add with overflow") inside a decision. The measurements of best-effort runs are summed in u32.

Change: the report is decoded by a function of its own. A clock beyond 100 years makes the answer invalid (the worker is then silent, as with any other answer that cannot be read); a measurement is cut at 1,000 cores or seconds.

The unit table pins what is read from odd reports; born above u64, task numbers above u32, ends above u64 and deep nesting were invalid before and are. Before, the case "clock, huge" was the largest u64.

--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -1,6 +1,7 @@
 use serde_json::{Value, json};
 
 use super::store::{Bytes, Change, Item};
+use super::worker::read_report;
 use super::{read_queues, read_worker, read_workflow};
 
 /// A number of levels that overflows the stack of a recursive parser.
@@ -173,3 +174,42 @@
     let lines = fields.map(|(name, fields)| format!("{name}: {}", configured(fields)));
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+fn reported(clock: &str, born: &str, running: &str, finished: &str) -> String {
+    let text = format!(
+        r#"{{"clock_ms":{clock},"born":{born},"running":[{running}],"finished":[{finished}]}}"#
+    );
+    match read_report(text.as_bytes()) {
+        Ok(report) => format!("{report:?}"),
+        Err(error) => format!("invalid: {error}"),
+    }
+}
+
+#[test]
+fn worker_report_with_odd_number_does_not_overflow() {
+    let run = |progress: &str, measurement: &str| {
+        format!(r#"["5c0e7a21d94b36f8.0.0.0",1,"",{progress},{measurement}]"#)
+    };
+    let task = r#"["5c0e7a21d94b36f8.0.4294967296.0",1]"#;
+    let lines = [
+        ("plain", reported("12", "7", &run("41", "900"), "")),
+        ("clock, huge", reported("1e300", "7", "", "")),
+        ("clock, negative", reported("-1", "7", "", "")),
+        (
+            "born, above u64",
+            reported("12", "18446744073709551616", "", ""),
+        ),
+        (
+            "measurement, huge",
+            reported("12", "7", &run("1e300", "1e300"), ""),
+        ),
+        ("task, above u32", reported("12", "7", task, "")),
+        (
+            "end, above u64",
+            reported("12", "7", "", r#"[1e300,"",1,"done",""]"#),
+        ),
+        ("deep", reported("12", "7", &deep(), "")),
+    ];
+    let lines = lines.map(|(name, line)| format!("{name}: {line}"));
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Deserializer, Serialize};
 use thiserror::Error;
 
+use super::decode::{DecodeError, span};
 use crate::fleet::{
     EndedRun, LiveRun, PollOrder, RunOutcome, StartOrder, StartReply, StopOrder, WorkerReport,
 };
@@ -22,6 +23,13 @@
 /// The time that the answer to a poll may take in addition to its wait.
 const POLL_MARGIN: Duration = Duration::from_millis(500);
 
+/// The limit on a worker's clock, which counts from the start of its process.
+const MAX_CLOCK: Duration = Duration::from_hours(100 * 366 * 24);
+
+/// The limit on the measurement of a run, so that the sum over a report's runs does not
+/// overflow. Larger ones are cut.
+const MAX_MEASUREMENT: f64 = 1_000_000.0;
+
 /// Why a call to a worker has no result.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum WorkerFault {
@@ -127,7 +135,7 @@
             run,
             checkpoint: checkpoint.unwrap_or_default(),
             progress: percent.unwrap_or_default().clamp(0.0, 100.0) as u8,
-            measurement: measurement.unwrap_or_default().max(0.0) as u32,
+            measurement: measurement.unwrap_or_default().clamp(0.0, MAX_MEASUREMENT) as u32,
         }))
     }
 }
@@ -261,9 +269,9 @@
         match (status, answer.reason.as_str()) {
             (StatusCode::CONFLICT, "fence") => Err(WorkerFault::Fenced),
             (StatusCode::CONFLICT, "old") => Ok(StartReply::Superseded),
-            (StatusCode::CONFLICT, "late") => {
-                Ok(StartReply::LeaseExpired(answer.clock_ms.max(0.0) as u64))
-            }
+            (StatusCode::CONFLICT, "late") => clock(answer.clock_ms)
+                .map(StartReply::LeaseExpired)
+                .map_err(|error| WorkerFault::Refused(error.to_string())),
             (StatusCode::CONFLICT, "room") => Ok(StartReply::NoCapacity),
             (StatusCode::MISDIRECTED_REQUEST, _) => Err(WorkerFault::Replaced),
             (_, reason) => Err(WorkerFault::Refused(format!("status {status} {reason}"))),
@@ -320,14 +328,8 @@
         if status != StatusCode::OK {
             return Err(refusal(status, &bytes));
         }
-        let answer: PollAnswer = serde_json::from_slice(&bytes)
-            .map_err(|error| WorkerFault::Refused(format!("invalid answer: {error}")))?;
-        Ok(WorkerReport {
-            clock: answer.clock_ms.max(0.0) as u64,
-            incarnation: answer.born,
-            running: answer.running.into_iter().map(|row| row.0).collect(),
-            ended: answer.finished.into_iter().map(|row| row.0).collect(),
-        })
+        read_report(&bytes)
+            .map_err(|error| WorkerFault::Refused(format!("invalid answer: {error}")))
     }
 
     async fn post<T: Serialize>(
@@ -359,6 +361,22 @@
     }
 }
 
+/// Decodes a worker's report.
+pub(super) fn read_report(bytes: &[u8]) -> Result<WorkerReport, DecodeError> {
+    let answer: PollAnswer = serde_json::from_slice(bytes)?;
+    Ok(WorkerReport {
+        clock: clock(answer.clock_ms)?,
+        incarnation: answer.born,
+        running: answer.running.into_iter().map(|row| row.0).collect(),
+        ended: answer.finished.into_iter().map(|row| row.0).collect(),
+    })
+}
+
+/// Decodes a worker's clock, in milliseconds.
+fn clock(millis: f64) -> Result<u64, DecodeError> {
+    span("clock_ms", millis, MAX_CLOCK).map(|clock| clock.as_millis() as u64)
+}
+
 fn check_status(status: StatusCode, bytes: &[u8]) -> Result<(), WorkerFault> {
     if status == StatusCode::OK {
         return Ok(());
