Daemon: a panicked task ends the ownership or the process, not silently itself

A panic of the task that follows the configuration left the host with the old one for good.

Change: a panic of a task of an ownership ends this ownership: the shard is released, another host claims it at once, this one after 2 s at the earliest. The state behind the lock is thrown away with the ownership. A panic of a task of the whole daemon (configuration, settings, store probe, ownership) ends the process with status 5, so that the platform starts it again. Each panic is a line of the log. A panic in a caller's request still ends only that request (500): to end the process there would let one request end host after host.

Ruled out: panic = "abort" in the release profile. It loses the buffered log, and one odd value would end each host that reads it.

Before, with the check taken out: panic_in_decision_ends_ownership waits 5 s in vain. After: it passes, as do the 18 process tests.

Open: a job in the store on which each owner panics would still make the shard change hands again and again.

--- a/src/bin/lycheelock/main.rs
+++ b/src/bin/lycheelock/main.rs
@@ -29,12 +29,14 @@
 }
 
 /// Returns the exit status for an error: 1 for a refusal, 2 for bad input, 3 for an
-/// unreachable process, 4 for an address or file of this machine.
+/// unreachable process, 4 for an address or file of this machine, 5 for a fault in
+/// lycheelock.
 const fn exit_status(error: &Error) -> u8 {
     match error {
         Error::Refused { .. } => 1,
         Error::Settings(_) | Error::Argument { .. } | Error::Read { .. } => 2,
         Error::Unreachable { .. } => 3,
+        Error::Panicked => 5,
         Error::Listen { .. } | Error::Log(_) | Error::Io(_) => 4,
     }
 }
--- a/src/daemon/lifecycle.rs
+++ b/src/daemon/lifecycle.rs
@@ -1,11 +1,14 @@
 //! Start, reload and planned stop of the daemon.
 
+use std::future;
+use std::panic;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::LevelFilter;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
 use super::lines::DaemonLine;
@@ -13,7 +16,7 @@
 use crate::drain::wait_for_stop;
 use crate::server::RunningServer;
 use crate::settings::FleetSettings;
-use crate::{Result, journal};
+use crate::{Error, Result, journal};
 
 /// The time within which the load balancer notices that this host is not ready.
 const BALANCER_DELAY: Duration = Duration::from_millis(2300);
@@ -32,9 +35,11 @@
 ///
 /// # Errors
 ///
-/// Fails if the settings are invalid or an address is already in use.
+/// Fails if the settings are invalid, an address is already in use, or a task that the
+/// daemon cannot work without has panicked.
 pub async fn run(path: &Path) -> Result<bool> {
     journal::init(LevelFilter::Info)?;
+    log_panics();
     let settings = FleetSettings::read(path)?;
     let node = Node::new(settings);
     let front = RunningServer::start(ingress::build(&node)).await?;
@@ -45,20 +50,51 @@
         zone: &node.settings.zone,
         incarnation: node.incarnation,
     });
-    tokio::spawn(configuration::follow(node.clone()));
-    tokio::spawn(health::probe(node.clone()));
-    tokio::spawn(reload(node.clone(), path.to_owned()));
-    let follower = tokio::spawn(ownership::follow(node.clone()));
-    wait_for_stop().await;
+    let mut tasks = JoinSet::new();
+    tasks.spawn(configuration::follow(node.clone()));
+    tasks.spawn(health::probe(node.clone()));
+    tasks.spawn(reload(node.clone(), path.to_owned()));
+    let mut follower = tokio::spawn(ownership::follow(node.clone()));
+    tokio::select! {
+        () = wait_for_stop() => {}
+        () = wait_for_panic(&mut tasks) => return end_after_panic().await,
+        _ = &mut follower => return end_after_panic().await,
+    }
     stop(&node, front, follower).await;
     ready.abort();
     metrics.abort();
     Ok(true)
 }
 
+/// Writes each panic to the log, too.
+fn log_panics() {
+    let default = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        log::error!("{info}");
+        default(info);
+    }));
+}
+
+/// Waits until one of the tasks panics. A task may end without one.
+pub(super) async fn wait_for_panic(tasks: &mut JoinSet<()>) {
+    while let Some(ended) = tasks.join_next().await {
+        if ended.is_err_and(|error| error.is_panic()) {
+            return;
+        }
+    }
+    future::pending().await
+}
+
+/// Flushes the log before the process ends. It does not go on without the task that
+/// panicked: it would stay ready, with an old configuration or without shards.
+async fn end_after_panic() -> Result<bool> {
+    sleep(FLUSH_DELAY).await;
+    Err(Error::Panicked)
+}
+
 /// Releases the shards, serves requests until the load balancer sends no more,
 /// and finishes those in progress.
-async fn stop(node: &Node, front: RunningServer, follower: tokio::task::JoinHandle<()>) {
+async fn stop(node: &Node, front: RunningServer, follower: JoinHandle<()>) {
     journal::line(&DaemonLine::Stopping {
         in_progress: node.in_progress.len(),
     });
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,6 +21,8 @@
 mod probe;
 mod restore;
 mod term;
+#[cfg(test)]
+mod tests;
 mod worker;
 mod writer;
 
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -1,10 +1,12 @@
 //! The ownership of a shard by this host, from the claim to its end.
 
 use std::collections::HashMap;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -35,6 +37,11 @@
 /// The delay before a failed call to the store is repeated, and the interval at
 /// which a wait for confirmation checks again.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// The reason for the end of an ownership of which a task panicked.
+const TASK_PANICKED: &str = "a task panicked";
+/// The delay after such an end before this host may claim the shard again, so that
+/// other hosts claim it first.
+const RECLAIM_DELAY: Duration = Duration::from_secs(2);
 
 /// A claim that the store has accepted.
 #[derive(Debug, Clone)]
@@ -85,26 +92,7 @@
     claim: Claim,
     incarnations: watch::Receiver<Incarnations>,
 ) {
-    let recovery_deadline = claim
-        .former
-        .as_ref()
-        .map(|_| recovery_deadline(FormerOwner::Unknown, Moment::now()));
-    let term = Term {
-        fence: claim.fence,
-        recovery_deadline,
-    };
-    let owned = Arc::new(OwnedShard {
-        write: Notify::new(),
-        scheduler: Mutex::new(Scheduler::new(term)),
-        plan: Notify::new(),
-        lease: AtomicU64::new(claim.lease),
-        confirmed: AtomicU64::new(claim.begun.as_micros()),
-        lost: watch::channel(None).0,
-        orders: Mutex::default(),
-        tasks: Mutex::default(),
-        node,
-        claim,
-    });
+    let owned = Arc::new(OwnedShard::new(node, claim));
     owned.spawn(renew(owned.clone()));
     owned.spawn(restore::run(owned.clone()));
     owned.spawn(plan(owned.clone()));
@@ -114,9 +102,36 @@
         () = owned.node.wait_stopping() => "planned stop",
     };
     owned.end(reason).await;
+    if reason == TASK_PANICKED {
+        sleep(RECLAIM_DELAY).await;
+    }
 }
 
 impl OwnedShard {
+    /// Creates the state for the start of the ownership.
+    pub fn new(node: Arc<Node>, claim: Claim) -> Self {
+        let recovery_deadline = claim
+            .former
+            .as_ref()
+            .map(|_| recovery_deadline(FormerOwner::Unknown, Moment::now()));
+        let term = Term {
+            fence: claim.fence,
+            recovery_deadline,
+        };
+        Self {
+            write: Notify::new(),
+            scheduler: Mutex::new(Scheduler::new(term)),
+            plan: Notify::new(),
+            lease: AtomicU64::new(claim.lease),
+            confirmed: AtomicU64::new(claim.begun.as_micros()),
+            lost: watch::channel(None).0,
+            orders: Mutex::default(),
+            tasks: Mutex::default(),
+            node,
+            claim,
+        }
+    }
+
     /// Runs a decision on the scheduler and logs the events that it recorded.
     pub fn decide<T>(&self, decision: impl FnOnce(&mut Scheduler, Moment) -> T) -> T {
         let mut scheduler = self.scheduler.lock().expect("no holder panics");
@@ -146,8 +161,15 @@
         self.plan.notify_one();
     }
 
-    /// Spawns a task that is aborted at the end of this ownership.
-    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+    /// Spawns a task that is aborted at the end of this ownership. If the task panics,
+    /// the ownership ends, as its state is not to be trusted any more.
+    pub fn spawn(self: &Arc<Self>, task: impl Future<Output = ()> + Send + 'static) {
+        let owned = self.clone();
+        let task = async move {
+            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+                owned.mark_lost(TASK_PANICKED);
+            }
+        };
         self.tasks.lock().expect("no holder panics").spawn(task);
     }
 
@@ -215,7 +237,7 @@
         Moment::now() - self.confirmed() < OWNER_TIMEOUT
     }
 
-    async fn wait_lost(&self) -> &'static str {
+    pub async fn wait_lost(&self) -> &'static str {
         let mut lost = self.lost.subscribe();
         let reason = lost.wait_for(Option::is_some).await;
         reason.ok().and_then(|reason| *reason).unwrap_or("ended")
--- a/src/error.rs
+++ b/src/error.rs
@@ -59,6 +59,9 @@
     /// Logging could not be set up.
     #[error("log: {0}")]
     Log(String),
+    /// A task that the daemon cannot work without has panicked.
+    #[error("a task of the daemon panicked, see the log")]
+    Panicked,
     /// Input or output failed.
     #[error(transparent)]
     Io(#[from] io::Error),
