Restore: a stored job that would be refused today does not stop the shard

Seen in a process test: a job in the store with an estimate that no sum can hold, as an older version accepted it, panics in each owner ("overflow when multiplying duration by scalar"), six times in 11 s in the same host, and no other job is done.

The check now also bounds the estimate of a step and the due time of the last occurrence, which the decoder alone did.

Before, with the check of stored jobs taken out: the new test fails. After: it passes. Open: the caller of such a job goes on seeing "queued".

--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -14,6 +14,8 @@
 const MAX_STEPS: usize = 1000;
 /// The limit on the tasks of all steps and occurrences of one job.
 const MAX_JOB_TASKS: u64 = 100_000;
+/// The limit on the estimated run time of a task.
+const MAX_ESTIMATE: Duration = Duration::from_hours(366 * 24);
 /// The limit on the estimated work of one occurrence, in core milliseconds. Ranks
 /// multiply the work by a thousand.
 const MAX_WORK: u128 = 1_000_000_000_000_000;
@@ -140,10 +142,29 @@
         }
         let mut steps = self.steps.iter().enumerate();
         steps.try_for_each(|(number, step)| step.check(number))?;
+        self.check_due_times()?;
         self.check_tasks()?;
         self.check_work()
     }
 
+    fn check_due_times(&self) -> Result<(), String> {
+        let Some(recurrence) = self.recurrence else {
+            return Ok(());
+        };
+        let Recurrence {
+            times,
+            start,
+            interval,
+        } = recurrence;
+        let last = interval.checked_mul(times);
+        match last.and_then(|last| last.checked_add(start)) {
+            Some(_) => Ok(()),
+            None => Err(format!(
+                "{times} times every {interval:?} from {start:?}: too late"
+            )),
+        }
+    }
+
     fn check_tasks(&self) -> Result<(), String> {
         let times = self.recurrence.map_or(1, |recurrence| recurrence.times);
         let each = self.task_count();
@@ -265,6 +286,12 @@
                 "step {number}: {count} tasks: give 1 to {MAX_STEP_TASKS}"
             ));
         }
+        if self.estimate > MAX_ESTIMATE {
+            let estimate = self.estimate;
+            return Err(format!(
+                "step {number}: estimate of {estimate:?}: give at most {MAX_ESTIMATE:?}"
+            ));
+        }
         match self.after.iter().find(|step| **step >= number) {
             Some(step) => Err(format!(
                 "step {number} depends on step {step}, which does not precede it"
--- a/tests/fleet/odd.rs
+++ b/tests/fleet/odd.rs
@@ -1,8 +1,11 @@
 //! Tests with values in the store that other programs wrote and that no worker,
 //! caller or operator would write.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use lycheelock::routing::Queue;
+use lycheelock::shards::{AcceptedJob, encode, work_key};
+use lycheelock::workflow::{Step, Workflow};
 use serde_json::{Value, json};
 
 use crate::deployment::{Deployment, configuration, sleep_ms};
@@ -99,3 +102,27 @@
         sleep_ms(20).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stored_job_that_would_be_refused_stops_no_other_job() {
+    let deployment = Deployment::start("stored", 1, 1).await;
+    let step = Step {
+        count: 10_000,
+        estimate: Duration::from_millis(u64::MAX),
+        ..Step::default()
+    };
+    let stored = AcceptedJob {
+        queue: Queue::default(),
+        workflow: Workflow {
+            steps: vec![step],
+            ..Workflow::default()
+        },
+        accepted_at: 0,
+    };
+    let key = work_key("all", job_id(1).parse().unwrap());
+    deployment.store.put_bytes(&key, &encode(&stored));
+    let id = job_id(2);
+    assert_eq!(deployment.submit(0, &id, "once", steps(3)).await, 200);
+    assert_all_done(&deployment, &[id], JOB_TIMEOUT).await;
+    assert_eq!(deployment.owner().await, 0);
+}
