--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -523,3 +523,215 @@
     shard.plan();
     assert_eq!(shard.confirm().len(), 2);
 }
+
+/// Steps of 50 ms: all workers report what they run, every start is confirmed. Returns
+/// the tasks that started, with the moment.
+fn run_confirmed(shard: &mut Shard, incarnations: &[u64], end: u64) -> Vec<(u64, TaskName)> {
+    let mut started = Vec::new();
+    while shard.now < end {
+        shard.now += 50;
+        if shard.now.is_multiple_of(REPORT_INTERVAL) {
+            report_assigned(shard, incarnations);
+        }
+        shard.write();
+        shard.plan();
+        let now = shard.now;
+        started.extend(shard.confirm().into_iter().map(|run| (now, run.1)));
+    }
+    started
+}
+
+fn report_assigned(shard: &mut Shard, incarnations: &[u64]) {
+    for (index, incarnation) in incarnations.iter().enumerate() {
+        let Some(worker) = shard.scheduler.workers.get(shard.workers[index]) else {
+            continue;
+        };
+        let tasks = worker.tasks.iter();
+        let running: Vec<LiveRun> = tasks
+            .map(|(name, key)| live(*name, shard.scheduler.ledger.tasks[*key].run, 0))
+            .collect();
+        shard.report_with(index, *incarnation, running, &[]);
+    }
+}
+
+#[test]
+fn a_suspect_gang_that_fits_nowhere_does_not_stop_sound_jobs() {
+    let mut shard = Shard::first_owner(&["w0", "w1", "w2"]);
+    let gang = Step {
+        gang: true,
+        ..step(3, 8)
+    };
+    shard.submit(active_workflow(1, vec![gang], 1, 0));
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 3);
+    shard.now = 100;
+    for worker in 0..3 {
+        shard.report_with(worker, 2, Vec::new(), &[]);
+    }
+    let left = ["w0", "w1"].map(registration).to_vec();
+    shard.scheduler.on_registry(left, at(100));
+    shard.submit(active_workflow(2, vec![step(1, 1)], 2, 1));
+    let started = run_confirmed(&mut shard, &[2, 2, 2], 60_000);
+    assert!(
+        started.iter().any(|start| start.1 == name(2, 0, 0)),
+        "{started:?}"
+    );
+}
+
+#[test]
+fn a_suspect_best_effort_gang_starts_on_a_busy_pool() {
+    let mut fleet = CrashingFleet::new(&["w0", "w1"], DEADLY, 10);
+    fleet.run_time = 300;
+    let gang = Step {
+        gang: true,
+        ..best_effort(2, 5, "batch")
+    };
+    fleet.shard.submit(active_workflow(2, vec![gang], 1, 0));
+    fleet.run_until(50);
+    for worker in &mut fleet.workers {
+        worker.runs.clear();
+        worker.incarnation += 1;
+    }
+    for id in 3..600 {
+        let next = fleet.shard.now + 100;
+        fleet.run_until(next);
+        fleet
+            .shard
+            .submit(active_workflow(id, vec![step(1, 1)], id, 0));
+    }
+    assert_eq!(fleet.state_of(2), Some(WorkflowState::Done));
+}
+
+#[test]
+fn a_suspect_is_started_soon_after_a_power_loss() {
+    let ids = ["w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7"];
+    let mut shard = Shard::first_owner(&ids);
+    for id in 1..=48 {
+        let small = Step {
+            need: Capacity {
+                millicores: 500,
+                memory: 100,
+                accelerators: 0,
+            },
+            ..serving(1, 1, "web")
+        };
+        shard.submit(active_workflow(id, vec![small], 1, 0));
+    }
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 48);
+    shard.now = 100;
+    for worker in 0..8 {
+        shard.report_with(worker, 2, Vec::new(), &[]);
+    }
+    shard.write();
+    // Polls wait up to 800 ms, so a survival is seen later than here.
+    let started = run_confirmed(&mut shard, &[2; 8], 60_000);
+    assert_eq!(started.len(), 48);
+    let last = started.iter().map(|start| start.0).max().unwrap();
+    assert!(last <= 6_100, "the last started at {last}");
+}
+
+#[test]
+fn a_gang_whose_members_crash_their_workers_in_turn_is_given_up() {
+    let ids = ["w0", "w1", "w2", "w3", "w4", "w5"];
+    let mut shard = Shard::first_owner(&ids);
+    let gang = Step {
+        gang: true,
+        ..step(6, 8)
+    };
+    shard.submit(active_workflow(1, vec![gang], 1, 0));
+    let mut incarnations = [1; 6];
+    let mut numbers = [0; 6];
+    let mut starts = 0;
+    for round in 0..12 {
+        let mut runs = Vec::new();
+        for _ in 0..400 {
+            shard.now += 50;
+            if shard.now.is_multiple_of(REPORT_INTERVAL) {
+                report_assigned(&mut shard, &incarnations);
+            }
+            shard.write();
+            shard.plan();
+            runs = shard.confirm();
+            if !runs.is_empty() {
+                break;
+            }
+        }
+        if runs.is_empty() {
+            break;
+        }
+        starts += 1;
+        shard.now += 50;
+        for (worker, task, run) in runs {
+            if task.index == round % 6 {
+                incarnations[worker] += 1;
+                numbers[worker] = 0;
+                shard.report_with(worker, incarnations[worker], Vec::new(), &[]);
+            } else {
+                numbers[worker] += 1;
+                let end = (numbers[worker], task, run, RunOutcome::MemberEnded);
+                shard.report_with(worker, incarnations[worker], Vec::new(), &[end]);
+            }
+        }
+    }
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
+
+#[test]
+fn a_task_that_crashes_late_is_given_up_although_its_workers_come_back_late() {
+    let mut fleet = fleet_with_deadly_job(700, step(1, 1));
+    fleet.renames = true;
+    fleet.restart_delay = 12_000;
+    fleet.run_until(200_000);
+    assert_given_up(&fleet);
+}
+
+#[test]
+fn a_sound_suspect_is_not_tried_beside_a_task_that_crashes_late() {
+    let record = |crashes: &str| TaskRecord {
+        occurrence: 0,
+        step: 0,
+        index: 0,
+        done: false,
+        failed: Vec::new(),
+        checkpoint: String::new(),
+        crashes: serde_json::from_str(crashes).unwrap(),
+    };
+    let mut shard = Shard::first_owner(&["w0"]);
+    // The first crashes its workers 700 ms after its start.
+    let late = record(r#"{"suspected":[],"late":[1]}"#);
+    let sound = record(r#"{"suspected":[{"run":2,"sole":false}],"late":[]}"#);
+    shard.restore(active_workflow(1, vec![step(1, 1)], 1, 0), &[late]);
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 1);
+    shard.restore(active_workflow(2, vec![step(1, 1)], 2, 0), &[sound]);
+    let started = run_confirmed(&mut shard, &[1], 700);
+    shard.report_with(0, 2, Vec::new(), &[]);
+    let workflow = shard.scheduler.ledger.find(WorkflowId(2)).unwrap();
+    let state = shard.scheduler.ledger.workflows[workflow].state;
+    assert_ne!(state, WorkflowState::Failed, "{started:?}");
+}
+
+#[test]
+fn a_start_refused_by_another_worker_is_no_suspect() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (worker, order) = shard.orders.remove(0);
+    let Order::Start { task, run } = order else {
+        panic!()
+    };
+    let now = at(100);
+    shard.scheduler.start_order(worker, task, run, now).unwrap();
+    // As daemon::worker::send_start does on 421 to the first call.
+    shard.scheduler.on_replaced(worker, now);
+    shard.scheduler.on_start_refused(worker, task, run, now);
+    assert_eq!(suspects(&mut shard), [""; 0]);
+}
+
+#[test]
+fn a_stored_record_with_many_late_crashes_does_not_end_the_process() {
+    let text = r#"{"suspected":[],"late":[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15]}"#;
+    let record: crate::workflow::CrashRecord = serde_json::from_str(text).unwrap();
+    assert!(record.survival_time() >= Duration::from_secs(100));
+}
