Crashes: an odd stored record does not overflow the time to survive

Callers would see: a host that panics on each restore of a job whose stored record lists 13 or more late crashes, which only another program can write.

Change: the exponent has the limit that recording has.

--- a/src/workflow/crashes.rs
+++ b/src/workflow/crashes.rs
@@ -89,7 +89,8 @@
     /// assert_eq!(crashes.survival_time(), Duration::from_secs(3));
     /// ```
     pub fn survival_time(&self) -> Duration {
-        SURVIVAL_TIME * SURVIVAL_FACTOR.pow(self.late.len() as u32)
+        let late = self.late.len().min(MAX_LATE_CRASHES);
+        SURVIVAL_TIME * SURVIVAL_FACTOR.pow(late as u32)
     }
 
     /// Records a crash under a run that was a suspect.
