Crashes: a start that another worker refused did not crash its worker

Callers would see: a sound job shown as failed after two starts that reached a replaced worker. Found by the review.

Cause: on the answer that another worker is there, the crash was recorded before the refusal, so the refused run counted as just started. Change: the refusal comes first, unless an earlier sending of the order had no answer, as that one may have begun the run.

The test drives the scheduler in the daemon's order of calls; it failed in the old order and has the new one now. No test covers the daemon's own order.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -66,10 +66,17 @@
             Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
             Err(fault @ (WorkerFault::Replaced | WorkerFault::Refused(_))) => {
                 log::warn!("worker {} refused {}: {fault}", api.id(), order.task);
-                if fault == WorkerFault::Replaced {
-                    owned.decide(|scheduler, now| scheduler.on_replaced(key, now));
-                }
-                owned.decide(|scheduler, now| scheduler.on_start_refused(key, task, run, now));
+                let replaced = fault == WorkerFault::Replaced;
+                owned.decide(|scheduler, now| {
+                    // An earlier sending of the order may have begun the run.
+                    if replaced && unresolved {
+                        scheduler.on_replaced(key, now);
+                    }
+                    scheduler.on_start_refused(key, task, run, now);
+                    if replaced {
+                        scheduler.on_replaced(key, now);
+                    }
+                });
                 return owned.wake();
             }
             Err(WorkerFault::ConnectFailed(_) | WorkerFault::ConnectionRefused(_))
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -723,9 +723,9 @@
     };
     let now = at(100);
     shard.scheduler.start_order(worker, task, run, now).unwrap();
-    // As daemon::worker::send_start does on 421 to the first call.
-    shard.scheduler.on_replaced(worker, now);
+    // As daemon::worker::send_start does if the first sending is refused.
     shard.scheduler.on_start_refused(worker, task, run, now);
+    shard.scheduler.on_replaced(worker, now);
     assert_eq!(suspects(&mut shard), [""; 0]);
 }
 
