Trials: a gang starts without one, as its reservations starved others and itself

Callers would see: a sound job that does not start for a minute on idle workers, beside a gang that is a suspect and fits nowhere; or a suspect best-effort gang that never starts on a busy pool.

Cause: each member reserved its worker on its own, and the reservations of a gang that did not fit as a whole stayed for the pass and were made again in the next. Change: a gang needs no trial. Its members share a run number, so it is still the sole suspect where no other run has just started, and is given up after three crashes in any case: a_gang_that_crashes_its_workers_is_given_up passes as before. This also takes the walk over all members out of each pass. Ruled out: one reservation for the whole gang, which would keep several workers idle for it.

--- a/src/schedule/gang.rs
+++ b/src/schedule/gang.rs
@@ -99,10 +99,7 @@
         for member in members {
             let task = &self.ledger.tasks[*member];
             let workflow = &self.ledger.workflows[task.workflow];
-            let chosen = self.choose(workflow, task, candidates, tolerance, now);
-            let placement =
-                chosen.filter(|placement| self.begin_trial(*member, placement.worker, now));
-            let Some(placement) = placement else {
+            let Some(placement) = self.choose(workflow, task, candidates, tolerance, now) else {
                 self.undo_assignments(&placed, now);
                 return false;
             };
--- a/src/schedule/trial.rs
+++ b/src/schedule/trial.rs
@@ -24,7 +24,6 @@
 #[derive(Debug, Clone, Copy)]
 struct Trial {
     task: TaskName,
-    gang: bool,
     reserved: Moment,
     begun: bool,
 }
@@ -55,42 +54,47 @@
     /// Finds out on which workers a task may start as far as trials are concerned.
     pub(super) fn trial_rule(&self, workflow: &ActiveWorkflow, task: &Task) -> TrialRule {
         let trials = &self.trials.by_worker;
-        if !task.crashes.is_suspect() {
+        if !task.crashes.is_suspect() || workflow.step(task.name).gang {
             return TrialRule::NoTrial;
         }
-        let own = trials.iter().find(|(_, trial)| trial.shares(task.name));
-        if let Some((key, trial)) = own {
-            // The members of a gang need several workers, so none is theirs alone.
-            return if trial.gang {
-                TrialRule::Trial
-            } else {
-                TrialRule::Reserved(*key)
-            };
+        let own = trials.iter().find(|(_, trial)| trial.task == task.name);
+        if let Some((key, _)) = own {
+            return TrialRule::Reserved(*key);
         }
-        let pool = &workflow.queue.pool;
-        let in_pool = |worker: &&Worker| worker.registration.pool == *pool;
-        let limit = self.workers.values().filter(in_pool).count() / TRIAL_DIVISOR;
-        let trial_workers = trials.keys().filter_map(|key| self.workers.get(*key));
-        let tried = trial_workers.filter(in_pool).count();
         let survivors = self.trials.survivors.contains(&workflow.id);
         let blocks = |trial: &Trial| trial.task.workflow == workflow.id;
-        if tried >= limit.max(1) || (!survivors && trials.values().any(blocks)) {
+        if !survivors && trials.values().any(blocks) {
             return TrialRule::NotYet;
         }
-        TrialRule::Trial
+        if self.has_free_trial(&workflow.queue.pool) {
+            TrialRule::Trial
+        } else {
+            TrialRule::NotYet
+        }
+    }
+
+    /// Whether a pool may have one more trial at a time.
+    fn has_free_trial(&self, pool: &str) -> bool {
+        let in_pool = |worker: &&Worker| worker.registration.pool == pool;
+        let limit = self.workers.values().filter(in_pool).count() / TRIAL_DIVISOR;
+        let trials = self.trials.by_worker.keys();
+        let tried = trials.filter_map(|key| self.workers.get(*key));
+        tried.filter(in_pool).count() < limit.max(1)
     }
 
-    /// Whether a task, or a member of its gang, needs a trial.
+    /// Whether a task needs a trial. A gang needs none: its members share a run number, and
+    /// several workers at once would have to be reserved for it.
     pub(super) fn needs_trial(&self, key: TaskKey) -> bool {
-        let is_suspect = |key: &TaskKey| self.ledger.tasks[*key].crashes.is_suspect();
-        is_suspect(&key) || (self.is_gang(key) && self.members(key).iter().any(is_suspect))
+        let task = &self.ledger.tasks[key];
+        let workflow = &self.ledger.workflows[task.workflow];
+        self.trial_rule(workflow, task) != TrialRule::NoTrial
     }
 
     /// Whether a rule allows a start on a worker.
     pub(super) fn allows(&self, rule: TrialRule, key: WorkerKey, task: TaskName) -> bool {
         let trial = self.trials.by_worker.get(&key);
         match rule {
-            TrialRule::NoTrial | TrialRule::Trial => trial.is_none_or(|trial| trial.shares(task)),
+            TrialRule::NoTrial | TrialRule::Trial => trial.is_none_or(|trial| trial.task == task),
             TrialRule::Reserved(reserved) => reserved == key,
             TrialRule::NotYet => false,
         }
@@ -109,13 +113,11 @@
     /// Begins the trial of a task on a worker if it needs one. Returns false if it has
     /// to wait: the worker is then reserved until its other runs have survived.
     pub(super) fn begin_trial(&mut self, key: TaskKey, worker: WorkerKey, now: Moment) -> bool {
-        let task = &self.ledger.tasks[key];
-        if !task.crashes.is_suspect() {
+        if !self.needs_trial(key) {
             return true;
         }
         let reservation = Trial {
-            task: task.name,
-            gang: self.is_gang(key),
+            task: self.ledger.tasks[key].name,
             reserved: now,
             begun: false,
         };
@@ -126,12 +128,12 @@
         trial.begun
     }
 
-    /// Whether all runs on a worker have survived, but for those that share the trial.
+    /// Whether all other runs on a worker have survived.
     fn is_quiet(&self, worker: WorkerKey, trial: &Trial) -> bool {
         let tasks = self.workers[worker].tasks.values();
         let mut others = tasks
             .map(|task| &self.ledger.tasks[*task])
-            .filter(|task| !trial.shares(task.name));
+            .filter(|task| task.name != trial.task);
         others.all(|task| task.survived >= SURVIVAL_TIME)
     }
 
@@ -163,14 +165,3 @@
         self.trials.survivors.remove(&workflow);
     }
 }
-
-impl Trial {
-    /// Whether a task is the one on trial, or a member of its gang.
-    fn shares(&self, task: TaskName) -> bool {
-        let same_gang = TaskName {
-            index: task.index,
-            ..self.task
-        };
-        self.task == task || (self.gang && same_gang == task)
-    }
-}
