Trials: a suspect does not queue for its trial without end

Callers would see: after several workers crash at once, long-running tasks that had just started there wait up to 11.75 s for a trial (48 tasks, 8 workers; 6 s are allowed).

Cause: a quarter of a pool's workers may have a trial at a time, and the queue for them had no bound. Change: a suspect that has waited for 3 s only because of that limit starts without a trial.

--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -199,7 +199,7 @@
         let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
         let image = self.images.find(&step.image);
         let risk = tolerance.risk;
-        let trial = self.trial_rule(workflow, task);
+        let trial = self.trial_rule(workflow, task, now);
         let mut open: Vec<(WorkerKey, &Worker)> = self
             .workers
             .iter()
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -348,7 +348,7 @@
                 self.is_gated(key)
             };
             // What holds back other tasks says nothing of the worker of a trial.
-            let needs_trial = self.needs_trial(key);
+            let needs_trial = self.needs_trial(key, now);
             let tolerance = self.tolerance(workflow, task, now);
             let covered = !needs_trial && failures.covers(&workflow.queue.pool, step, tolerance);
             if gated || later_member || covered {
--- a/src/schedule/trial.rs
+++ b/src/schedule/trial.rs
@@ -15,6 +15,8 @@
 /// The longest trial. A task that crashes its workers later is given up once it has
 /// been a suspect of several crashes.
 const MAX_TRIAL: Duration = Duration::from_secs(10);
+/// How long a task waits until its pool may have another trial; then it starts without one.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(3);
 /// How long a worker is reserved for a trial that does not begin.
 const MAX_RESERVATION: Duration = Duration::from_secs(4);
 /// One in this many workers of a pool may have a trial at a time.
@@ -52,7 +54,12 @@
 
 impl Scheduler {
     /// Finds out on which workers a task may start as far as trials are concerned.
-    pub(super) fn trial_rule(&self, workflow: &ActiveWorkflow, task: &Task) -> TrialRule {
+    pub(super) fn trial_rule(
+        &self,
+        workflow: &ActiveWorkflow,
+        task: &Task,
+        now: Moment,
+    ) -> TrialRule {
         let trials = &self.trials.by_worker;
         if !task.crashes.is_suspect() || workflow.step(task.name).gang {
             return TrialRule::NoTrial;
@@ -68,8 +75,10 @@
         }
         if self.has_free_trial(&workflow.queue.pool) {
             TrialRule::Trial
-        } else {
+        } else if now - task.ready < MAX_TRIAL_WAIT {
             TrialRule::NotYet
+        } else {
+            TrialRule::NoTrial
         }
     }
 
@@ -84,10 +93,10 @@
 
     /// Whether a task needs a trial. A gang needs none: its members share a run number, and
     /// several workers at once would have to be reserved for it.
-    pub(super) fn needs_trial(&self, key: TaskKey) -> bool {
+    pub(super) fn needs_trial(&self, key: TaskKey, now: Moment) -> bool {
         let task = &self.ledger.tasks[key];
         let workflow = &self.ledger.workflows[task.workflow];
-        self.trial_rule(workflow, task) != TrialRule::NoTrial
+        self.trial_rule(workflow, task, now) != TrialRule::NoTrial
     }
 
     /// Whether a rule allows a start on a worker.
@@ -113,7 +122,7 @@
     /// Begins the trial of a task on a worker if it needs one. Returns false if it has
     /// to wait: the worker is then reserved until its other runs have survived.
     pub(super) fn begin_trial(&mut self, key: TaskKey, worker: WorkerKey, now: Moment) -> bool {
-        if !self.needs_trial(key) {
+        if !self.needs_trial(key, now) {
             return true;
         }
         let reservation = Trial {
