Slow runs: the slow tasks of a worker keep to their share of it

Callers would see: serving tasks over their targets, as slow tasks gather on one worker. Cause: each slow task got a tenth of full speed at least, and workers with the same speed were ranked by nothing that changes within a pass.

Change: the share of 4 percent is divided among all slow tasks of a worker, anew with each evaluated report, and the worker with the smallest sum of them goes first.

--- a/src/schedule/slow.rs
+++ b/src/schedule/slow.rs
@@ -1,7 +1,6 @@
 //! Slow runs: a best-effort task of which the whole job starves runs at a low speed where
 //! it would interfere with serving tasks at full speed.
 
-use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -9,7 +8,7 @@
 use super::place::{Placement, count_of_step, has_label, has_memory, idle};
 use crate::fleet::{Worker, WorkerKey};
 use crate::moment::Moment;
-use crate::workflow::{ActiveWorkflow, FULL_SPEED, Step, Task, TaskName};
+use crate::workflow::{ActiveWorkflow, FULL_SPEED, Step, Task, TaskKey, TaskName};
 
 /// The waiting time after which a best-effort task accepts to run slowly where it probably
 /// interferes, if no task of its job runs and most of its pool is idle.
@@ -23,15 +22,17 @@
 /// uses so little hardly interferes.
 const SLOW_SHARE: f64 = 0.04;
 /// The lower limit on the speed of a slow task, in percent of full speed.
-const MIN_SLOW_SPEED: u8 = 10;
+const MIN_SLOW_SPEED: u8 = 1;
+/// The speed, in percent, at which a slow task must find idle processors.
+const REQUIRED_SLOW_SPEED: u8 = 10;
 /// The upper limit on the speed of a slow task, in percent of full speed.
 const MAX_SLOW_SPEED: u8 = 90;
 /// How long slow tasks prefer other workers after a tail on a worker was over its target.
 const OVER_TARGET_DELAY: Duration = Duration::from_secs(3);
 
 impl Scheduler {
-    /// Chooses the worker for a task that runs slowly: the one on which it is fastest within
-    /// the share of such tasks, preferably without a recent tail over its target.
+    /// Chooses the worker for a task that runs slowly: the one on which it is fastest,
+    /// preferably without a recent tail over its target.
     pub(super) fn choose_slow<'a>(
         &self,
         workers: impl Iterator<Item = &'a (WorkerKey, &'a Worker)>,
@@ -41,26 +42,46 @@
     ) -> Option<Placement> {
         let fitting = workers.filter(|(_, worker)| fits_slowly(worker, step, name));
         let ranked = fitting.map(|(key, worker)| {
-            let speed = slow_speed(worker, self.slow_cpu(worker), step);
+            let need = self.slow_need(worker) + u64::from(step.need.millicores);
+            let whole = u64::from(worker.registration.capacity.millicores.max(1));
             let strained = was_over_target(worker, now);
-            (strained, Reverse(speed), worker.worst_tail, *key)
+            (strained, need * 1000 / whole, worker.worst_tail, need, *key)
         });
-        ranked.min().map(|row| Placement {
-            worker: row.3,
-            speed: row.1.0,
-        })
+        let (_, _, _, need, worker) = ranked.min()?;
+        let speed = slow_speed(&self.workers[worker], need);
+        Some(Placement { worker, speed })
     }
 
-    /// The processors, in millicores, that slow tasks may use on a worker.
-    fn slow_cpu(&self, worker: &Worker) -> u32 {
+    /// The processors, in millicores, that the slow tasks of a worker would use at full
+    /// speed.
+    fn slow_need(&self, worker: &Worker) -> u64 {
         let tasks = worker.tasks.values();
-        let slow = tasks.filter(|key| self.ledger.tasks[**key].allowed_speed < FULL_SPEED);
-        slow.map(|key| {
-            self.step_of(*key)
-                .need
-                .at_speed(self.ledger.tasks[*key].allowed_speed)
-        })
-        .sum()
+        let slow = tasks.filter(|key| self.is_slow(**key));
+        slow.map(|key| u64::from(self.step_of(*key).need.millicores))
+            .sum()
+    }
+
+    /// Whether the speed of a task's run is limited because it would interfere.
+    pub(super) fn is_slow(&self, key: TaskKey) -> bool {
+        self.ledger.tasks[key].allowed_speed < FULL_SPEED
+    }
+
+    /// Divides the share of the slow tasks on a worker among them.
+    pub(super) fn divide_slow_share(&mut self, worker: WorkerKey) {
+        let speed = slow_speed(&self.workers[worker], self.slow_need(&self.workers[worker]));
+        let tasks: Vec<TaskKey> = self.workers[worker].tasks.values().copied().collect();
+        for task in tasks {
+            if self.is_slow(task) {
+                self.allow_speed(task, worker, speed);
+            }
+        }
+    }
+
+    /// Changes the highest speed of a task's run, and what it counts as using.
+    pub(super) fn allow_speed(&mut self, task: TaskKey, worker: WorkerKey, speed: u8) {
+        self.unassign(task);
+        self.ledger.tasks[task].allowed_speed = speed;
+        self.add_usage(task, worker);
     }
 
     /// Whether a best-effort task has waited for long and no task of its job runs,
@@ -112,15 +133,13 @@
             .is_none_or(|limit| count_of_step(worker, name) < limit as usize)
         && worker.free().accelerators >= step.need.accelerators
         && has_memory(worker, step)
-        && idle(worker) >= i64::from(step.need.at_speed(MIN_SLOW_SPEED))
+        && idle(worker) >= i64::from(step.need.at_speed(REQUIRED_SLOW_SPEED))
 }
 
-/// The speed, in percent, of a further slow task on a worker whose slow tasks may use
-/// `used` millicores.
-fn slow_speed(worker: &Worker, used: u32, step: &Step) -> u8 {
+/// The speed, in percent, of the slow tasks on a worker that would use `need` millicores
+/// at full speed.
+fn slow_speed(worker: &Worker, need: u64) -> u8 {
     let whole = f64::from(worker.registration.capacity.millicores);
-    let left = (whole * SLOW_SHARE) as u32;
-    let left = u64::from(left.saturating_sub(used)) * 100;
-    let speed = left / u64::from(step.need.millicores.max(1));
+    let speed = (whole * SLOW_SHARE) as u64 * 100 / need.max(1);
     speed.clamp(u64::from(MIN_SLOW_SPEED), u64::from(MAX_SLOW_SPEED)) as u8
 }
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -9,6 +9,7 @@
 mod overload;
 mod placing;
 mod slow;
+mod slow_share;
 mod takeover;
 mod workers;
 
--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -98,6 +98,7 @@
         if !alarm && now - self.workers[key].throttled_at < THROTTLE_DELAY {
             return;
         }
+        self.divide_slow_share(key);
         let running = rows.iter().filter(|row| {
             let stage = self.ledger.tasks[row.task].stage;
             row.step.best_effort && stage == Stage::Running(key)
