--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -99,6 +99,8 @@
     pub(super) recently_ended: HashMap<WorkflowId, Moment>,
     /// The jobs for which the log already says why they wait.
     logged_waits: HashSet<WorkflowKey>,
+    /// When the newest job of each pool was accepted.
+    pub(super) newest_jobs: HashMap<String, Moment>,
     /// The pools with more than half of their processors idle.
     pub(super) idle_pools: HashSet<String>,
     /// The tasks that workers closed by a former owner may still be running.
@@ -137,6 +139,7 @@
             recurring: BTreeSet::new(),
             recently_ended: HashMap::new(),
             logged_waits: HashSet::new(),
+            newest_jobs: HashMap::new(),
             idle_pools: HashSet::new(),
             closed_workers: HashMap::new(),
             writes: Writes::default(),
@@ -171,6 +174,11 @@
         let (id, queue, revision) = (workflow.id, workflow.queue.name.clone(), workflow.revision);
         let work = workflow.spec.work();
         self.queue_settings.apply(&mut workflow);
+        let newest = self
+            .newest_jobs
+            .entry(workflow.queue.pool.clone())
+            .or_default();
+        *newest = workflow.accepted.max(*newest);
         let inherited = self.is_inherited(revision);
         let recurring = workflow.spec.recurrence.is_some();
         let key = self.ledger.add(workflow);
--- a/src/schedule/slow.rs
+++ b/src/schedule/slow.rs
@@ -13,11 +13,12 @@
 /// The waiting time after which a best-effort task accepts to run slowly where it probably
 /// interferes, if no task of its job runs and most of its pool is idle.
 const STUCK_DELAY: Duration = Duration::from_millis(2000);
-/// The same for the tasks of a job that is overdue or was accepted long ago, also in a busy
-/// pool.
+/// The same for the tasks of a job that is overdue or whose pool gets no new jobs, also if
+/// the pool is busy.
 const STARVED_DELAY: Duration = Duration::from_millis(1500);
-/// The time since its acceptance after which a job counts as accepted long ago.
-const MAX_JOB_DELAY: Duration = Duration::from_secs(20);
+/// The time without a new job after which a pool's processors need not be kept for jobs
+/// that may still end in time.
+const DEMAND_TIMEOUT: Duration = Duration::from_secs(3);
 /// The share of a worker's processors that its slow tasks use. A best-effort task that
 /// uses so little hardly interferes.
 const SLOW_SHARE: f64 = 0.04;
@@ -85,7 +86,7 @@
     }
 
     /// Whether a best-effort task has waited for long and no task of its job runs,
-    /// although most of its pool is idle or its job has already waited too long.
+    /// although most of its pool is idle, its job is overdue or no new job comes.
     pub(super) fn is_stuck(&self, workflow: &ActiveWorkflow, task: &Task, now: Moment) -> bool {
         let waited = now - task.ready;
         if !workflow.step(task.name).best_effort || waited < STARVED_DELAY {
@@ -95,7 +96,15 @@
             return false;
         }
         let idle_pool = || self.idle_pools.contains(&workflow.queue.pool);
-        (waited >= STUCK_DELAY && idle_pool()) || is_starved(workflow, now)
+        let is_overdue = || workflow.overdue().is_some_and(|overdue| overdue <= now);
+        let is_quiet = || !self.has_demand(&workflow.queue.pool, now);
+        (waited >= STUCK_DELAY && idle_pool()) || is_quiet() || is_overdue()
+    }
+
+    /// Whether a job of the pool was accepted recently.
+    fn has_demand(&self, pool: &str, now: Moment) -> bool {
+        let newest = self.newest_jobs.get(pool);
+        newest.is_some_and(|accepted| now - *accepted < DEMAND_TIMEOUT)
     }
 
     /// Finds the pools whose open workers have more than half of their processors
@@ -111,13 +120,6 @@
     }
 }
 
-/// Whether a job has waited for so long that even a slow run serves its caller better
-/// than none.
-fn is_starved(workflow: &ActiveWorkflow, now: Moment) -> bool {
-    let is_overdue = || workflow.overdue().is_some_and(|overdue| overdue <= now);
-    now - workflow.accepted >= MAX_JOB_DELAY || is_overdue()
-}
-
 /// Whether a tail on the worker was over its target recently.
 pub(super) fn was_over_target(worker: &Worker, now: Moment) -> bool {
     worker
--- a/src/schedule/tests/slow.rs
+++ b/src/schedule/tests/slow.rs
@@ -28,12 +28,19 @@
         Self { shard, running }
     }
 
-    /// Reports the runs and plans every 250 ms until `millis`. Returns the runs that were
+    /// Reports the runs and plans every 250 ms until `millis`, and submits a job that fits
+    /// no worker each second, as a sign that new jobs come. Returns the runs that were
     /// started, each with the time of its start.
     fn run_until(&mut self, millis: u64) -> Vec<(u64, TaskName)> {
         let mut started = Vec::new();
         while self.shard.now < millis {
             self.shard.now += 250;
+            if self.shard.now.is_multiple_of(1_000) {
+                let id = 100 + self.shard.now;
+                let new = active_workflow(id, vec![step(1, 9)], id, 0);
+                let accepted = at(self.shard.now);
+                self.shard.submit(ActiveWorkflow { accepted, ..new });
+            }
             let rows = self.running.iter();
             let rows = rows.map(|(task, run, measurement)| live(*task, *run, *measurement));
             self.shard.report_with(0, 1, rows.collect(), &[]);
