Slow runs: their low tails are no evidence against interference

Callers would see: slow tasks that are stopped and started at full speed again and again. Found by the review: beside a slow task 9 low, 10 usual and 1 high tails take the log odds of a pair from 4.7 to -1.7, although so small a share says nothing of full speed; then each slow run seems to have a harmless worker.

Change: slow runs are left out of the evidence, for and against; a serving task counts as alone only without any best-effort run beside it, as before.

--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -52,6 +52,7 @@
         self.workers[key].evaluated_at = now;
         let reported = self.reported_tasks(report);
         let neighbours = self.neighbours(key, &reported);
+        let alone = !reported.iter().any(|row| row.step.best_effort);
         let mut over_target = Vec::new();
         let mut worst_tail = 0;
         for row in &reported {
@@ -60,7 +61,7 @@
             };
             worst_tail = worst_tail.max(percent);
             let baseline = self.baselines.entry(row.image).or_default();
-            if neighbours.is_empty() {
+            if alone {
                 baseline.learn(percent);
             }
             let tail = baseline.classify(percent);
@@ -184,11 +185,13 @@
     }
 
     /// The best-effort images that a worker reports, each with its share of the
-    /// worker's processors.
+    /// worker's processors. Slow runs are left out: they use too little to say how the
+    /// image behaves at full speed.
     fn neighbours(&self, key: WorkerKey, reported: &[ReportedTask<'_>]) -> Vec<Neighbour> {
         let whole = f64::from(self.workers[key].registration.capacity.millicores.max(1));
         let mut used: BTreeMap<ImageKey, u32> = BTreeMap::new();
-        for row in reported.iter().filter(|row| row.step.best_effort) {
+        let full_speed = |row: &&ReportedTask<'_>| row.step.best_effort && !self.is_slow(row.task);
+        for row in reported.iter().filter(full_speed) {
             *used.entry(row.image).or_default() += row.run.measurement;
         }
         let shares = used.into_iter().map(|(image, millicores)| Neighbour {
