Slow runs: they leave their low speed in order

Callers would see: all slow tasks of a worker stopped for room that holds one of them, a slow gang stopped for room that holds one member, and slow tasks without checkpoints that stay slow after the serving task has gone.

Cause: a move asked whether another worker has room, and reserved nothing; there was no way back to full speed on the same worker. Change: a slow task that no longer interferes speeds up where it is, if its worker has the processors; else one slow task moves at a time, never one of a gang, and only to another worker.

--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Capacity, Worker, WorkerKey};
 use crate::interference::ImageKey;
 use crate::moment::Moment;
-use crate::workflow::{ActiveWorkflow, FULL_SPEED, Step, Task, TaskName};
+use crate::workflow::{ActiveWorkflow, FULL_SPEED, Step, Task, TaskKey, TaskName};
 
 use super::slow::was_over_target;
 use super::{Scheduler, WaitReason, WorkerCounts};
@@ -329,6 +329,12 @@
         }
     }
 
+    /// Whether a task probably interferes with an image that a worker serves.
+    pub(super) fn would_interfere_on(&self, key: TaskKey, worker: WorkerKey) -> bool {
+        let image = self.images.find(&self.step_of(key).image);
+        self.would_interfere(&self.workers[worker], image, ACCEPTED_LOG_ODDS)
+    }
+
     /// Whether a best-effort image probably interferes with an image that a worker
     /// serves. `risk` is the highest log odds that are still accepted.
     fn would_interfere(&self, worker: &Worker, image: Option<ImageKey>, risk: f64) -> bool {
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -99,6 +99,8 @@
     pub(super) recently_ended: HashMap<WorkflowId, Moment>,
     /// The jobs for which the log already says why they wait.
     logged_waits: HashSet<WorkflowKey>,
+    /// When a slow task was last stopped to move.
+    pub(super) moved_at: Moment,
     /// When the newest job of each pool was accepted.
     pub(super) newest_jobs: HashMap<String, Moment>,
     /// The pools with more than half of their processors idle.
@@ -139,6 +141,7 @@
             recurring: BTreeSet::new(),
             recently_ended: HashMap::new(),
             logged_waits: HashSet::new(),
+            moved_at: Moment::default(),
             newest_jobs: HashMap::new(),
             idle_pools: HashSet::new(),
             closed_workers: HashMap::new(),
--- a/src/schedule/slow.rs
+++ b/src/schedule/slow.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use super::place::{Placement, count_of_step, has_label, has_memory, idle};
+use super::place::{Placement, Tolerance, count_of_step, has_label, has_memory, idle};
 use crate::fleet::{Worker, WorkerKey};
 use crate::moment::Moment;
 use crate::workflow::{ActiveWorkflow, FULL_SPEED, Step, Task, TaskKey, TaskName};
@@ -28,6 +28,8 @@
 const REQUIRED_SLOW_SPEED: u8 = 10;
 /// The upper limit on the speed of a slow task, in percent of full speed.
 const MAX_SLOW_SPEED: u8 = 90;
+/// The shortest time between two moves of slow tasks.
+const MOVE_INTERVAL: Duration = Duration::from_millis(500);
 /// How long slow tasks prefer other workers after a tail on a worker was over its target.
 const OVER_TARGET_DELAY: Duration = Duration::from_secs(3);
 
@@ -78,6 +80,26 @@
         }
     }
 
+    /// Whether a slow task no longer interferes on its worker, which has the processors for
+    /// it at full speed.
+    pub(super) fn can_speed_up(&self, key: TaskKey, worker: WorkerKey) -> bool {
+        let need = self.step_of(key).need;
+        let used = need.at_speed(self.ledger.tasks[key].allowed_speed);
+        let left = i64::from(need.millicores) - i64::from(used);
+        !self.would_interfere_on(key, worker) && idle(&self.workers[worker]) >= left
+    }
+
+    /// Whether a slow task may be stopped to continue at full speed on another worker.
+    /// Only one is at a time, as all would see the same free processors.
+    pub(super) fn can_move(&self, key: TaskKey, worker: WorkerKey, now: Moment) -> bool {
+        let waits = now - self.moved_at < MOVE_INTERVAL;
+        if waits || self.is_gang(key) {
+            return false;
+        }
+        let placement = self.choose_for(key, Tolerance::NONE, now);
+        placement.is_some_and(|placement| placement.worker != worker)
+    }
+
     /// Changes the highest speed of a task's run, and what it counts as using.
     pub(super) fn allow_speed(&mut self, task: TaskKey, worker: WorkerKey, speed: u8) {
         self.unassign(task);
--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::place::Tolerance;
 use super::{Event, Order, Scheduler};
 use crate::fleet::{LiveRun, StopOrder, WorkerKey, WorkerReport};
 use crate::interference::{ImageKey, Neighbour, Observation, Tail};
@@ -38,6 +37,8 @@
     Keep,
     /// It goes on at this speed, in percent of full speed.
     Speed(u8),
+    /// It need not be slow any more.
+    FullSpeed,
     /// It is stopped for this reason, to continue elsewhere.
     Stop(&'static str),
 }
@@ -104,15 +105,23 @@
             let stage = self.ledger.tasks[row.task].stage;
             row.step.best_effort && stage == Stage::Running(key)
         });
-        let adjustments: Vec<(TaskKey, Adjustment)> = running
-            .map(|row| (row.task, self.adjustment(row, over_target, alarm, now)))
-            .collect();
+        let rows: Vec<&ReportedTask<'_>> = running.collect();
         let mut changed = false;
-        for (task, adjustment) in adjustments {
-            match adjustment {
+        for row in rows {
+            let task = row.task;
+            match self.adjustment(key, row, over_target, alarm, now) {
                 Adjustment::Keep => continue,
                 Adjustment::Speed(speed) => self.throttle(task, key, speed),
-                Adjustment::Stop(reason) => self.stop(task, reason, now),
+                Adjustment::FullSpeed => {
+                    self.allow_speed(task, key, FULL_SPEED);
+                    self.throttle(task, key, FULL_SPEED);
+                }
+                Adjustment::Stop(reason) => {
+                    if self.is_slow(task) {
+                        self.moved_at = now;
+                    }
+                    self.stop(task, reason, now);
+                }
             }
             changed = true;
         }
@@ -130,6 +139,7 @@
     /// Decides what is done with a best-effort run after a report.
     fn adjustment(
         &self,
+        worker: WorkerKey,
         row: &ReportedTask<'_>,
         over_target: &[ImageKey],
         alarm: bool,
@@ -139,8 +149,10 @@
         let is_slow = task.allowed_speed < FULL_SPEED;
         let interferes_with = |serving: &ImageKey| self.pairs.is_harmful(*serving, row.image);
         let interferes = over_target.iter().any(interferes_with);
-        let can_move = || self.choose_for(row.task, Tolerance::NONE, now).is_some();
-        if row.step.checkpoints && is_slow && can_move() {
+        if is_slow && self.can_speed_up(row.task, worker) {
+            return Adjustment::FullSpeed;
+        }
+        if is_slow && row.step.checkpoints && self.can_move(row.task, worker, now) {
             return Adjustment::Stop("another worker can run it at full speed");
         }
         if row.step.checkpoints && !is_slow && interferes {
