Takeover: an adopted best-effort run is brought back to full speed

Callers would see: a best-effort task that goes on at a tenth of its speed, or paused, for the rest of its run after a takeover, while it counts as running at full speed. The gap is older than slow runs: throttled runs had it too.

Cause: the speed of a run is not stored, and the new owner took it for full.

--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -8,7 +8,7 @@
     Availability, Clock, EndedRun, LiveRun, RunOutcome, StopOrder, WorkerKey, WorkerReport,
 };
 use crate::moment::Moment;
-use crate::workflow::{JobTransition, Stage, Task, TaskKey, TaskName, WorkflowKey};
+use crate::workflow::{FULL_SPEED, JobTransition, Stage, Task, TaskKey, TaskName, WorkflowKey};
 
 /// The largest number of ends in one report; a report with that many may be
 /// incomplete.
@@ -414,8 +414,13 @@
 
     fn adopt(&mut self, key: WorkerKey, task: TaskKey, run: &LiveRun, now: Moment) {
         self.ledger.tasks[task].run = run.run;
+        self.ledger.tasks[task].allowed_speed = FULL_SPEED;
         self.ledger.set_stage(task, Stage::Running(key), now);
         self.add_usage(task, key);
+        // The former owner may have throttled the run; its speed is not stored.
+        if self.step_of(task).best_effort {
+            self.throttle(task, key, FULL_SPEED);
+        }
         let workflow = self.ledger.tasks[task].workflow;
         self.mark_started(workflow);
         let worker = self.worker_name(key);
