--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -16,6 +16,9 @@
 const ALARM_DELAY: Duration = Duration::from_millis(1200);
 /// The time span that a report covers; one report in each span is evaluated.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval at which the speed of a run that uses no processors is ordered again, as an
+/// earlier order to pause it may have been carried out late.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(3);
 /// The lowest speed of a best-effort task, in percent; below it the task is
 /// paused.
 const MIN_SPEED: u8 = 25;
@@ -163,7 +166,9 @@
         } else {
             next_speed(task.speed, interferes).min(task.allowed_speed)
         };
-        if next == task.speed {
+        let stays_paused = next > 0 && row.run.measurement == 0;
+        let repeats = stays_paused && now - self.workers[worker].throttled_at >= REPEAT_INTERVAL;
+        if next == task.speed && !repeats {
             Adjustment::Keep
         } else {
             Adjustment::Speed(next)
