Schedule: choosing a worker read again as a newcomer

choose() has the search for open workers in a function of its own; two constants of slow runs say which pool they are for; comments in plain terms. Decisions are meant to be the same; no test was changed.

--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -196,22 +196,11 @@
         now: Moment,
     ) -> Option<Placement> {
         let (step, name) = (workflow.step(task.name), task.name);
-        let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
         let image = self.images.find(&step.image);
         let risk = tolerance.risk;
         let trial = self.trial_rule(workflow, task, now);
-        let mut open: Vec<(WorkerKey, &Worker)> = self
-            .workers
-            .iter()
-            .filter(|(key, worker)| {
-                worker.registration.pool == workflow.queue.pool
-                    && worker.accepts_tasks(now)
-                    && self.allows(trial, *key, name)
-                    && candidates.contains(worker)
-                    && has_label(worker, step)
-                    && (!waits_for_rack || is_on_data_rack(worker, step))
-            })
-            .collect();
+        let mut open = self.open_workers(workflow, task, candidates, now);
+        open.retain(|(key, _)| self.allows(trial, *key, name));
         if !tolerance.quarantine || !is_mostly_quarantined(&open, now) {
             open.retain(|(_, worker)| worker.is_open(now));
         }
@@ -234,6 +223,27 @@
         self.choose_slow(open.iter(), step, name, now)
     }
 
+    /// The workers that accept new tasks and may run the task as far as its pool, its label,
+    /// the rack of its data and the candidates are concerned, in quarantine or not.
+    fn open_workers(
+        &self,
+        workflow: &ActiveWorkflow,
+        task: &Task,
+        candidates: &Candidates,
+        now: Moment,
+    ) -> Vec<(WorkerKey, &Worker)> {
+        let step = workflow.step(task.name);
+        let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
+        let open = self.workers.iter().filter(|(_, worker)| {
+            worker.registration.pool == workflow.queue.pool
+                && worker.accepts_tasks(now)
+                && candidates.contains(worker)
+                && has_label(worker, step)
+                && (!waits_for_rack || is_on_data_rack(worker, step))
+        });
+        open.collect()
+    }
+
     /// What a waiting task accepts now.
     pub(super) fn tolerance(
         &self,
--- a/src/schedule/slow.rs
+++ b/src/schedule/slow.rs
@@ -1,5 +1,5 @@
-//! Slow runs: a best-effort task of which the whole job starves runs at a low speed where
-//! it would interfere with serving tasks at full speed.
+//! Slow runs: a best-effort task of an idle job runs at a low speed where it would interfere
+//! with serving tasks at full speed.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -10,12 +10,12 @@
 use crate::moment::Moment;
 use crate::workflow::{ActiveWorkflow, FULL_SPEED, Step, Task, TaskKey, TaskName};
 
-/// The waiting time after which a best-effort task accepts to run slowly where it probably
+/// The waiting time after which a best-effort task may run slowly where it probably
 /// interferes, if no task of its job runs and most of its pool is idle.
-const STUCK_DELAY: Duration = Duration::from_millis(2000);
+const IDLE_POOL_DELAY: Duration = Duration::from_millis(2000);
 /// The same for the tasks of a job that is overdue or whose pool gets no new jobs, also if
 /// the pool is busy.
-const STARVED_DELAY: Duration = Duration::from_millis(1500);
+const BUSY_POOL_DELAY: Duration = Duration::from_millis(1500);
 /// The time without a new job after which a pool's processors need not be kept for jobs
 /// that may still end in time.
 const DEMAND_TIMEOUT: Duration = Duration::from_secs(3);
@@ -30,7 +30,7 @@
 const MAX_SLOW_SPEED: u8 = 90;
 /// The shortest time between two moves of slow tasks.
 const MOVE_INTERVAL: Duration = Duration::from_millis(500);
-/// How long slow tasks prefer other workers after a tail on a worker was over its target.
+/// How long slow tasks go to other workers, if possible, after a tail on a worker was over its target.
 const OVER_TARGET_DELAY: Duration = Duration::from_secs(3);
 
 impl Scheduler {
@@ -90,7 +90,7 @@
     }
 
     /// Whether a slow task may be stopped to continue at full speed on another worker.
-    /// Only one is at a time, as all would see the same free processors.
+    /// One moves at a time, as all would see the same free processors.
     pub(super) fn can_move(&self, key: TaskKey, worker: WorkerKey, now: Moment) -> bool {
         let waits = now - self.moved_at < MOVE_INTERVAL;
         if waits || self.is_gang(key) {
@@ -111,7 +111,7 @@
     /// although most of its pool is idle, its job is overdue or no new job comes.
     pub(super) fn is_stuck(&self, workflow: &ActiveWorkflow, task: &Task, now: Moment) -> bool {
         let waited = now - task.ready;
-        if !workflow.step(task.name).best_effort || waited < STARVED_DELAY {
+        if !workflow.step(task.name).best_effort || waited < BUSY_POOL_DELAY {
             return false;
         }
         if !self.ledger.is_idle(task.workflow) {
@@ -120,7 +120,7 @@
         let idle_pool = || self.idle_pools.contains(&workflow.queue.pool);
         let is_overdue = || workflow.overdue().is_some_and(|overdue| overdue <= now);
         let is_quiet = || !self.has_demand(&workflow.queue.pool, now);
-        (waited >= STUCK_DELAY && idle_pool()) || is_quiet() || is_overdue()
+        (waited >= IDLE_POOL_DELAY && idle_pool()) || is_quiet() || is_overdue()
     }
 
     /// Whether a job of the pool was accepted recently.
