--- a/src/daemon/lines.rs
+++ b/src/daemon/lines.rs
@@ -72,13 +72,35 @@
         configuration: u64,
         took_ms: u64,
     },
-    /// An order to a worker failed or was not answered.
+    /// An order to a worker was not answered; it may still be carried out.
     OrderUnanswered {
+        order: OrderKind,
         worker: &'a str,
         task: String,
         run: u64,
         reason: String,
     },
+    /// A worker refused one copy of an order. That says nothing of earlier copies without
+    /// an answer.
+    OrderRefused {
+        order: OrderKind,
+        worker: &'a str,
+        task: String,
+        run: u64,
+        reason: String,
+    },
+}
+
+/// The kind of an order to a worker.
+#[derive(Debug, Clone, Copy, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum OrderKind {
+    /// Starts a run.
+    Start,
+    /// Stops a run.
+    Stop,
+    /// Changes the speed of a run.
+    Throttle,
 }
 
 /// A scheduler event with the shard that it belongs to.
--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -6,9 +6,9 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use super::lines::DaemonLine;
+use super::lines::{DaemonLine, OrderKind};
 use super::term::OwnedShard;
-use crate::fleet::{StopOrder, WorkerKey};
+use crate::fleet::{StartOrder, StopOrder, WorkerKey};
 use crate::journal;
 use crate::latency::Span;
 use crate::moment::Moment;
@@ -40,7 +40,7 @@
             Order::Stop(stop) => send_stop(&owned, key, &api, &stop).await,
             Order::Throttle(order, percent) => {
                 if let Err(fault) = api.throttle(&order, percent).await {
-                    handle_fault(&owned, &api, &order, &fault);
+                    handle_fault(&owned, &api, OrderKind::Throttle, &order, &fault);
                 }
             }
         }
@@ -65,7 +65,7 @@
             }
             Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
             Err(fault @ (WorkerFault::Replaced | WorkerFault::Refused(_))) => {
-                log::warn!("worker {} refused {}: {fault}", api.id(), order.task);
+                log_fault(api, OrderKind::Start, &name_run(&order), &fault);
                 let replaced = fault == WorkerFault::Replaced;
                 owned.decide(|scheduler, now| {
                     // An earlier sending of the order may have begun the run.
@@ -87,12 +87,8 @@
             }
             Err(fault) => {
                 unresolved = true;
-                let order = StopOrder {
-                    task: order.task,
-                    run,
-                    fence: order.fence,
-                };
-                handle_fault(owned, api, &order, &fault);
+                owned.decide(|scheduler, _| scheduler.on_start_unanswered(key, task, run));
+                handle_fault(owned, api, OrderKind::Start, &name_run(&order), &fault);
             }
         }
         sleep(RETRY_DELAY).await;
@@ -104,21 +100,53 @@
         match api.stop(stop).await {
             Ok(()) => return owned.decide(|scheduler, now| scheduler.on_stop(key, stop, now)),
             Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
-            Err(fault) => handle_fault(owned, api, stop, &fault),
+            Err(fault) => handle_fault(owned, api, OrderKind::Stop, stop, &fault),
         }
         sleep(RETRY_DELAY).await;
     }
 }
 
-fn handle_fault(owned: &OwnedShard, api: &WorkerApi, order: &StopOrder, fault: &WorkerFault) {
+/// The run that a start order names.
+fn name_run(order: &StartOrder) -> StopOrder {
+    StopOrder {
+        task: order.task,
+        run: order.run,
+        fence: order.fence,
+    }
+}
+
+fn handle_fault(
+    owned: &OwnedShard,
+    api: &WorkerApi,
+    kind: OrderKind,
+    order: &StopOrder,
+    fault: &WorkerFault,
+) {
     if *fault == WorkerFault::Fenced {
         owned.mark_lost("a worker follows a newer owner");
     }
-    journal::line(&DaemonLine::OrderUnanswered {
-        worker: api.id(),
-        task: order.task.to_string(),
-        run: order.run,
-        reason: fault.to_string(),
+    log_fault(api, kind, order, fault);
+}
+
+fn log_fault(api: &WorkerApi, kind: OrderKind, order: &StopOrder, fault: &WorkerFault) {
+    let (worker, task) = (api.id(), order.task.to_string());
+    let (run, reason) = (order.run, fault.to_string());
+    journal::line(&if fault.is_answer() {
+        DaemonLine::OrderRefused {
+            order: kind,
+            worker,
+            task,
+            run,
+            reason,
+        }
+    } else {
+        DaemonLine::OrderUnanswered {
+            order: kind,
+            worker,
+            task,
+            run,
+            reason,
+        }
     });
 }
 
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -54,6 +54,16 @@
     Refused(String),
 }
 
+impl WorkerFault {
+    /// Whether the worker, or another one at its address, answered the call.
+    pub const fn is_answer(&self) -> bool {
+        match self {
+            Self::Fenced | Self::Replaced | Self::Refused(_) => true,
+            Self::ConnectFailed(_) | Self::ConnectionRefused(_) | Self::Unanswered(_) => false,
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct StartBody<'a> {
     task: String,
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -130,6 +130,8 @@
         worker: String,
         /// What shows that the run does not exist.
         reason: &'static str,
+        /// The number of copies of its start order that got no answer.
+        unanswered: u32,
     },
     /// A worker was ordered to stop a run.
     Stopping {
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -425,6 +425,7 @@
         let Placement { worker, speed } = placement;
         self.ledger.tasks[key].run = run;
         self.ledger.tasks[key].lease_end = None;
+        self.ledger.tasks[key].unanswered_copies = 0;
         self.ledger.tasks[key].survived = Duration::ZERO;
         self.ledger.set_stage(key, Stage::Starting(worker), now);
         self.ledger.tasks[key].speed = FULL_SPEED;
@@ -527,6 +528,7 @@
     pub(super) fn lose(&mut self, key: TaskKey, reason: &'static str, now: Moment) {
         let task = &self.ledger.tasks[key];
         let (workflow, name, run) = (task.workflow, task.name, task.run);
+        let unanswered = task.unanswered_copies;
         let worker = task.stage.worker();
         let worker = worker
             .map(|worker| self.worker_name(worker))
@@ -536,6 +538,7 @@
             run,
             worker,
             reason,
+            unanswered,
         });
         self.unassign(key);
         self.ledger.requeue(key, now);
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -85,6 +85,17 @@
         }
     }
 
+    /// Processes a copy of a start order that got no answer: the worker may still carry
+    /// it out.
+    pub fn on_start_unanswered(&mut self, worker: WorkerKey, key: TaskKey, run: u64) {
+        let Some(task) = self.ledger.tasks.get_mut(key) else {
+            return;
+        };
+        if task.stage == Stage::Starting(worker) && task.run == run {
+            task.unanswered_copies += 1;
+        }
+    }
+
     /// Processes a worker's refusal to start a run; the worker did nothing.
     pub fn on_start_refused(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
         let Some(task) = self.ledger.tasks.get(key) else {
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -107,6 +107,9 @@
     /// The end of the lease in the start order, in milliseconds of the worker's clock;
     /// absent until the order is sent.
     pub lease_end: Option<u64>,
+    /// The number of copies of the current run's start order that got no answer. Each may
+    /// still be carried out.
+    pub unanswered_copies: u32,
     /// The last checkpoint of the task; empty if there is none.
     pub checkpoint: String,
     /// Since when the task has been in its stage.
@@ -320,6 +323,7 @@
                     crashes: CrashRecord::default(),
                     survived: Duration::ZERO,
                     lease_end: None,
+                    unanswered_copies: 0,
                     checkpoint: String::new(),
                     since: now,
                     ready: now,
