--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use crate::fleet::{PollOrder, RUN_LEASE, StartOrder, StartReply, WorkerKey};
+use crate::fleet::{PollOrder, RUN_LEASE, StartOrder, StartReply, StopOrder, WorkerKey};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey};
 
@@ -65,12 +65,10 @@
         run: u64,
         reply: StartReply,
         now: Moment,
-    ) {
-        let Some(task) = self.ledger.tasks.get(key) else {
-            return;
-        };
+    ) -> Option<StopOrder> {
+        let task = self.ledger.tasks.get(key)?;
         if task.stage != Stage::Starting(worker) || task.run != run {
-            return;
+            return None;
         }
         match reply {
             // The next report says whether a superseded run ended, and how.
@@ -83,6 +81,7 @@
                 self.lose(key, "the worker did not start it", now);
             }
         }
+        None
     }
 
     /// Processes a copy of a start order that got no answer: the worker may still carry
@@ -97,16 +96,21 @@
     }
 
     /// Processes a worker's refusal to start a run; the worker did nothing.
-    pub fn on_start_refused(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
-        let Some(task) = self.ledger.tasks.get(key) else {
-            return;
-        };
+    pub fn on_start_refused(
+        &mut self,
+        worker: WorkerKey,
+        key: TaskKey,
+        run: u64,
+        now: Moment,
+    ) -> Option<StopOrder> {
+        let task = self.ledger.tasks.get(key)?;
         if task.stage != Stage::Starting(worker) || task.run != run {
-            return;
+            return None;
         }
         let workflow = task.workflow;
         self.lose(key, "the worker refused it", now);
         self.record_failure(worker, workflow, now);
+        None
     }
 
     /// Processes a start order that never reached its worker.
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod idle_jobs;
 mod interference;
+mod late_orders;
 mod overload;
 mod placing;
 mod slow;
