Starts: a rejected copy of a start order no longer settles the copies without an answer

Cause: an answer to one copy of a start order was read as an answer to all. A refusal, 'no room' or an expired lease took the task and its capacity back although an earlier copy had no answer and could still be carried out; a report that did not list a run was read as proof that it would never begin. Change: a run is taken back at once only if no copy is open. Else a refusal and 'no room' are followed by a stop order, sent before the queued ones; an expired lease waits for the next report. A run that no report lists is gone only after the worker confirmed an order before the poll, or once its clock has passed the lease that all copies carry. Runs that are withdrawn for an ended task are kept by the same rule; so are the members of a gang. Also changed: the reason in run_lost for a start that another worker answered.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -47,8 +47,9 @@
     }
 }
 
+/// Sends copies of a start order until the worker has answered one or the run is
+/// obsolete.
 async fn send_start(owned: &OwnedShard, key: WorkerKey, api: &WorkerApi, task: TaskKey, run: u64) {
-    let mut unresolved = false;
     loop {
         owned.wait_confirmed().await;
         let order = owned.decide(|scheduler, now| scheduler.start_order(key, task, run, now));
@@ -56,45 +57,56 @@
             return;
         };
         let sent = Moment::now();
-        match api.start(&order).await {
+        let fault = match api.start(&order).await {
             Ok(reply) => {
                 let took = Moment::now() - sent;
                 owned.node.latencies.record(Span::StartOrder, took);
-                owned.decide(|scheduler, now| scheduler.on_start(key, task, run, reply, now));
-                return;
+                let stop =
+                    owned.decide(|scheduler, now| scheduler.on_start(key, task, run, reply, now));
+                return send_withdrawal(owned, key, api, stop).await;
             }
-            Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
-            Err(fault @ (WorkerFault::Replaced | WorkerFault::Refused(_))) => {
-                log_fault(api, OrderKind::Start, &name_run(&order), &fault);
-                let replaced = fault == WorkerFault::Replaced;
-                owned.decide(|scheduler, now| {
-                    // An earlier sending of the order may have begun the run.
-                    if replaced && unresolved {
-                        scheduler.on_replaced(key, now);
-                    }
-                    scheduler.on_start_refused(key, task, run, now);
-                    if replaced {
-                        scheduler.on_replaced(key, now);
-                    }
-                });
+            Err(fault) => fault,
+        };
+        if !fault.may_have_arrived()
+            && owned.decide(|scheduler, now| scheduler.on_start_undelivered(key, task, run, now))
+        {
+            return owned.wake();
+        }
+        handle_fault(owned, api, OrderKind::Start, &name_run(&order), &fault);
+        match fault {
+            WorkerFault::Fenced => return,
+            WorkerFault::Replaced => {
+                owned.decide(|scheduler, now| scheduler.on_start_misdirected(key, task, run, now));
                 return owned.wake();
             }
-            Err(WorkerFault::ConnectFailed(_) | WorkerFault::ConnectionRefused(_))
-                if !unresolved =>
-            {
-                owned.decide(|scheduler, now| scheduler.on_start_undelivered(key, task, run, now));
-                return owned.wake();
+            WorkerFault::Refused(_) => {
+                let stop =
+                    owned.decide(|scheduler, now| scheduler.on_start_refused(key, task, run, now));
+                return send_withdrawal(owned, key, api, stop).await;
             }
-            Err(fault) => {
-                unresolved = true;
+            WorkerFault::Unanswered(_) => {
                 owned.decide(|scheduler, _| scheduler.on_start_unanswered(key, task, run));
-                handle_fault(owned, api, OrderKind::Start, &name_run(&order), &fault);
             }
+            WorkerFault::ConnectFailed(_) | WorkerFault::ConnectionRefused(_) => {}
         }
         sleep(RETRY_DELAY).await;
     }
 }
 
+/// Sends the stop order for a run that was withdrawn, if there is one. It goes before the
+/// queued orders, as the task waits for it.
+async fn send_withdrawal(
+    owned: &OwnedShard,
+    key: WorkerKey,
+    api: &WorkerApi,
+    stop: Option<StopOrder>,
+) {
+    owned.wake();
+    if let Some(stop) = stop {
+        send_stop(owned, key, api, &stop).await;
+    }
+}
+
 async fn send_stop(owned: &OwnedShard, key: WorkerKey, api: &WorkerApi, stop: &StopOrder) {
     while owned.decide(|scheduler, _| scheduler.wants_stop(key, stop)) {
         match api.stop(stop).await {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,4 +16,4 @@
     Availability, EndedRun, LiveRun, PollOrder, Registration, RunOutcome, StartOrder, StartReply,
     StopOrder, WorkerReport,
 };
-pub use worker::{FailureHistory, Worker, WorkerKey};
+pub use worker::{FailureHistory, UnknownRun, Worker, WorkerKey};
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -59,6 +59,54 @@
     }
 }
 
+/// A run on a worker that the ledger does not know.
+#[derive(Debug, Clone, Copy)]
+pub struct UnknownRun {
+    /// When the run was last ordered to stop.
+    pub stopped: Moment,
+    /// The end of the lease in the run's start order, in milliseconds of the worker's
+    /// clock, if a copy of the order may still begin the run.
+    pub lease_end: Option<u64>,
+    /// When the worker confirmed an order to stop the run; absent until then.
+    pub confirmed: Option<Moment>,
+}
+
+impl UnknownRun {
+    /// Creates the state of a run that is ordered to stop at `now`.
+    pub const fn new(lease_end: Option<u64>, now: Moment) -> Self {
+        Self {
+            stopped: now,
+            lease_end,
+            confirmed: None,
+        }
+    }
+
+    /// Whether the run may exist, or begin later, although a report does not list it.
+    /// The worker answered a poll sent at `sent` with it when its clock was at `clock`
+    /// milliseconds.
+    ///
+    /// ```
+    /// use lycheelock::fleet::UnknownRun;
+    /// use lycheelock::moment::Moment;
+    ///
+    /// let at = |second: u64| Moment::from_micros(second * 1_000_000);
+    /// let mut run = UnknownRun::new(Some(9_000), at(1));
+    /// assert!(run.may_exist(at(2), 9_000));
+    /// assert!(!run.may_exist(at(2), 9_001));
+    /// run.confirmed = Some(at(3));
+    /// assert!(run.may_exist(at(2), 8_000));
+    /// assert!(!run.may_exist(at(4), 8_000));
+    /// ```
+    pub fn may_exist(&self, sent: Moment, clock: u64) -> bool {
+        if sent < self.stopped {
+            return true;
+        }
+        let lease_ended = self.lease_end.is_none_or(|end| end < clock);
+        let refused = self.confirmed.is_some_and(|confirmed| confirmed < sent);
+        !lease_ended && !refused
+    }
+}
+
 /// The state of one worker.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -84,8 +132,8 @@
     /// The tasks that the worker may be running.
     pub tasks: BTreeMap<TaskName, TaskKey>,
     /// Runs that the ledger does not know and that must end before the worker gets new
-    /// tasks, as their size is unknown; with the time when each was last stopped.
-    pub unknown_runs: HashMap<(TaskName, u64), Moment>,
+    /// tasks, as their size is unknown.
+    pub unknown_runs: HashMap<(TaskName, u64), UnknownRun>,
     /// The last reading of the worker's clock; absent until the first answer.
     pub clock: Option<Clock>,
     /// The time by which every lease that this owner gave on the worker has ended.
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -55,6 +55,11 @@
 }
 
 impl WorkerFault {
+    /// Whether the call may have reached the worker.
+    pub const fn may_have_arrived(&self) -> bool {
+        !matches!(self, Self::ConnectFailed(_) | Self::ConnectionRefused(_))
+    }
+
     /// Whether the worker, or another one at its address, answered the call.
     pub const fn is_answer(&self) -> bool {
         match self {
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -5,7 +5,8 @@
 
 use super::{Event, Order, Scheduler};
 use crate::fleet::{
-    Availability, Clock, EndedRun, LiveRun, RunOutcome, StopOrder, WorkerKey, WorkerReport,
+    Availability, Clock, EndedRun, LiveRun, RunOutcome, StopOrder, UnknownRun, WorkerKey,
+    WorkerReport,
 };
 use crate::moment::Moment;
 use crate::workflow::{FULL_SPEED, JobTransition, Stage, Task, TaskKey, TaskName, WorkflowKey};
@@ -38,7 +39,7 @@
         }
         let complete = report.ended.len() < MAX_REPORTED_ENDS;
         self.process_ends(key, &report.ended, now);
-        self.process_running(key, &report.running, now);
+        self.process_running(key, sent, report, now);
         if complete {
             self.lose_missing(key, sent, report, now);
         }
@@ -57,6 +58,10 @@
     /// Processes a worker's confirmation of a stop order: the run is ending, or
     /// will never begin.
     pub fn on_stop(&mut self, key: WorkerKey, order: &StopOrder, now: Moment) {
+        let unknown = self.unknown_run(key, order);
+        if let Some(unknown) = unknown {
+            unknown.confirmed.get_or_insert(now);
+        }
         let Some(task) = self.ledger.find_task(order.task) else {
             return;
         };
@@ -81,6 +86,11 @@
         ours || worker.unknown_runs.contains_key(&(order.task, order.run))
     }
 
+    fn unknown_run(&mut self, key: WorkerKey, order: &StopOrder) -> Option<&mut UnknownRun> {
+        let worker = self.workers.get_mut(key)?;
+        worker.unknown_runs.get_mut(&(order.task, order.run))
+    }
+
     /// Whether a worker has reported ends that are not acknowledged yet.
     pub fn has_unacknowledged_ends(&self, key: WorkerKey) -> bool {
         let worker = self.workers.get(key);
@@ -300,7 +310,7 @@
             RunOutcome::Done if !long_running => {
                 self.workers[key].failures.record_success();
                 self.stop_later_run(task, now);
-                self.finish(task, now)
+                self.finish(task, end.run, now)
             }
             RunOutcome::Failed => {
                 self.record_failure(key, workflow, now);
@@ -336,22 +346,25 @@
             return;
         };
         let order = self.stop_order(task);
+        self.hold_capacity(task, now);
         self.unassign(task);
-        if let Some(target) = self.workers.get_mut(worker) {
-            target.unknown_runs.insert((order.task, order.run), now);
-            self.order(worker, Order::Stop(order));
-        }
+        self.order(worker, Order::Stop(order));
     }
 
-    /// Marks a task as done. When one member of a gang is done, the whole gang is.
-    fn finish(&mut self, task: TaskKey, now: Moment) -> JobTransition {
+    /// Marks a task as done, as the given run of it is. When one member of a gang is
+    /// done, the whole gang is.
+    fn finish(&mut self, task: TaskKey, run: u64, now: Moment) -> JobTransition {
         if !self.is_gang(task) {
             return self.ledger.finish(task, now);
         }
         let mut transition = JobTransition::Unchanged;
         for member in self.members(task) {
-            self.hold_capacity(member, now);
-            self.unassign(member);
+            if self.ledger.tasks[member].run == run {
+                self.hold_capacity(member, now);
+                self.unassign(member);
+            } else {
+                self.stop_later_run(member, now);
+            }
             let ended = self.ledger.finish(member, now);
             transition = if ended == JobTransition::Unchanged {
                 transition
@@ -367,22 +380,31 @@
     fn hold_capacity(&mut self, task: TaskKey, now: Moment) {
         let known = &self.ledger.tasks[task];
         let (run, worker) = ((known.name, known.run), known.stage.worker());
+        let began = matches!(known.stage, Stage::Running(_));
+        let lease_end = known.lease_end.filter(|_| !began);
         if let Some(worker) = worker.and_then(|worker| self.workers.get_mut(worker)) {
-            worker.unknown_runs.insert(run, now);
+            let unknown = UnknownRun::new(lease_end, now);
+            worker.unknown_runs.insert(run, unknown);
         }
     }
 
-    fn process_running(&mut self, key: WorkerKey, running: &[LiveRun], now: Moment) {
-        for run in running {
+    fn process_running(
+        &mut self,
+        key: WorkerKey,
+        sent: Moment,
+        report: &WorkerReport,
+        now: Moment,
+    ) {
+        for run in &report.running {
             match self.ledger.find_task(run.task) {
                 Some(task) => self.process_run(key, task, run, now),
                 None => self.stop_unknown(key, run, now),
             }
         }
-        let live: HashSet<_> = running.iter().map(|run| (run.task, run.run)).collect();
+        let live = live_runs(report);
         self.workers[key]
             .unknown_runs
-            .retain(|run, _| live.contains(run));
+            .retain(|run, state| live.contains(run) || state.may_exist(sent, report.clock));
     }
 
     fn process_run(&mut self, key: WorkerKey, task: TaskKey, run: &LiveRun, now: Moment) {
@@ -442,13 +464,12 @@
 
     /// Stops a run that does not match the ledger.
     fn stop_unknown(&mut self, key: WorkerKey, run: &LiveRun, now: Moment) {
-        let stopped = self.workers[key].unknown_runs.get(&(run.task, run.run));
-        if stopped.is_some_and(|at| now - *at < STOP_RETRY_DELAY) {
+        let unknown_runs = &mut self.workers[key].unknown_runs;
+        let known = unknown_runs.get_mut(&(run.task, run.run));
+        if known.is_some_and(|known| now - known.stopped < STOP_RETRY_DELAY) {
             return;
         }
-        self.workers[key]
-            .unknown_runs
-            .insert((run.task, run.run), now);
+        unknown_runs.insert((run.task, run.run), UnknownRun::new(None, now));
         let worker = self.worker_name(key);
         self.record(Event::Stopping {
             task: run.task.to_string(),
@@ -464,21 +485,25 @@
         self.order(key, Order::Stop(order));
     }
 
-    /// Treats runs as lost whose stop was confirmed before the poll was sent and
-    /// which the report does not list.
+    /// Treats runs as lost which the report does not list, if the worker had begun them,
+    /// or could not begin them any more, when it answered: it confirmed the last order
+    /// before the poll was sent, or the lease in the start order has ended.
     fn lose_missing(&mut self, key: WorkerKey, sent: Moment, report: &WorkerReport, now: Moment) {
-        let live: HashSet<_> = report
-            .running
-            .iter()
-            .map(|run| (run.task, run.run))
-            .collect();
+        let live = live_runs(report);
         let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
         for task in tasks {
             let known = &self.ledger.tasks[task];
             let confirmed = known.confirmed && known.since < sent;
-            if confirmed && !live.contains(&(known.name, known.run)) {
+            let lease_ended = known.lease_end.is_some_and(|end| end < report.clock);
+            if (confirmed || lease_ended) && !live.contains(&(known.name, known.run)) {
                 self.lose(task, "the worker does not list it", now);
             }
         }
     }
 }
+
+/// The live runs in a report, by task and number.
+fn live_runs(report: &WorkerReport) -> HashSet<(TaskName, u64)> {
+    let rows = report.running.iter();
+    rows.map(|run| (run.task, run.run)).collect()
+}
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -16,7 +16,7 @@
 use super::waiting::WaitList;
 use super::write::Writes;
 use super::{Event, Order};
-use crate::fleet::{Worker, WorkerKey};
+use crate::fleet::{StopOrder, Worker, WorkerKey};
 use crate::interference::{Baseline, ImageKey, ImagePairs, Images};
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
@@ -508,11 +508,25 @@
         let Some(worker) = self.ledger.tasks[key].stage.worker() else {
             return;
         };
-        let order = self.stop_order(key);
         let workflow = self.ledger.tasks[key].workflow;
         if !self.ledger.workflows[workflow].state.is_final() {
             self.record_eviction(workflow);
         }
+        if let Some(order) = self.begin_stop(key, reason, now) {
+            self.order(worker, Order::Stop(order));
+        }
+    }
+
+    /// Marks the current run of a task as stopping. Returns the order to send to its
+    /// worker.
+    pub(super) fn begin_stop(
+        &mut self,
+        key: TaskKey,
+        reason: &'static str,
+        now: Moment,
+    ) -> Option<StopOrder> {
+        let worker = self.ledger.tasks[key].stage.worker()?;
+        let order = self.stop_order(key);
         self.ledger.set_stage(key, Stage::Stopping(worker), now);
         let name = self.worker_name(worker);
         self.record(Event::Stopping {
@@ -521,7 +535,7 @@
             worker: name,
             reason,
         });
-        self.order(worker, Order::Stop(order));
+        Some(order)
     }
 
     /// Releases a task whose run no longer exists, so that it can start again.
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -5,7 +5,7 @@
 use super::Scheduler;
 use crate::fleet::{PollOrder, RUN_LEASE, StartOrder, StartReply, StopOrder, WorkerKey};
 use crate::moment::Moment;
-use crate::workflow::{Stage, TaskKey};
+use crate::workflow::{Stage, TaskKey, WorkflowKey};
 
 /// How long a worker may wait for a run to end before it answers a poll.
 const POLL_WAIT: Duration = Duration::from_millis(800);
@@ -57,7 +57,8 @@
         worker.is_none_or(|worker| worker.registration.capacity.holds(worker.used))
     }
 
-    /// Processes the reply to a start order.
+    /// Processes the reply to a copy of a start order. Returns the stop order to send
+    /// next, if the run is withdrawn.
     pub fn on_start(
         &mut self,
         worker: WorkerKey,
@@ -66,36 +67,32 @@
         reply: StartReply,
         now: Moment,
     ) -> Option<StopOrder> {
-        let task = self.ledger.tasks.get(key)?;
-        if task.stage != Stage::Starting(worker) || task.run != run {
-            return None;
-        }
+        let workflow = self.starting_workflow(worker, key, run)?;
         match reply {
             // The next report says whether a superseded run ended, and how.
             StartReply::Running | StartReply::Superseded => {
                 self.ledger.set_stage(key, Stage::Running(worker), now);
-                let workflow = self.ledger.tasks[key].workflow;
                 self.mark_started(workflow);
+                None
             }
-            StartReply::LeaseExpired(_) | StartReply::NoCapacity => {
-                self.lose(key, "the worker did not start it", now);
+            StartReply::LeaseExpired(_) => {
+                self.end_copies(key, "the worker did not start it", now);
+                None
             }
+            StartReply::NoCapacity => self.withdraw(key, "the worker did not start it", now),
         }
-        None
     }
 
     /// Processes a copy of a start order that got no answer: the worker may still carry
     /// it out.
     pub fn on_start_unanswered(&mut self, worker: WorkerKey, key: TaskKey, run: u64) {
-        let Some(task) = self.ledger.tasks.get_mut(key) else {
-            return;
-        };
-        if task.stage == Stage::Starting(worker) && task.run == run {
-            task.unanswered_copies += 1;
+        if self.starting_workflow(worker, key, run).is_some() {
+            self.ledger.tasks[key].unanswered_copies += 1;
         }
     }
 
-    /// Processes a worker's refusal to start a run; the worker did nothing.
+    /// Processes a worker's refusal of a copy of a start order; this copy had no effect.
+    /// Returns the stop order to send next, if the run is withdrawn.
     pub fn on_start_refused(
         &mut self,
         worker: WorkerKey,
@@ -103,27 +100,75 @@
         run: u64,
         now: Moment,
     ) -> Option<StopOrder> {
-        let task = self.ledger.tasks.get(key)?;
-        if task.stage != Stage::Starting(worker) || task.run != run {
-            return None;
-        }
-        let workflow = task.workflow;
-        self.lose(key, "the worker refused it", now);
+        let workflow = self.starting_workflow(worker, key, run)?;
+        let stop = self.withdraw(key, "the worker refused it", now);
         self.record_failure(worker, workflow, now);
-        None
+        stop
     }
 
-    /// Processes a start order that never reached its worker.
-    pub fn on_start_undelivered(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
+    /// Processes a start order to which another worker answered: the worker has ended,
+    /// and all copies with it.
+    pub fn on_start_misdirected(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
+        if let Some(workflow) = self.starting_workflow(worker, key, run) {
+            // An earlier copy may have begun the run and crashed the worker.
+            if self.ledger.tasks[key].unanswered_copies > 0 {
+                self.on_replaced(worker, now);
+            }
+            self.lose(key, "another worker answers at its address", now);
+            self.record_failure(worker, workflow, now);
+        }
+        self.on_replaced(worker, now);
+    }
+
+    /// Processes a copy of a start order that never reached its worker. Returns whether
+    /// the task was released: no other copy is open.
+    pub fn on_start_undelivered(
+        &mut self,
+        worker: WorkerKey,
+        key: TaskKey,
+        run: u64,
+        now: Moment,
+    ) -> bool {
+        let starting = self.starting_workflow(worker, key, run).is_some();
+        if starting && self.ledger.tasks[key].unanswered_copies > 0 {
+            return false;
+        }
         if let Some(target) = self.workers.get_mut(worker) {
             target.last_contact = Moment::default();
         }
-        let Some(task) = self.ledger.tasks.get(key) else {
-            return;
-        };
-        if task.stage == Stage::Starting(worker) && task.run == run {
+        if starting {
             self.lose(key, "the worker was not reached", now);
         }
+        true
+    }
+
+    /// The job of a task, if the worker was ordered to start this run of it and the order
+    /// is not settled.
+    fn starting_workflow(&self, worker: WorkerKey, key: TaskKey, run: u64) -> Option<WorkflowKey> {
+        let task = self.ledger.tasks.get(key)?;
+        let starting = task.stage == Stage::Starting(worker) && task.run == run;
+        starting.then_some(task.workflow)
+    }
+
+    /// Takes a run back of whose start order a copy was rejected. While other copies are
+    /// open, only a confirmed stop order keeps the worker from beginning the run.
+    fn withdraw(&mut self, key: TaskKey, reason: &'static str, now: Moment) -> Option<StopOrder> {
+        if self.ledger.tasks[key].unanswered_copies == 0 {
+            self.lose(key, reason, now);
+            return None;
+        }
+        self.begin_stop(key, reason, now)
+    }
+
+    /// Takes note that the worker begins no copy of a start order any more. If a copy is
+    /// open, it may have begun the run; the next report tells.
+    fn end_copies(&mut self, key: TaskKey, reason: &'static str, now: Moment) {
+        if self.ledger.tasks[key].unanswered_copies == 0 {
+            return self.lose(key, reason, now);
+        }
+        let task = &mut self.ledger.tasks[key];
+        task.confirmed = true;
+        task.since = now;
     }
 
     /// Builds the next poll of a worker. Without `renew` the leases are not
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -159,7 +159,8 @@
             return;
         };
         if self.shard.now < self.workers[worker].down_until {
-            return scheduler.on_start_undelivered(key, task, run, now);
+            scheduler.on_start_undelivered(key, task, run, now);
+            return;
         }
         scheduler.on_start(key, task, run, StartReply::Running, now);
         let deadly = order.task.workflow == WorkflowId(self.deadly);
