Worker calls: a status that leaves the effect open is no refusal

What callers would see: a task that runs twice. Any answer but 200 and the named 409s to an order was read as 'the worker did nothing', also 202, 500, 502 and 504, which a worker or something on the way may send after it has begun to act. Cause: the last arm of the decoder took every other status for a refusal. Change: 4xx and 503 are refusals, all else counts as unanswered. The test pins the table; the old code had it inside the network call, so it was not run against it: by reading, 202, 500, 502 and 504 gave Refused there.

--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -1,7 +1,8 @@
+use reqwest::StatusCode;
 use serde_json::{Value, json};
 
 use super::store::{Bytes, Change, Item};
-use super::worker::read_report;
+use super::worker::{read_report, read_start_reply};
 use super::{read_queues, read_worker, read_workflow};
 
 /// A number of levels that overflows the stack of a recursive parser.
@@ -213,3 +214,32 @@
     let lines = lines.map(|(name, line)| format!("{name}: {line}"));
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+#[test]
+fn a_status_that_leaves_the_effect_open_is_taken_for_a_refusal() {
+    let answers = [
+        (200, "{}"),
+        (202, "{}"),
+        (400, "{}"),
+        (404, ""),
+        (408, ""),
+        (409, r#"{"clock_ms":5,"reason":"late"}"#),
+        (409, r#"{"clock_ms":1e300,"reason":"late"}"#),
+        (409, r#"{"reason":"old"}"#),
+        (409, r#"{"reason":"room"}"#),
+        (409, r#"{"reason":"fence"}"#),
+        (409, r#"{"reason":"ticket"}"#),
+        (421, ""),
+        (429, ""),
+        (500, ""),
+        (502, ""),
+        (503, ""),
+        (504, ""),
+    ];
+    let lines = answers.map(|(status, body)| {
+        let status = StatusCode::from_u16(status).unwrap();
+        let reply = read_start_reply(status, body.as_bytes());
+        format!("{} {body}: {reply:?}", status.as_u16())
+    });
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -277,20 +277,7 @@
             last_checkpoint: &order.checkpoint,
         };
         let (status, bytes) = self.post("run-start", &body, self.timeout).await?;
-        if status == StatusCode::OK {
-            return Ok(StartReply::Running);
-        }
-        let answer: ReasonBody = serde_json::from_slice(&bytes).unwrap_or_default();
-        match (status, answer.reason.as_str()) {
-            (StatusCode::CONFLICT, "fence") => Err(WorkerFault::Fenced),
-            (StatusCode::CONFLICT, "old") => Ok(StartReply::Superseded),
-            (StatusCode::CONFLICT, "late") => clock(answer.clock_ms)
-                .map(StartReply::LeaseExpired)
-                .map_err(|error| WorkerFault::Refused(error.to_string())),
-            (StatusCode::CONFLICT, "room") => Ok(StartReply::NoCapacity),
-            (StatusCode::MISDIRECTED_REQUEST, _) => Err(WorkerFault::Replaced),
-            (_, reason) => Err(WorkerFault::Refused(format!("status {status} {reason}"))),
-        }
+        read_start_reply(status, &bytes)
     }
 
     /// Stops a run. If its start order has not arrived yet, the worker will refuse
@@ -392,6 +379,25 @@
     span("clock_ms", millis, MAX_CLOCK).map(|clock| clock.as_millis() as u64)
 }
 
+/// Decodes a worker's answer to a start order.
+pub(super) fn read_start_reply(
+    status: StatusCode,
+    bytes: &[u8],
+) -> Result<StartReply, WorkerFault> {
+    if status == StatusCode::OK {
+        return Ok(StartReply::Running);
+    }
+    let answer: ReasonBody = serde_json::from_slice(bytes).unwrap_or_default();
+    match (status, answer.reason.as_str()) {
+        (StatusCode::CONFLICT, "old") => Ok(StartReply::Superseded),
+        (StatusCode::CONFLICT, "late") => clock(answer.clock_ms)
+            .map(StartReply::LeaseExpired)
+            .map_err(|error| WorkerFault::Refused(error.to_string())),
+        (StatusCode::CONFLICT, "room") => Ok(StartReply::NoCapacity),
+        _ => Err(refusal(status, bytes)),
+    }
+}
+
 fn check_status(status: StatusCode, bytes: &[u8]) -> Result<(), WorkerFault> {
     if status == StatusCode::OK {
         return Ok(());
@@ -399,13 +405,16 @@
     Err(refusal(status, bytes))
 }
 
+/// Decodes an answer that is no success. Only with some statuses a worker says that it
+/// did nothing.
 fn refusal(status: StatusCode, bytes: &[u8]) -> WorkerFault {
     let answer: ReasonBody = serde_json::from_slice(bytes).unwrap_or_default();
-    if answer.reason == "fence" {
-        return WorkerFault::Fenced;
-    }
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return WorkerFault::Replaced;
+    let text = format!("status {status} {}", answer.reason);
+    match status {
+        _ if answer.reason == "fence" => WorkerFault::Fenced,
+        StatusCode::MISDIRECTED_REQUEST => WorkerFault::Replaced,
+        StatusCode::SERVICE_UNAVAILABLE => WorkerFault::Refused(text),
+        status if status.is_client_error() => WorkerFault::Refused(text),
+        _ => WorkerFault::Unanswered(text),
     }
-    WorkerFault::Refused(format!("status {status} {}", answer.reason))
 }
