Throttle: a speed that is not in force is ordered again

A best-effort task that counts as paused, or as slow, works on at full speed beside a serving task over its target for as long as its ordered speed stays the same. Cause: a throttle order without an answer, or refused, was only logged, and the ordered speed taken as in force. An older copy may also be carried out seconds after a newer order was answered: a raise after a pause. Under an alarm the next speed is 0 again, equal to the ordered one, so nothing was ordered any more. Only the opposite case was covered (a run without processor use whose speed is above 0, every 3 s). Ruled out as a cure: repeating until an order is answered, as an answer says nothing of older copies; and waiting in the order queue, as starts and stops wait behind it. Fix: what reports measure decides. A run that uses over 1.5 times what its speed allows gets its speed again, 700 ms after the last order at the earliest. Of the orders for one run that wait in a worker's queue only one is sent, with the newest speed, and the 700 ms count from its sending: so repeats take one call for each run at most. The 3 s of the opposite case now count for each run instead of each worker.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -39,6 +39,11 @@
             Order::Start { task, run } => send_start(&owned, key, &api, task, run).await,
             Order::Stop(stop) => send_stop(&owned, key, &api, &stop).await,
             Order::Throttle(order, percent) => {
+                let wanted = owned
+                    .decide(|scheduler, now| scheduler.begin_throttle(key, &order, percent, now));
+                if !wanted {
+                    continue;
+                }
                 if let Err(fault) = api.throttle(&order, percent).await {
                     handle_fault(&owned, &api, OrderKind::Throttle, &order, &fault);
                 }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -419,7 +419,7 @@
         self.add_usage(task, key);
         // The former owner may have throttled the run; its speed is not stored.
         if self.step_of(task).best_effort {
-            self.throttle(task, key, FULL_SPEED);
+            self.throttle(task, key, FULL_SPEED, now);
         }
         let workflow = self.ledger.tasks[task].workflow;
         self.mark_started(workflow);
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -430,6 +430,8 @@
         self.ledger.set_stage(key, Stage::Starting(worker), now);
         self.ledger.tasks[key].speed = FULL_SPEED;
         self.ledger.tasks[key].allowed_speed = speed;
+        self.ledger.tasks[key].speed_ordered = now;
+        self.ledger.tasks[key].speed_pending = false;
         self.add_usage(key, worker);
     }
 
@@ -454,7 +456,7 @@
         self.order(worker, Order::Start { task: key, run });
         let allowed = self.ledger.tasks[key].allowed_speed;
         if allowed < FULL_SPEED {
-            self.throttle(key, worker, allowed);
+            self.throttle(key, worker, allowed, now);
         }
     }
 
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -11,6 +11,7 @@
 mod slow;
 mod slow_share;
 mod takeover;
+mod throttle;
 mod workers;
 
 use std::fmt::Write;
@@ -264,6 +265,15 @@
         runs
     }
 
+    /// Returns the speeds that the last pass ordered.
+    fn speeds(&self) -> Vec<(TaskName, u8)> {
+        let speeds = self.orders.iter().filter_map(|(_, order)| match order {
+            Order::Throttle(run, speed) => Some((run.task, *speed)),
+            Order::Start { .. } | Order::Stop(_) => None,
+        });
+        speeds.collect()
+    }
+
     fn task(&self, task: TaskName) -> TaskKey {
         self.scheduler
             .ledger
--- a/src/schedule/tests/slow.rs
+++ b/src/schedule/tests/slow.rs
@@ -137,3 +137,21 @@
     pool.shard.plan();
     insta::assert_snapshot!(pool.shard.orders(), @"w0: stop 0000000000000003.0.0.0 run 100000003");
 }
+
+#[test]
+fn a_slow_run_whose_speed_is_not_in_force_runs_at_full_speed() {
+    let mut pool = BusyPool::new();
+    pool.shard.submit(loud_job(1));
+    pool.run_until(6_000);
+    pool.running.last_mut().unwrap().2 = 1_900;
+    let mut ordered = Vec::new();
+    while pool.shard.now < 8_500 {
+        pool.shard.now += 250;
+        let rows = pool.running.iter().map(|row| live(row.0, row.1, row.2));
+        pool.shard.report_with(0, 1, rows.collect(), &[]);
+        pool.shard.plan();
+        let now = pool.shard.now;
+        ordered.extend(pool.shard.speeds().iter().map(|order| (now, order.1)));
+    }
+    assert_eq!(ordered, [(7_000, 16), (8_000, 16)]);
+}
--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{LiveRun, StopOrder, WorkerKey, WorkerReport};
 use crate::interference::{ImageKey, Neighbour, Observation, Tail};
 use crate::moment::Moment;
-use crate::workflow::{FULL_SPEED, Stage, Step, TaskKey};
+use crate::workflow::{FULL_SPEED, Stage, Step, Task, TaskKey};
 
 /// The time until a changed speed takes effect in the reports.
 const THROTTLE_DELAY: Duration = Duration::from_millis(700);
@@ -114,10 +114,10 @@
             let task = row.task;
             match self.adjustment(key, row, over_target, alarm, now) {
                 Adjustment::Keep => continue,
-                Adjustment::Speed(speed) => self.throttle(task, key, speed),
+                Adjustment::Speed(speed) => self.throttle(task, key, speed, now),
                 Adjustment::FullSpeed => {
                     self.allow_speed(task, key, FULL_SPEED);
-                    self.throttle(task, key, FULL_SPEED);
+                    self.throttle(task, key, FULL_SPEED, now);
                 }
                 Adjustment::Stop(reason) => {
                     if self.is_slow(task) {
@@ -166,9 +166,7 @@
         } else {
             next_speed(task.speed, interferes).min(task.allowed_speed)
         };
-        let stays_paused = next > 0 && row.run.measurement == 0;
-        let repeats = stays_paused && now - self.workers[worker].throttled_at >= REPEAT_INTERVAL;
-        if next == task.speed && !repeats {
+        if next == task.speed && !repeats(task, row, now) {
             Adjustment::Keep
         } else {
             Adjustment::Speed(next)
@@ -176,12 +174,38 @@
     }
 
     /// Orders a worker to run a task at a speed, in percent of full speed.
-    pub(super) fn throttle(&mut self, task: TaskKey, worker: WorkerKey, speed: u8) {
-        self.ledger.tasks[task].speed = speed;
+    pub(super) fn throttle(&mut self, task: TaskKey, worker: WorkerKey, speed: u8, now: Moment) {
+        let known = &mut self.ledger.tasks[task];
+        known.speed = speed;
+        known.speed_ordered = now;
+        known.speed_pending = true;
         let order = self.stop_order(task);
         self.order(worker, Order::Throttle(order, speed));
     }
 
+    /// Whether a queued throttle order is to be sent, which is then taken as done. Of the
+    /// orders for one run that wait behind others only one is sent, with the newest speed,
+    /// so that repeated ones do not hold up starts and stops.
+    pub fn begin_throttle(
+        &mut self,
+        worker: WorkerKey,
+        order: &StopOrder,
+        speed: u8,
+        now: Moment,
+    ) -> bool {
+        let Some(task) = self.ledger.find_task(order.task) else {
+            return false;
+        };
+        let task = &mut self.ledger.tasks[task];
+        let current = task.run == order.run && task.stage.worker() == Some(worker);
+        let wanted = current && task.speed == speed && task.speed_pending;
+        if wanted {
+            task.speed_ordered = now;
+            task.speed_pending = false;
+        }
+        wanted
+    }
+
     fn reported_tasks<'a>(&mut self, report: &'a WorkerReport) -> Vec<ReportedTask<'a>> {
         let mut rows = Vec::with_capacity(report.running.len());
         for run in &report.running {
@@ -230,6 +254,19 @@
     }
 }
 
+/// Whether the speed of a run is ordered again, as the report shows that it is not in force.
+/// An answer to the order does not show that it is: an older order without an answer may
+/// have been carried out since.
+fn repeats(task: &Task, row: &ReportedTask<'_>, now: Moment) -> bool {
+    let (used, since_order) = (row.run.measurement, now - task.speed_ordered);
+    if task.speed > 0 && used == 0 {
+        return since_order >= REPEAT_INTERVAL;
+    }
+    let allowed = row.step.need.at_speed(task.speed);
+    let exceeds = used > allowed + allowed / 2;
+    exceeds && task.speed < FULL_SPEED && since_order >= THROTTLE_DELAY
+}
+
 fn next_speed(speed: u8, interferes: bool) -> u8 {
     if !interferes {
         return (speed + SPEED_STEP).min(FULL_SPEED);
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -120,6 +120,11 @@
     pub speed: u8,
     /// The highest speed of the current run, in percent of full speed.
     pub allowed_speed: u8,
+    /// When the speed of the current run was last ordered: when the order was sent or, until
+    /// then, queued. The start of a run orders full speed.
+    pub speed_ordered: Moment,
+    /// Whether the order of the current run's speed has yet to be sent.
+    pub speed_pending: bool,
     /// The progress of the current run.
     pub progress: RunProgress,
     /// The task restarts only once the store has confirmed the ownership after this
@@ -329,6 +334,8 @@
                     ready: now,
                     speed: FULL_SPEED,
                     allowed_speed: FULL_SPEED,
+                    speed_ordered: Moment::default(),
+                    speed_pending: false,
                     progress: RunProgress::default(),
                     restart_gate: Moment::default(),
                     confirmed: false,
