Schedule: a worker that answers before the roster is read ends its recovery

What callers would see: after a takeover no inherited task starts for up to 11 s although all workers have answered, or the tasks of a closed worker wait that long, and that worker gets no work. Cause: a new owner polls the workers of the registry before it applies the roster. on_roster waited for the first answer of each worker in it, also of one whose first answer was there already, so only the recovery deadline ended the wait. Ruled out: applying the roster first, as it names workers by id that the registry describes. A first answer before the roster proves as much as one after it: the poll carries the fencing token, so the worker refuses the former owner from then on. How often a poll wins that race was not measured.

--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -52,12 +52,18 @@
                     key
                 }
             };
+            let worker = &mut self.workers[key];
+            worker.in_roster = entry.closed.is_none();
+            // Polls begin before the roster is read; a worker that has answered one holds
+            // no unknown run of the former owner.
+            if worker.synced {
+                continue;
+            }
             match entry.closed {
                 Some(tasks) => {
                     self.closed_workers.insert(key, tasks);
                 }
                 None => {
-                    self.workers[key].in_roster = true;
                     self.former_workers.insert(key);
                 }
             }
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -234,3 +234,27 @@
     shard.plan();
     assert_eq!(shard.confirm().len(), 1);
 }
+
+#[test]
+fn a_worker_that_answers_before_the_roster_is_read_delays_the_recovery() {
+    for closed in [None, Some(vec![name(1, 0, 0)])] {
+        let term = Term {
+            fence: FENCE,
+            recovery_deadline: Some(at(10_000)),
+        };
+        let mut shard = Shard::new(term, &["w0"]);
+        shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+        shard.report(0, &[], &[]);
+        shard.plan();
+        assert_eq!(shard.orders(), "", "other workers may run it");
+        let roster = vec![roster_entry("w0", closed.clone())];
+        shard.scheduler.on_roster(roster, at(0));
+        shard.write();
+        for now in [100, 200] {
+            shard.now = now;
+            shard.report(0, &[], &[]);
+            shard.plan();
+        }
+        assert_eq!(shard.confirm().len(), 1, "{closed:?}");
+    }
+}
