Starts: a worker that is leaving gets no queued or repeated starts (DRAIN)

Cause: orders to a worker are sent one at a time, so a start may wait for seconds behind one that gets no answer, and an unanswered start was repeated as long as its lease lasted. Whether the worker still takes tasks was asked only when the task was placed. Change: a start that was not sent is taken back when its worker is leaving; one that got no answer is withdrawn by a stop order instead of being sent again. Evidence: the two tests fail when is_leaving answers false.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -90,7 +90,11 @@
                 return send_withdrawal(owned, key, api, stop).await;
             }
             WorkerFault::Unanswered(_) => {
-                owned.decide(|scheduler, _| scheduler.on_start_unanswered(key, task, run));
+                let stop = owned
+                    .decide(|scheduler, now| scheduler.on_start_unanswered(key, task, run, now));
+                if stop.is_some() {
+                    return send_withdrawal(owned, key, api, stop).await;
+                }
             }
             WorkerFault::ConnectFailed(_) | WorkerFault::ConnectionRefused(_) => {}
         }
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use crate::fleet::{PollOrder, RUN_LEASE, StartOrder, StartReply, StopOrder, WorkerKey};
+use crate::fleet::{
+    Availability, PollOrder, RUN_LEASE, StartOrder, StartReply, StopOrder, WorkerKey,
+};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey, WorkflowKey};
 
@@ -26,6 +28,10 @@
             return None;
         }
         let first = task.lease_end.is_none();
+        if first && self.is_leaving(worker) {
+            self.lose(key, "the worker is leaving", now);
+            return None;
+        }
         if first && !self.holds_its_tasks(worker) {
             self.lose(key, "the worker's capacity has shrunk", now);
             return None;
@@ -51,6 +57,11 @@
         })
     }
 
+    fn is_leaving(&self, worker: WorkerKey) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_none_or(|worker| worker.registration.availability == Availability::Draining)
+    }
+
     /// Whether a worker's capacity, which may have shrunk, holds all its tasks.
     fn holds_its_tasks(&self, worker: WorkerKey) -> bool {
         let worker = self.workers.get(worker);
@@ -84,11 +95,20 @@
     }
 
     /// Processes a copy of a start order that got no answer: the worker may still carry
-    /// it out.
-    pub fn on_start_unanswered(&mut self, worker: WorkerKey, key: TaskKey, run: u64) {
-        if self.starting_workflow(worker, key, run).is_some() {
-            self.ledger.tasks[key].unanswered_copies += 1;
+    /// it out. Returns the stop order to send next, if the run is withdrawn.
+    pub fn on_start_unanswered(
+        &mut self,
+        worker: WorkerKey,
+        key: TaskKey,
+        run: u64,
+        now: Moment,
+    ) -> Option<StopOrder> {
+        self.starting_workflow(worker, key, run)?;
+        self.ledger.tasks[key].unanswered_copies += 1;
+        if !self.is_leaving(worker) {
+            return None;
         }
+        self.withdraw(key, "the worker is leaving", now)
     }
 
     /// Processes a worker's refusal of a copy of a start order; this copy had no effect.
--- a/src/schedule/tests/late_orders.rs
+++ b/src/schedule/tests/late_orders.rs
@@ -61,9 +61,23 @@
         }
     }
 
-    fn leave_unanswered(&mut self, sent: Sent) {
+    fn leave_unanswered(&mut self, sent: Sent) -> Option<StopOrder> {
+        let now = at(self.now);
         self.scheduler
-            .on_start_unanswered(sent.worker, sent.key, sent.run);
+            .on_start_unanswered(sent.worker, sent.key, sent.run, now)
+    }
+
+    /// The registry says that a worker is about to leave.
+    fn drain(&mut self, index: usize) {
+        let entries = ["w0", "w1"].map(|id| Registration {
+            availability: if id == format!("w{index}") {
+                Availability::Draining
+            } else {
+                Availability::Ready
+            },
+            ..registration(id)
+        });
+        self.scheduler.on_registry(entries.into(), at(self.now));
     }
 
     /// Answers a copy. Returns the stop order that has to follow.
@@ -298,3 +312,30 @@
     shard.plan();
     assert!(shard.orders().contains("start"));
 }
+
+#[test]
+fn a_start_that_was_queued_is_sent_to_a_worker_that_is_leaving() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (worker, Order::Start { task, run }) = shard.orders[0] else {
+        panic!("a start is ordered");
+    };
+    let index = shard.workers.iter().position(|it| *it == worker).unwrap();
+    shard.now = 1_000;
+    shard.drain(index);
+    assert_eq!(
+        shard.scheduler.start_order(worker, task, run, at(1_000)),
+        None
+    );
+    assert!(shard.restarts_after(&[]));
+    assert_ne!(shard.send_copy().index, index);
+}
+
+#[test]
+fn an_unanswered_start_is_repeated_to_a_worker_that_is_leaving() {
+    let (mut shard, sent) = shard_with_unanswered_start(step(1, 1));
+    shard.drain(sent.index);
+    assert_eq!(shard.leave_unanswered(sent), Some(sent.stop()));
+    assert_eq!(shard.stage(sent.task), Stage::Stopping(sent.worker));
+}
