Schedule: a task is given up only for runs that are known to have begun

Cause: may_have_begun counts every run whose order was sent, and the crash is charged to the task as if the run had begun. The same reading, found with it: runs kept of a worker whose leases ended (keep_lost, check_lost), a run that was stopped before its start was answered, a start answered as superseded (that run is not there), each member of a gang; and an uncertain run became the sole suspect beside a run that is known to crash late. Ruled out: dropping uncertain runs (the task would start beside others at once, and a neighbour would become the sole suspect of what the uncertain run may have done); counting them beside one known crash (two unanswered starts and one accident would fail a sound job). Change: a task knows whether its current run has begun (answered so, or listed by a report, also while it is being stopped). A crash under any other run is stored in a list of its own: the task needs a trial, is cleared by survival, and is not given up for it; no other run is the sole suspect beside it. The stored form has one new optional field; earlier versions ignore it and read the rest as before (test). worker_crashed says begun.

--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -23,6 +23,8 @@
     pub task: String,
     /// The number of the run.
     pub run: u64,
+    /// Whether the run is known to have begun.
+    pub begun: bool,
     /// The time in milliseconds for which the run is known to have survived.
     pub survived: u64,
     /// The number of crashes under the task before this one.
@@ -34,6 +36,7 @@
 struct RunState {
     task: TaskName,
     run: u64,
+    begun: bool,
     survived: Duration,
 }
 
@@ -110,10 +113,12 @@
         }
     }
 
-    /// Records for how long the current run of a task has survived.
+    /// Records that a report lists the current run of a task, so that it has begun and
+    /// survived until now.
     pub(super) fn record_survival(&mut self, key: TaskKey, now: Moment) {
         let task = &mut self.ledger.tasks[key];
         if matches!(task.stage, Stage::Running(_)) {
+            task.begun = true;
             task.survived = now - task.since;
             task.crashes.record_survival(task.survived);
         }
@@ -127,6 +132,7 @@
             .map(|task| RunState {
                 task: task.name,
                 run: task.run,
+                begun: task.begun,
                 survived: task.survived,
             });
         runs.collect()
@@ -158,6 +164,8 @@
             others: others.len(),
         });
         let sole_run = sole_suspect(suspects.iter().map(|(_, run)| *run));
+        let (suspects, uncertain): (Vec<_>, Vec<_>) =
+            suspects.into_iter().partition(|(_, run)| run.begun);
         for (key, run) in &suspects {
             let sole = sole_run == Some(run.run);
             let crashes = &mut self.ledger.tasks[*key].crashes;
@@ -166,10 +174,13 @@
                 self.forget_survivors(run.task.workflow);
             }
         }
+        for (key, run) in &uncertain {
+            self.ledger.tasks[*key].crashes.record_uncertain(run.run);
+        }
         for (key, run) in &others {
             self.ledger.tasks[*key].crashes.record_late(run.run);
         }
-        for (key, _) in suspects.iter().chain(&others) {
+        for (key, _) in suspects.iter().chain(&uncertain).chain(&others) {
             let workflow = self.ledger.tasks[*key].workflow;
             self.writes.mark_progress_changed(workflow);
         }
@@ -213,6 +224,7 @@
         CrashedRun {
             task: run.task.to_string(),
             run: run.run,
+            begun: run.begun,
             survived: run.survived.as_millis() as u64,
             crashes: self.ledger.tasks[key].crashes.count(),
         }
@@ -221,7 +233,8 @@
 
 /// Returns the run that is the sole likely cause of a crash: the only one that had just
 /// started or, if none had, the only suspect. The members of a gang share a run
-/// number and cannot be told apart.
+/// number and cannot be told apart. A run that may not have begun is a possible cause, so
+/// no other one is the sole cause beside it.
 fn sole_suspect(suspects: impl Iterator<Item = RunState>) -> Option<u64> {
     let (just_started, earlier): (Vec<RunState>, Vec<RunState>) =
         suspects.partition(|run| run.survived < SURVIVAL_TIME);
@@ -234,9 +247,8 @@
     likely.iter().all(|run| run.run == first).then_some(first)
 }
 
-/// Whether the worker may have begun the task's run: the start order was sent, or the
-/// run was reported.
-fn may_have_begun(task: &Task) -> bool {
-    let running = matches!(task.stage, Stage::Running(_));
-    running || task.lease_end.is_some() || !task.survived.is_zero()
+/// Whether the worker may have begun the task's run: it is known to have, or the start
+/// order was sent.
+const fn may_have_begun(task: &Task) -> bool {
+    task.begun || task.lease_end.is_some()
 }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -397,6 +397,7 @@
             }
             Stage::Running(worker) if worker == key && number == run.run => {}
             Stage::Stopping(worker) if worker == key && number == run.run => {
+                self.ledger.tasks[task].begun = true;
                 self.repeat_stop(key, task, now);
                 return;
             }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -427,6 +427,7 @@
         self.ledger.tasks[key].lease_end = None;
         self.ledger.tasks[key].unanswered_copies = 0;
         self.ledger.tasks[key].survived = Duration::ZERO;
+        self.ledger.tasks[key].begun = false;
         self.ledger.set_stage(key, Stage::Starting(worker), now);
         self.ledger.tasks[key].speed = FULL_SPEED;
         self.ledger.tasks[key].allowed_speed = speed;
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -76,6 +76,7 @@
             // The next report says whether a superseded run ended, and how.
             StartReply::Running | StartReply::Superseded => {
                 self.ledger.set_stage(key, Stage::Running(worker), now);
+                self.ledger.tasks[key].begun = reply == StartReply::Running;
                 let workflow = self.ledger.tasks[key].workflow;
                 self.mark_started(workflow);
             }
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -1,5 +1,7 @@
 //! Tests of tasks that crash the workers on which they start.
 
+use rstest::rstest;
+
 use super::*;
 use crate::fleet::StopOrder;
 
@@ -39,6 +41,8 @@
     random: Option<u64>,
     /// Whether a worker comes back under another id instead of a new incarnation.
     renames: bool,
+    /// Whether the answer to a start of a deadly task, counted from 0, is lost.
+    loses_answer: fn(usize) -> bool,
 }
 
 impl CrashingFleet {
@@ -61,6 +65,7 @@
             restart_delay: RESTART_DELAY,
             random: None,
             renames: false,
+            loses_answer: |_| false,
         }
     }
 
@@ -161,8 +166,13 @@
         if self.shard.now < self.workers[worker].down_until {
             return scheduler.on_start_undelivered(key, task, run, now);
         }
-        scheduler.on_start(key, task, run, StartReply::Running, now);
         let deadly = order.task.workflow == WorkflowId(self.deadly);
+        let earlier = self.starts.get(&order.task).copied().unwrap_or_default();
+        if deadly && (self.loses_answer)(earlier) {
+            scheduler.on_start_unanswered(key, task, run);
+        } else {
+            scheduler.on_start(key, task, run, StartReply::Running, now);
+        }
         let end = self.shard.now
             + if deadly {
                 self.crash_after
@@ -368,6 +378,28 @@
     assert!(crashes > 80, "{crashes}");
 }
 
+#[rstest]
+#[case::first(|start| start == 0, &[1_000, 3_000, 6_000])]
+#[case::first_two(|start| start < 2, &[1_000, 3_000, 6_000])]
+#[case::every_second(|start| start % 2 == 0, &[1_000, 3_000, 6_000])]
+#[case::first_three(|start| start < 3, &[1_000, 3_000])]
+#[case::three_in_between(|start: usize| (1..4).contains(&start), &[1_000, 3_000])]
+fn a_task_is_given_up_although_answers_are_lost_with_its_workers(
+    #[case] loses_answer: fn(usize) -> bool,
+    #[case] restart_delays: &[u64],
+    #[values(false, true)] renames: bool,
+) {
+    for restart_delay in restart_delays {
+        let mut fleet = fleet_with_deadly_job(10, step(1, 1));
+        fleet.loses_answer = loses_answer;
+        fleet.renames = renames;
+        fleet.restart_delay = *restart_delay;
+        fleet.run_until(90_000);
+        assert_given_up(&fleet);
+        assert_sound_jobs_done(&fleet);
+    }
+}
+
 /// The tasks that are suspects of crashes, by the log.
 fn suspects(shard: &mut Shard) -> Vec<String> {
     let events = shard.scheduler.take_events().into_iter();
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -11,6 +11,7 @@
 mod slow;
 mod slow_share;
 mod takeover;
+mod uncertain_crashes;
 mod workers;
 
 use std::fmt::Write;
--- a/src/workflow/crashes.rs
+++ b/src/workflow/crashes.rs
@@ -11,6 +11,8 @@
 const SURVIVAL_FACTOR: u32 = 6;
 /// The limit on the later crashes that count.
 const MAX_LATE_CRASHES: usize = 3;
+/// The limit on the recorded crashes under runs that may not have begun.
+const MAX_UNCERTAIN_CRASHES: usize = 3;
 /// A run that survives for this long clears its task of all crashes.
 const RECORD_RETENTION: Duration = Duration::from_secs(60);
 
@@ -20,7 +22,7 @@
 /// The number of crashes after which a task is given up in any case.
 const MAX_SUSPECTED_CRASHES: usize = 3;
 
-/// A crash of a worker under a run that was a suspect.
+/// A crash of a worker under a run that had begun and was a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectedCrash {
     /// The number of the run.
@@ -35,30 +37,35 @@
 pub struct CrashRecord {
     suspected: Vec<SuspectedCrash>,
     late: Vec<u64>,
+    /// The runs that may not have begun; records of earlier versions have none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    uncertain: Vec<u64>,
 }
 
 impl CrashRecord {
-    /// Returns the crashes with the task as a suspect, the oldest first.
+    /// Returns the crashes under runs that had begun and were suspects, the oldest first.
     pub fn suspected(&self) -> &[SuspectedCrash] {
         &self.suspected
     }
 
     /// Whether no crash is recorded.
     pub const fn is_empty(&self) -> bool {
-        self.suspected.is_empty() && self.late.is_empty()
+        self.count() == 0
     }
 
     /// Returns the number of recorded crashes.
     pub const fn count(&self) -> usize {
-        self.suspected.len() + self.late.len()
+        self.suspected.len() + self.late.len() + self.uncertain.len()
     }
 
     /// Whether the task may be what crashed a worker.
     pub const fn is_suspect(&self) -> bool {
-        !self.suspected.is_empty()
+        !self.suspected.is_empty() || !self.uncertain.is_empty()
     }
 
-    /// Whether the task is to be given up.
+    /// Whether the task is to be given up. Crashes under runs that may not have begun do
+    /// not count, as a worker that crashes before the start order arrives gives no answer
+    /// either.
     ///
     /// ```
     /// use lycheelock::workflow::CrashRecord;
@@ -68,7 +75,9 @@
     /// assert!(!crashes.is_hopeless());
     /// crashes.record_suspected(8, false);
     /// assert!(!crashes.is_hopeless());
-    /// crashes.record_suspected(9, true);
+    /// crashes.record_uncertain(9);
+    /// assert!(!crashes.is_hopeless());
+    /// crashes.record_suspected(10, true);
     /// assert!(crashes.is_hopeless());
     /// ```
     pub fn is_hopeless(&self) -> bool {
@@ -93,13 +102,20 @@
         SURVIVAL_TIME * SURVIVAL_FACTOR.pow(late as u32)
     }
 
-    /// Records a crash under a run that was a suspect.
+    /// Records a crash under a run that had begun and was a suspect.
     pub fn record_suspected(&mut self, run: u64, sole: bool) {
         if self.suspected.iter().all(|crash| crash.run != run) {
             self.suspected.push(SuspectedCrash { run, sole });
         }
     }
 
+    /// Records a crash under a run that may not have begun.
+    pub fn record_uncertain(&mut self, run: u64) {
+        if !self.uncertain.contains(&run) && self.uncertain.len() < MAX_UNCERTAIN_CRASHES {
+            self.uncertain.push(run);
+        }
+    }
+
     /// Records a crash under a run that had survived for long enough.
     pub fn record_late(&mut self, run: u64) {
         if !self.late.contains(&run) && self.late.len() < MAX_LATE_CRASHES {
@@ -115,8 +131,9 @@
     ///
     /// let mut crashes = CrashRecord::default();
     /// crashes.record_suspected(7, false);
+    /// crashes.record_uncertain(8);
     /// crashes.record_survival(Duration::from_millis(400));
-    /// assert_eq!(crashes.count(), 1);
+    /// assert_eq!(crashes.count(), 2);
     /// crashes.record_survival(Duration::from_millis(500));
     /// assert!(crashes.is_empty());
     /// ```
@@ -125,6 +142,7 @@
             *self = Self::default();
         } else if survived >= self.survival_time() {
             self.suspected.retain(|crash| crash.sole);
+            self.uncertain.clear();
         }
     }
 }
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -104,6 +104,9 @@
     pub crashes: CrashRecord,
     /// For how long the current run is known to have survived on its worker.
     pub survived: Duration,
+    /// Whether the worker is known to have begun the current run: it answered the start
+    /// order so, or a report listed the run.
+    pub begun: bool,
     /// The end of the lease in the start order, in milliseconds of the worker's clock;
     /// absent until the order is sent.
     pub lease_end: Option<u64>,
@@ -322,6 +325,7 @@
                     failed: Vec::new(),
                     crashes: CrashRecord::default(),
                     survived: Duration::ZERO,
+                    begun: false,
                     lease_end: None,
                     unanswered_copies: 0,
                     checkpoint: String::new(),
