Schedule: a trial waits for runs that may still crash their worker late

Its task, a suspect once, was tried on a worker beside a task known to crash its workers 0.7 s after the start; that crash made the sound task the sole suspect. Cause: a worker counted as quiet once all its runs had survived 500 ms, also where a task's record says that it must survive for longer (3, 18, 108 s). Change: a worker is quiet when each run has survived for as long as its task must. The bound on the wait, 2 s, stays.

--- a/src/schedule/trial.rs
+++ b/src/schedule/trial.rs
@@ -7,7 +7,7 @@
 use super::Scheduler;
 use crate::fleet::{Worker, WorkerKey};
 use crate::moment::Moment;
-use crate::workflow::{ActiveWorkflow, SURVIVAL_TIME, Stage, Task, TaskKey, TaskName, WorkflowId};
+use crate::workflow::{ActiveWorkflow, Stage, Task, TaskKey, TaskName, WorkflowId};
 
 /// How long a trial waits until all other runs on its worker have survived; then it
 /// begins beside them.
@@ -137,13 +137,13 @@
         trial.begun
     }
 
-    /// Whether all other runs on a worker have survived.
+    /// Whether all other runs on a worker have survived, each for as long as its task must.
     fn is_quiet(&self, worker: WorkerKey, trial: &Trial) -> bool {
         let tasks = self.workers[worker].tasks.values();
         let mut others = tasks
             .map(|task| &self.ledger.tasks[*task])
             .filter(|task| task.name != trial.task);
-        others.all(|task| task.survived >= SURVIVAL_TIME)
+        others.all(|task| task.survived >= task.crashes.survival_time())
     }
 
     /// Ends the trials whose task has survived or left its worker, and reservations
