--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -13,6 +13,7 @@
 mod slow_share;
 mod takeover;
 mod throttle;
+mod uncertain_crashes;
 mod workers;
 
 use std::fmt::Write;
