--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -235,6 +235,15 @@
     assert_eq!(shard.confirm().len(), 1);
 }
 
+#[test]
+fn a_worker_follows_a_former_owner_after_its_first_answer_to_the_new_one() {
+    let mut shard = Shard::later_owner(&["w0"]);
+    let poll = shard.scheduler.poll_order(shard.workers[0], true, at(0));
+    let poll = poll.expect("the worker is polled");
+    // The first poll carries the fencing token and prolongs no lease of the former owner.
+    assert_eq!((poll.fence, poll.lease_end), (FENCE, None));
+}
+
 #[test]
 fn a_worker_that_answers_before_the_roster_is_read_delays_the_recovery() {
     for closed in [None, Some(vec![name(1, 0, 0)])] {
@@ -258,3 +267,37 @@
         assert_eq!(shard.confirm().len(), 1, "{closed:?}");
     }
 }
+
+#[test]
+fn the_roster_does_not_list_a_task_whose_start_is_without_an_answer() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let [(worker, Order::Start { task, run })] = shard.orders[..] else {
+        panic!("one start");
+    };
+    let sent = shard.scheduler.start_order(worker, task, run, at(0));
+    assert!(sent.is_some());
+    shard.scheduler.on_start_unanswered(worker, task, run);
+    shard.now = 1_200;
+    shard.plan();
+    let roster = shard.scheduler.collect(false, at(1_200)).roster.unwrap();
+    assert_eq!(roster[0].closed, Some(vec![name(1, 0, 0)]));
+}
+
+#[test]
+fn a_former_owners_run_that_a_restarted_worker_begins_is_kept() {
+    let mut shard = Shard::later_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.report_all();
+    shard.plan();
+    let (worker, task, _) = shard.confirm()[0];
+    let other = 1 - worker;
+    shard.now = 100;
+    // It has restarted and seen no fencing token when the order of the former owner arrived.
+    shard.report_with(other, 2, vec![live(task, 7, 0)], &[]);
+    shard.plan();
+    let stop = format!("w{other}: stop {task} run 7\n");
+    assert_eq!(shard.orders(), stop);
+    assert_eq!(shard.stage(task), Stage::Running(shard.workers[worker]));
+}
--- a/src/schedule/tests/workers.rs
+++ b/src/schedule/tests/workers.rs
@@ -307,3 +307,47 @@
     shard.plan();
     assert_eq!(shard.stage(task), Stage::Running(target));
 }
+
+#[test]
+fn a_start_without_an_answer_is_lost_before_its_copies_expire() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (worker, task, run) = send_starts(&mut shard)[0];
+    let (key, target) = (shard.task(task), shard.workers[worker]);
+    shard.scheduler.on_start_unanswered(target, key, run);
+    // An order that never arrived counts as silence, which ends no lease.
+    shard
+        .scheduler
+        .on_start_undelivered(target, TaskKey::default(), run, at(100));
+    let entries = vec![registration(["w1", "w0"][worker])];
+    shard.scheduler.on_registry(entries, at(200));
+    let starting = Stage::Starting(target);
+    for (now, expected) in [(300, starting), (4_580, starting), (4_600, Stage::Waiting)] {
+        shard.now = now;
+        // Repeated copies carry the same end of the lease.
+        let _ = shard.scheduler.start_order(target, key, run, at(now));
+        shard.report(1 - worker, &[], &[]);
+        shard.plan();
+        assert_eq!(shard.stage(task), expected, "at {now}");
+    }
+}
+
+#[test]
+fn a_draining_worker_counts_as_having_left_while_a_copy_of_a_start_is_open() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (_, task, run) = send_starts(&mut shard)[0];
+    let (key, target) = (shard.task(task), shard.workers[0]);
+    shard.scheduler.on_start_unanswered(target, key, run);
+    let draining = Registration {
+        availability: Availability::Draining,
+        ..registration("w0")
+    };
+    shard.scheduler.on_registry(vec![draining], at(10));
+    shard.scheduler.on_registry(Vec::new(), at(20));
+    shard.scheduler.on_poll_failed(target, true);
+    assert_eq!(shard.stage(task), Stage::Starting(target));
+    assert!(shard.scheduler.workers.contains_key(target));
+}
--- a/src/shards/tests.rs
+++ b/src/shards/tests.rs
@@ -1,8 +1,10 @@
 use std::time::Duration;
 
 use super::{
-    Candidate, ClaimDecision, Layout, OwnerLease, OwnerRecord, OwnershipView, OwnershipViews,
+    Candidate, ClaimDecision, FormerOwner, Layout, OWNER_TIMEOUT, OwnerLease, OwnerRecord,
+    OwnershipView, OwnershipViews, recovery_deadline,
 };
+use crate::fleet::{Clock, RUN_LEASE};
 use crate::moment::Moment;
 
 fn host(name: &str, zone: &str) -> Candidate {
@@ -164,3 +166,19 @@
         ClaimDecision::Claim { .. }
     ));
 }
+
+#[test]
+fn a_former_owner_gives_leases_beyond_the_recovery_deadline() {
+    let claimed = at(60_000);
+    for former in [FormerOwner::Ended, FormerOwner::Unknown] {
+        let last_order = match former {
+            FormerOwner::Ended => claimed,
+            FormerOwner::Unknown => claimed + OWNER_TIMEOUT,
+        };
+        // All copies of a start carry the end of its first; the clock was read before.
+        let clock = Clock::new(1_000, at(54_000));
+        let lease_end = clock.latest_expiry(clock.lease_end(last_order, RUN_LEASE));
+        let deadline = recovery_deadline(former, claimed);
+        assert!(lease_end < deadline, "{former:?}: {lease_end:?}");
+    }
+}
