Writer: a write without an answer no longer replaces a newer one

A transaction without an answer may be executed seconds later if its condition still holds, and roster and progress were written on the condition of the epoch alone. Cause: an answer to the repeated write was read as the end of all earlier ones. Ruled out: conditions on each written key, which halve what fits in one transaction; the epoch, which is the same for all writes of an owner; ends and starts of jobs, which already require the revision of the job's record. Fix: each group requires the revision of written/SHARD as the group before left it, and sets that key. So a late one fails.

--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,14 +1,19 @@
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::Node;
 use super::lifecycle::wait_for_panic;
 use super::term::{Claim, OwnedShard};
+use super::writer::{Entry, transaction};
 use crate::moment::Moment;
+use crate::platform::fleet::Transaction;
 use crate::settings::FleetSettings;
+use crate::shards::{epoch_key, roster_key};
 
 /// The time limit of a wait for something that happens at once.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -53,3 +58,47 @@
     let ended = timeout(WAIT_TIMEOUT, wait_for_panic(&mut tasks)).await;
     assert!(ended.is_ok(), "the panic is not noticed");
 }
+
+/// A store that applies transactions to the revisions and values of its keys.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    items: HashMap<String, (u64, Value)>,
+}
+
+impl Store {
+    /// Applies a transaction. Returns its revision, or `None` if a condition does not hold.
+    fn apply(&mut self, transaction: &Transaction) -> Option<u64> {
+        let body = serde_json::to_value(transaction).unwrap();
+        let rows = |part: &str| body[part].as_array().unwrap().clone();
+        let key = |row: &Value| row["key"].as_str().unwrap().to_owned();
+        let revision = |row: &Value| self.items.get(&key(row)).map_or(0, |item| item.0);
+        let conditions = rows("precondition");
+        if !conditions.iter().all(|row| row["rev"] == revision(row)) {
+            return None;
+        }
+        self.revision += 1;
+        for row in rows("set_keys") {
+            let item = (self.revision, row["value"].clone());
+            self.items.insert(key(&row), item);
+        }
+        Some(self.revision)
+    }
+}
+
+#[tokio::test]
+async fn a_write_without_an_answer_replaces_a_newer_one() {
+    let owned = owned_shard();
+    let mut store = Store::default();
+    let claim = Transaction::default().set(&epoch_key("all"), Vec::new());
+    assert_eq!(store.apply(&claim), Some(owned.claim.fence));
+    let roster = |text: &str| [Entry::Roster(text.as_bytes().to_vec())];
+    let first = store.apply(&transaction(&owned, &roster("first"), 0));
+    let previous = first.expect("the first write takes effect");
+    let late = transaction(&owned, &roster("late"), previous);
+    let newer = transaction(&owned, &roster("newer"), previous);
+    assert!(store.apply(&newer).is_some());
+    let written = store.items[&roster_key("all")].clone();
+    store.apply(&late);
+    assert_eq!(store.items[&roster_key("all")], written);
+}
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -11,7 +11,7 @@
 use crate::schedule::{Batch, StateRecord};
 use crate::shards::{
     JobRecord, cancel_key, decode, encode, epoch_key, job_key, pairs_key, progress_key, roster_key,
-    waiting_key, work_key,
+    waiting_key, work_key, written_key,
 };
 use crate::workflow::{Progress, WorkflowKey, WorkflowState};
 
@@ -22,12 +22,13 @@
 /// The delay before a failed write is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// The rows that every transaction needs: the condition on the epoch.
-const EPOCH_ROWS: usize = 1;
+/// The rows that every transaction needs: the conditions on the epoch and on the write
+/// before, and the mark of this write.
+const COMMON_ROWS: usize = 3;
 
 /// A change to write.
 #[derive(Debug, Clone)]
-enum Entry {
+pub(super) enum Entry {
     End(StateRecord),
     Start(StateRecord),
     Progress(WorkflowKey, Progress, crate::workflow::WorkflowId),
@@ -50,13 +51,14 @@
 /// Writes changes until the end of the ownership.
 pub(super) async fn run(owned: Arc<OwnedShard>) {
     let mut last = Moment::default();
+    let mut previous = 0;
     loop {
         // After the timeout, a full batch is due.
         let _ = timeout(FULL_BATCH_INTERVAL, owned.write.notified()).await;
         sleep(BATCH_DELAY).await;
         let full = Moment::now() - last >= FULL_BATCH_INTERVAL;
         let batch = owned.decide(|scheduler, now| scheduler.collect(full, now));
-        match write(&owned, &batch).await {
+        match write(&owned, &batch, &mut previous).await {
             Ok(()) => {
                 owned.decide(|scheduler, _| scheduler.on_written(&batch, full));
                 if full {
@@ -75,18 +77,20 @@
     }
 }
 
-async fn write(owned: &OwnedShard, batch: &Batch) -> Result<(), StoreFault> {
+/// Writes a batch. `previous` is the revision of the write before; a conflict corrects it if
+/// it is not known.
+async fn write(owned: &OwnedShard, batch: &Batch, previous: &mut u64) -> Result<(), StoreFault> {
     let mut group: Vec<Entry> = Vec::new();
-    let mut rows = EPOCH_ROWS;
+    let mut rows = COMMON_ROWS;
     for entry in entries(batch) {
         if rows + entry.rows() > Transaction::MAX_ROWS {
-            write_group(owned, std::mem::take(&mut group)).await?;
-            rows = EPOCH_ROWS;
+            write_group(owned, std::mem::take(&mut group), previous).await?;
+            rows = COMMON_ROWS;
         }
         rows += entry.rows();
         group.push(entry);
     }
-    write_group(owned, group).await
+    write_group(owned, group, previous).await
 }
 
 fn entries(batch: &Batch) -> Vec<Entry> {
@@ -113,9 +117,14 @@
         .collect()
 }
 
-fn transaction(owned: &OwnedShard, group: &[Entry]) -> Transaction {
+/// Builds the transaction for a group of changes, which takes effect only while the write at
+/// the revision `previous` is the last one.
+pub(super) fn transaction(owned: &OwnedShard, group: &[Entry], previous: u64) -> Transaction {
     let shard = &owned.claim.shard;
-    let begin = Transaction::default().require(&epoch_key(shard), owned.claim.fence);
+    let begin = Transaction::default()
+        .require(&epoch_key(shard), owned.claim.fence)
+        .require(&written_key(shard), previous)
+        .set(&written_key(shard), Vec::new());
     group.iter().fold(begin, |rows, entry| match entry {
         Entry::End(end) => end_rows(owned, rows, end),
         Entry::Start(start) => rows
@@ -155,10 +164,14 @@
     })
 }
 
-async fn write_group(owned: &OwnedShard, mut group: Vec<Entry>) -> Result<(), StoreFault> {
+async fn write_group(
+    owned: &OwnedShard,
+    mut group: Vec<Entry>,
+    previous: &mut u64,
+) -> Result<(), StoreFault> {
     while !group.is_empty() {
         let sent = Moment::now();
-        let transaction = transaction(owned, &group);
+        let transaction = transaction(owned, &group, *previous);
         match owned
             .node
             .call(owned.node.store.commit(&transaction))
@@ -166,12 +179,16 @@
         {
             Commit::Done(revision) => {
                 owned.confirm(sent);
+                *previous = revision;
                 group
                     .iter()
                     .for_each(|entry| on_entry_written(owned, entry, revision));
                 return Ok(());
             }
-            Commit::Conflict(items) => group = resolve(owned, group, &items)?,
+            Commit::Conflict(items) => {
+                group = resolve(owned, group, &items)?;
+                *previous = last_write(owned, &items);
+            }
             Commit::LeaseGone => {
                 return Err(StoreFault::Unreadable(
                     "unexpected end of a lease".to_owned(),
@@ -193,6 +210,13 @@
     });
 }
 
+/// Returns the revision of the last write from the items of a conflict.
+fn last_write(owned: &OwnedShard, items: &[Item]) -> u64 {
+    let key = written_key(&owned.claim.shard);
+    let found = items.iter().find(|item| item.key == key);
+    found.map_or(0, |item| item.revision)
+}
+
 /// Resolves the conflicts of a group of changes. Returns the changes that still
 /// have to be written.
 fn resolve(
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -69,6 +69,12 @@
     }
 }
 
+/// Returns the key that each write of a shard's owner changes. A write requires the revision
+/// of the one before, so that one without an answer cannot take effect after a newer one.
+pub fn written_key(shard: &str) -> String {
+    format!("written/{shard}")
+}
+
 /// Returns the key of a job's record, which holds its shard and its state.
 pub fn job_key(id: WorkflowId) -> String {
     format!("job/{id}")
