--- a/src/schedule/tests/workers.rs
+++ b/src/schedule/tests/workers.rs
@@ -1,6 +1,7 @@
 //! Tests of workers that leave, are silent, restart or are impaired.
 
 use super::*;
+use crate::fleet::StopOrder;
 
 #[test]
 fn runs_of_a_silent_worker_are_lost_only_after_ownership_is_confirmed_again() {
@@ -219,3 +220,134 @@
     assert_eq!(shard.orders(), "");
     assert_eq!(shard.stage(task), Stage::Running(shard.workers[worker]));
 }
+
+#[test]
+fn a_task_starts_elsewhere_while_a_restarted_worker_may_carry_out_an_earlier_copy() {
+    for (case, running) in [("starting", false), ("running", true)] {
+        let mut shard = Shard::first_owner(&["w0", "w1"]);
+        shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+        shard.plan();
+        let (worker, task, run) = send_starts(&mut shard)[0];
+        let (key, target) = (shard.task(task), shard.workers[worker]);
+        shard.scheduler.on_start_unanswered(target, key, run, at(0));
+        if running {
+            let reply = StartReply::Running;
+            shard.scheduler.on_start(target, key, run, reply, at(50));
+        }
+        for now in [100, 200, 300] {
+            shard.now = now;
+            shard.report_with(worker, 2, Vec::new(), &[]);
+            shard.report(1 - worker, &[], &[]);
+            shard.plan();
+            assert!(!shard.orders().contains("start"), "{case} at {now}");
+        }
+        // Once the worker has answered a stop order, it refuses all copies.
+        let stop = StopOrder {
+            task,
+            run,
+            fence: FENCE,
+        };
+        assert!(shard.scheduler.wants_stop(target, &stop), "{case}");
+        shard.scheduler.on_stop(target, &stop, at(400));
+        for now in [500, 600, 700] {
+            shard.now = now;
+            shard.report_with(worker, 2, Vec::new(), &[]);
+            shard.report(1 - worker, &[], &[]);
+            shard.plan();
+        }
+        assert_ne!(shard.scheduler.ledger.tasks[key].run, run, "{case}");
+    }
+}
+
+#[test]
+fn an_earlier_copy_reaches_a_worker_that_restarted_after_its_leases() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (worker, task, run) = send_starts(&mut shard)[0];
+    let (key, target) = (shard.task(task), shard.workers[worker]);
+    shard.scheduler.on_start_unanswered(target, key, run, at(0));
+    shard.now = 5_000;
+    shard.report(1 - worker, &[], &[]);
+    shard.plan();
+    shard.now = 5_100;
+    // The end of the lease is far ahead on the clock of the restarted worker.
+    shard.report_with(worker, 2, Vec::new(), &[]);
+    let stop = StopOrder {
+        task,
+        run,
+        fence: FENCE,
+    };
+    assert!(shard.scheduler.wants_stop(target, &stop));
+}
+
+#[test]
+fn a_lease_by_the_clock_before_a_restart_outlives_the_runs() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    let poll = shard.scheduler.poll_order(shard.workers[0], true, at(0));
+    assert_eq!(poll.unwrap().lease_end, Some(1_004_500));
+    shard.report(1, &[], &[]);
+    // The restarted worker, whose clock begins anew, has taken that end, cut to its limit.
+    let report = WorkerReport {
+        clock: 100,
+        incarnation: 2,
+        ..WorkerReport::default()
+    };
+    let target = shard.workers[0];
+    shard.scheduler.on_report(target, at(0), &report, at(100));
+    shard.now = 200;
+    let mut job = step(1, 1);
+    job.label = Some("rack-w0".to_owned());
+    shard.submit(active_workflow(1, vec![job], 1, 0));
+    shard.write();
+    shard.plan();
+    let (_, task, _) = shard.confirm()[0];
+    shard.now = 5_500;
+    shard.report(1, &[], &[]);
+    shard.plan();
+    assert_eq!(shard.stage(task), Stage::Running(target));
+}
+
+#[test]
+fn a_start_without_an_answer_is_lost_before_its_copies_expire() {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (worker, task, run) = send_starts(&mut shard)[0];
+    let (key, target) = (shard.task(task), shard.workers[worker]);
+    shard.scheduler.on_start_unanswered(target, key, run, at(0));
+    // An order that never arrived counts as silence, which ends no lease.
+    shard
+        .scheduler
+        .on_start_undelivered(target, TaskKey::default(), run, at(100));
+    let entries = vec![registration(["w1", "w0"][worker])];
+    shard.scheduler.on_registry(entries, at(200));
+    let starting = Stage::Starting(target);
+    for (now, expected) in [(300, starting), (4_580, starting), (4_600, Stage::Waiting)] {
+        shard.now = now;
+        // Repeated copies carry the same end of the lease.
+        let _ = shard.scheduler.start_order(target, key, run, at(now));
+        shard.report(1 - worker, &[], &[]);
+        shard.plan();
+        assert_eq!(shard.stage(task), expected, "at {now}");
+    }
+}
+
+#[test]
+fn a_draining_worker_counts_as_having_left_while_a_copy_of_a_start_is_open() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (_, task, run) = send_starts(&mut shard)[0];
+    let (key, target) = (shard.task(task), shard.workers[0]);
+    shard.scheduler.on_start_unanswered(target, key, run, at(0));
+    let draining = Registration {
+        availability: Availability::Draining,
+        ..registration("w0")
+    };
+    shard.scheduler.on_registry(vec![draining], at(10));
+    shard.scheduler.on_registry(Vec::new(), at(20));
+    shard.scheduler.on_poll_failed(target, true);
+    assert_eq!(shard.stage(task), Stage::Starting(target));
+    assert!(shard.scheduler.workers.contains_key(target));
+}
