Workers: a redirect is the worker's answer and is not followed

What callers saw: a worker that answers 303 or 307 had its answer followed by the entry host; if the Location could not be connected to, the outcome was "not sent", so a request that had run was sent to a second worker (also one that must run at most once) or refused with run: no; a 307 sent the request a second time. Cause: reqwest's default policy follows redirects, and the error of the second connection reads as one of the first (is_connect). Ruled out: hyper sends a request again only if nothing of it was written. Evidence: the new test, on the client as it was: NotSent for 303 and for 307; now Answer with the status and its Location, as docs/INTERFACES.md says of every status. The platform's client still follows redirects: its writes name a version and a nonce, and every failure of it counts as a lost answer.

--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -24,7 +24,7 @@
 use crate::platform::{Platform, StoreOp};
 use crate::server::RunningServer;
 use crate::settings::EntrySettings;
-use crate::workers::RequestState;
+use crate::workers::{RequestState, http_client};
 use crate::{Error, Result};
 
 /// State of an entry daemon, shared by its tasks.
@@ -112,7 +112,7 @@
             me,
             counters,
             platform: Platform::new(settings.platform, settings.timing.call_timeout),
-            http: http_client(&settings),
+            http: http_client(settings.timing.call_timeout),
             links: Arc::default(),
             stop: watch::channel(false).0,
             in_progress: RequestCounter::default(),
@@ -349,14 +349,6 @@
     }
 }
 
-fn http_client(settings: &EntrySettings) -> reqwest::Client {
-    reqwest::Client::builder()
-        .connect_timeout(settings.timing.call_timeout)
-        .pool_idle_timeout(Duration::from_secs(30))
-        .build()
-        .expect("building a client without TLS cannot fail")
-}
-
 async fn bind(settings: &EntrySettings) -> Result<TcpListener> {
     TcpListener::bind(settings.peer_address)
         .await
--- a/src/workers/client.rs
+++ b/src/workers/client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
+use reqwest::redirect::Policy;
 use reqwest::{Client, Method, Response};
 
 use super::messages::{SyncReply, SyncRequest};
@@ -12,6 +13,9 @@
 /// Prefix of lycheelock's own headers, which are never forwarded.
 const RESERVED_PREFIX: &str = "lycheelock-";
 
+/// The time after which an idle connection to a worker is closed.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Headers that apply to a single connection and are not forwarded.
 const CONNECTION_HEADERS: [&str; 10] = [
     "connection",
@@ -85,6 +89,17 @@
     TooLarge,
 }
 
+/// Creates the HTTP client with which an entry host calls its workers.
+pub fn http_client(connect_timeout: Duration) -> Client {
+    Client::builder()
+        .connect_timeout(connect_timeout)
+        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        // A redirect is the worker's answer; following it would send the request again.
+        .redirect(Policy::none())
+        .build()
+        .expect("building a client without TLS cannot fail")
+}
+
 /// A client for one worker, with its connection pool.
 #[derive(Debug, Clone)]
 pub struct WorkerClient {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -9,9 +9,12 @@
 
 mod client;
 mod messages;
+#[cfg(test)]
+mod tests;
 
 pub use client::{
-    AttemptOutcome, HeaderLine, WorkerAnswer, WorkerClient, WorkerRequest, is_forwarded,
+    AttemptOutcome, HeaderLine, WorkerAnswer, WorkerClient, WorkerRequest, http_client,
+    is_forwarded,
 };
 pub use messages::{
     BootId, Report, RequestReport, RequestState, StartTask, StopTask, SyncRefusal, SyncReply,
