Jobs: a refusal by a restarted worker is no answer to earlier copies of a start

What callers would see: a task of a class that is not idempotent runs twice. Its start gets no answer but is carried out; the worker restarts; the next copy of the start carries a ticket that the new process did not issue, and is reported as refused. The ledger took this as proof that the task had not run, dropped its intent and started it again. Cause: the refusal of one process was read as an answer to the copies that its former process got. Ruled out: a refusal by the same process is proof (numbers grow, and an attempt that is known is not judged again); a report that does not list the task was already read as lost. Evidence: the new test failed with one more start instead of the outcome unknown. Fix: the ledger keeps the process of each worker's last report. If it changed, a refused attempt whose start an earlier call carried is treated like one that is not listed: unknown, or queued again if the task is idempotent.

--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -13,6 +13,7 @@
 use crate::ids::{Attempt, Epoch, JobId, JobKey, ShardId, TaskId, TaskKey, WorkerKey};
 use crate::kind::RetryReason;
 use crate::moment::Moment;
+use crate::workers::BootId;
 
 /// The leases, delays and retention times of a ledger.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -136,6 +137,8 @@
     pub(super) queued: HashMap<WorkerKey, QueuedCommands>,
     /// The workers that may run tasks of the shard, by name.
     pub(super) roster: BTreeMap<String, RosterEntry>,
+    /// The process of each worker that sent its last report to this owner.
+    pub(super) boots: HashMap<WorkerKey, BootId>,
     /// The names of workers that have not reported to this owner yet.
     pub(super) unreported: BTreeSet<String>,
     /// The time by which no task that a former owner started still runs.
@@ -197,6 +200,7 @@
             placed: HashMap::new(),
             queued: HashMap::new(),
             roster: BTreeMap::new(),
+            boots: HashMap::new(),
             unreported: BTreeSet::new(),
             recovery_deadline,
             changes: Vec::new(),
--- a/src/jobs/report.rs
+++ b/src/jobs/report.rs
@@ -32,12 +32,20 @@
             .collect();
         let placed: BTreeSet<TaskKey> = self.placed.get(&worker).cloned().unwrap_or_default();
         let mut matched = BTreeSet::new();
+        let former = self.boots.insert(worker, report.boot);
+        let restarted = former.is_some_and(|boot| boot != report.boot);
         for key in placed {
             if let Some(attempt) = self.placed_attempt(key)
                 && let Some(found) = reported.get(&attempt)
             {
                 matched.insert(found.task);
-                self.on_task_report(key, found, placement, now);
+                let refused = found.state == TaskState::Refused;
+                if refused && restarted && self.was_sent_before(key, number) {
+                    // The former process may have started the attempt.
+                    self.on_absent(key, placement);
+                } else {
+                    self.on_task_report(key, found, placement, now);
+                }
             } else if self.must_be_reported(key, number) {
                 self.on_absent(key, placement);
             }
@@ -95,6 +103,14 @@
         }
     }
 
+    /// Whether a call before the one with this number carried the start of the task.
+    fn was_sent_before(&self, key: TaskKey, number: u64) -> bool {
+        match self.tasks[key].stage {
+            TaskStage::Placed { sent_call, .. } => sent_call.is_some_and(|sent| sent < number),
+            _ => false,
+        }
+    }
+
     fn on_task_report(
         &mut self,
         key: TaskKey,
@@ -212,7 +228,8 @@
 
     /// Handles a task that its worker does not report: the worker restarted or has
     /// been silent for the recovery delay, or the task was stopped before its start
-    /// was sent.
+    /// was sent. Also handles one whose earlier start the worker's former process may
+    /// have carried out.
     pub(super) fn on_absent(&mut self, key: TaskKey, placement: &mut Placement) {
         let (stop, sent) = match self.tasks[key].stage {
             TaskStage::Placed {
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -60,6 +60,7 @@
         if gone {
             self.queued.remove(&key);
             self.placed.remove(&key);
+            self.boots.remove(&key);
             placement.remove(key);
         }
     }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -32,6 +32,8 @@
     configuration: Configuration,
     workers: Vec<WorkerKey>,
     number: u64,
+    /// The process of the workers that the next report is from.
+    boot: BootId,
 }
 
 impl Fixture {
@@ -65,6 +67,7 @@
             placement,
             workers,
             number: 0,
+            boot: BootId(1),
         };
         fixture.maintain(0);
         fixture
@@ -147,7 +150,7 @@
 
     fn report(&mut self, worker: usize, tasks: Vec<TaskReport>, ms: u64) {
         let report = Report {
-            boot: BootId(1),
+            boot: self.boot,
             ticket: Ticket(1),
             tasks,
             requests: Vec::new(),
@@ -316,6 +319,36 @@
     insta::assert_snapshot!(name, text);
 }
 
+#[rstest]
+#[case("once", r#"{"unknown": 1}"#, 0)]
+#[case("plain", "{}", 1)]
+fn a_start_that_a_restarted_worker_refuses_may_have_run_before(
+    #[case] class: &str,
+    #[case] ended: &str,
+    #[case] starts: usize,
+) {
+    let mut fixture = Fixture::new(&[]);
+    for worker in 0..2 {
+        fixture.call(worker);
+        fixture.report(worker, Vec::new(), 5);
+    }
+    fixture.accept(1, class, 1);
+    fixture.plan(10);
+    fixture.log();
+    let first = usize::from(fixture.call(0).is_empty());
+    // This call is carried out without an answer, then the worker restarts.
+    fixture.call(first);
+    fixture.boot = BootId(2);
+    assert_eq!(fixture.call(first).len(), 1);
+    fixture.report(first, vec![task(1, 2, 1, TaskState::Refused, 0)], 20);
+    fixture.log();
+    fixture.plan(10_000);
+    fixture.log();
+    let next = [fixture.call(0), fixture.call(1)].concat();
+    let next = next.iter().filter(|line| line.starts_with("start"));
+    assert_eq!((fixture.ended(1).as_str(), next.count()), (ended, starts));
+}
+
 #[test]
 fn a_started_task_that_is_not_idempotent_is_unknown_after_a_takeover() {
     let record = Fixture::new(&[]).record(1, "once", 1);
