Jobs: a redirect that is being logged binds repeated submissions

What callers would see: one keyed job runs in two shards. The home shard decides on a redirect, as it has no large enough worker; while the store is slow the caller repeats the submission, perhaps through another host, and by then a worker is listed or the host list names another shard: the repeat was accepted in the home shard or redirected to a third one, and the first copy still reached the first. Cause: an accepted job was kept as pending while it was logged, a redirect was not. Fix: the decision is kept until it is logged, and repeats get the same one. The change may then be in the log twice, with the same shard, which has no further effect.

--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -123,6 +123,8 @@
     pub(super) index: HashMap<JobId, JobKey>,
     /// The digests of submissions that are being logged, by job.
     pub(super) pending: HashMap<JobId, u64>,
+    /// The shards of redirects that are being logged, by job.
+    pub(super) pending_redirects: HashMap<JobId, ShardId>,
     /// The redirected jobs by the number of their id.
     pub(super) redirects: BTreeMap<u64, Redirect>,
     /// Moved tasks that the other shard has not accepted yet, by the id that
@@ -192,6 +194,7 @@
             tasks: SlotMap::with_key(),
             index: HashMap::new(),
             pending: HashMap::new(),
+            pending_redirects: HashMap::new(),
             redirects: BTreeMap::new(),
             pending_moves: BTreeMap::new(),
             waiting: BTreeSet::new(),
@@ -359,6 +362,7 @@
                     to: *to,
                     at: *at,
                 };
+                self.pending_redirects.remove(job);
                 self.redirects.insert(job.number, redirect);
             }
             Change::Dropped { job } => {
--- a/src/jobs/submit.rs
+++ b/src/jobs/submit.rs
@@ -134,7 +134,8 @@
 impl Ledger {
     /// Decides whether a submitted job is accepted, redirected or refused. `other`
     /// is a shard for the job if no worker of this one is large enough. The choice
-    /// is logged, so that a repeated submission is redirected to the same shard.
+    /// is logged, so that a repeated submission is redirected to the same shard, also
+    /// while the choice is being logged.
     pub fn submit(
         &mut self,
         record: JobRecord,
@@ -157,6 +158,11 @@
         if let Some(redirect) = self.redirects.get(&record.id.number) {
             return SubmitStep::Redirected(redirect.to);
         }
+        let job = record.id;
+        let redirect = |to| SubmitStep::Log(Change::Redirected { job, to, at: wall });
+        if let Some(to) = self.pending_redirects.get(&job) {
+            return redirect(*to);
+        }
         if self.estimated_bytes() >= MAX_SNAPSHOT_BYTES {
             let message = format!(
                 "shard {} has reached its size limit of jobs and keys",
@@ -166,9 +172,8 @@
         }
         if !placement.could_hold(self.shard(), record.size) {
             if let Some(to) = other.filter(|to| *to != self.shard()) {
-                let job = record.id;
-                let at = wall;
-                return SubmitStep::Log(Change::Redirected { job, to, at });
+                self.pending_redirects.insert(job, to);
+                return redirect(to);
             }
             let size = record.size;
             let message = format!(
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -475,6 +475,32 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+#[test]
+fn a_submission_is_not_accepted_here_while_its_redirect_is_being_logged() {
+    let mut fixture = Fixture::new(&[]);
+    let record = fixture.record(1, "plain", 1);
+    let submit = |fixture: &mut Fixture, other| {
+        let placement = &fixture.placement;
+        let ledger = &mut fixture.ledger;
+        let other = Some(ShardId(other));
+        match ledger.submit(record.clone(), placement, other, at(0), WallClock(0)) {
+            SubmitStep::Log(Change::Redirected { to, .. }) => format!("redirect to {to}"),
+            step => format!("{step:?}"),
+        }
+    };
+    let leave = |fixture: &mut Fixture, leaving| {
+        for worker in &fixture.workers {
+            fixture.placement.get_mut(*worker).unwrap().leaving = leaving;
+        }
+    };
+    leave(&mut fixture, true);
+    let first = submit(&mut fixture, 1);
+    let other_shard_fits = submit(&mut fixture, 2);
+    leave(&mut fixture, false);
+    let own_shard_fits = submit(&mut fixture, 1);
+    assert_eq!([&other_shard_fits, &own_shard_fits], [&first, &first]);
+}
+
 #[test]
 fn a_repeated_key_is_answered_by_its_stage() {
     let mut keys = IdempotencyKeys::default();
