Jobs: the intent of a keyed request is never taken for that of the next

What callers would see: a request with an idempotency key runs twice. If the intent was not logged by the deadline, the key was free at once; the repeat waited for its own intent, and the late confirmation of the first one was read as its own. In the other order, the logged release of a key erased the next request that was using it, so a third one could be sent. Cause: one notification for all intents of a key; a logged outcome was applied to whatever request held the key. Fix: a key whose intent is still being logged stays taken (in_progress) until its release is logged, so only one intent of a key is ever under way; a logged release frees just such a key, as all others are freed when the request ends.

--- a/src/jobs/keys.rs
+++ b/src/jobs/keys.rs
@@ -21,6 +21,8 @@
 enum KeyStage {
     /// The intent is being logged.
     IntentPending,
+    /// The request ended without being sent while its intent was being logged.
+    Abandoned,
     /// The intent is logged and this host is sending the request.
     Running,
     /// A former owner logged the intent, and the log has no outcome.
@@ -33,7 +35,10 @@
     fn answer_bytes(&self) -> usize {
         match &self.stage {
             KeyStage::Ended(outcome) => outcome.estimated_bytes(),
-            KeyStage::IntentPending | KeyStage::Running | KeyStage::Orphaned => 0,
+            KeyStage::IntentPending
+            | KeyStage::Abandoned
+            | KeyStage::Running
+            | KeyStage::Orphaned => 0,
         }
     }
 }
@@ -101,6 +106,10 @@
                 let message = "a request with this idempotency key is being carried out";
                 KeyStep::Refuse(Refusal::new(ErrorKind::InProgress, message))
             }
+            KeyStage::Abandoned => {
+                let message = "the release of this idempotency key is being logged";
+                KeyStep::Refuse(Refusal::new(ErrorKind::InProgress, message))
+            }
             KeyStage::Orphaned => {
                 let message = "the entry host that sent the request failed";
                 KeyStep::Refuse(Refusal::new(ErrorKind::AnswerLost, message))
@@ -110,14 +119,23 @@
     }
 
     /// Records an outcome before it is logged, so that a repeated request gets it
-    /// at once. An answer that exceeds the size limit is replaced by `TooLarge`.
+    /// at once. An answer that exceeds the size limit is replaced by `TooLarge`. A key
+    /// whose intent is still being logged is free again only once its release is
+    /// logged: otherwise the next request would take that intent for its own.
     pub fn end(&mut self, key: u64, outcome: KeyOutcome) -> Change {
         let bytes = outcome.estimated_bytes();
         let outcome = match bytes > 0 && self.estimated_bytes() + bytes > MAX_KEYS_BYTES {
             true => KeyOutcome::TooLarge,
             false => outcome,
         };
-        self.set_outcome(key, &outcome);
+        match self.states.get_mut(&key) {
+            Some(state)
+                if outcome == KeyOutcome::NotRun && state.stage == KeyStage::IntentPending =>
+            {
+                state.stage = KeyStage::Abandoned;
+            }
+            _ => self.set_outcome(key, &outcome),
+        }
         Change::KeyEnded { key, outcome }
     }
 
@@ -136,6 +154,7 @@
     /// Applies a logged change. A replayed intent belongs to a former owner.
     pub(super) fn apply(&mut self, change: &Change, replayed: bool) {
         match change {
+            Change::KeyIntent { key, .. } if self.is_abandoned(*key) => {}
             Change::KeyIntent { key, digest, at } => {
                 let stage = match replayed {
                     true => KeyStage::Orphaned,
@@ -150,12 +169,20 @@
                 self.forget(*key);
                 self.states.insert(*key, state);
             }
+            // `end` has freed the key already, so it may be in use again.
+            Change::KeyEnded { key, outcome }
+                if *outcome == KeyOutcome::NotRun && !replayed && !self.is_abandoned(*key) => {}
             Change::KeyEnded { key, outcome } => self.set_outcome(*key, outcome),
             Change::KeyDropped { key } => self.forget(*key),
             _ => {}
         }
     }
 
+    fn is_abandoned(&self, key: u64) -> bool {
+        let state = self.states.get(&key);
+        state.is_some_and(|state| state.stage == KeyStage::Abandoned)
+    }
+
     fn set_outcome(&mut self, key: u64, outcome: &KeyOutcome) {
         if *outcome == KeyOutcome::NotRun {
             self.forget(key);
@@ -183,7 +210,7 @@
     pub(super) fn snapshot(&self) -> Vec<Change> {
         let mut changes = Vec::new();
         for (key, state) in &self.states {
-            if state.stage == KeyStage::IntentPending {
+            if matches!(state.stage, KeyStage::IntentPending | KeyStage::Abandoned) {
                 continue;
             }
             changes.push(Change::KeyIntent {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -501,6 +501,42 @@
     assert_eq!([&other_shard_fits, &own_shard_fits], [&first, &first]);
 }
 
+#[test]
+fn a_key_is_not_used_again_while_its_former_intent_may_still_be_logged() {
+    let mut keys = IdempotencyKeys::default();
+    let KeyStep::Log(intent) = keys.begin(1, 5, WallClock(0)) else {
+        panic!("a new key");
+    };
+    // The request ends without being sent before its intent is logged.
+    let release = keys.end(1, KeyOutcome::NotRun);
+    let is_sent =
+        |keys: &mut IdempotencyKeys| matches!(keys.begin(1, 5, WallClock(1)), KeyStep::Log(_));
+    let mut sent = vec![is_sent(&mut keys)];
+    for change in [intent, release] {
+        keys.apply(&change, false);
+        sent.push(is_sent(&mut keys));
+    }
+    assert_eq!(sent, [false, false, true]);
+}
+
+#[test]
+fn the_logged_release_of_a_key_does_not_free_it_under_its_next_request() {
+    let mut keys = IdempotencyKeys::default();
+    let KeyStep::Log(intent) = keys.begin(1, 5, WallClock(0)) else {
+        panic!("a new key");
+    };
+    keys.apply(&intent, false);
+    let release = keys.end(1, KeyOutcome::NotRun);
+    let KeyStep::Log(next) = keys.begin(1, 5, WallClock(1)) else {
+        panic!("a key that is free again");
+    };
+    for change in [release, next] {
+        keys.apply(&change, false);
+        let step = keys.begin(1, 5, WallClock(2));
+        assert!(matches!(step, KeyStep::Refuse(_)), "{change:?}: {step:?}");
+    }
+}
+
 #[test]
 fn a_repeated_key_is_answered_by_its_stage() {
     let mut keys = IdempotencyKeys::default();
