Entry: a repeat of a known request or job is not refused as not run

What callers would see: 502, run: unknown, for the first copy of a keyed request or job; then 503 store_unavailable or owner_unavailable, run: no, for the repeat, while the first copy is running or being logged. A caller that reads this as "not run" submits it elsewhere, and it runs twice. docs/INTERFACES.md promises that unknown never becomes no later. Cause: the host looked at its lease and its right to act before it looked the key or job up. Evidence: two new tests failed with owner_unavailable for in_progress and TooLarge, and for Pending. Fix: what the ledger knows of the key or job goes first; only a new one is refused for the store or the owner. A host that may not act for the shard any more but still has its ledger answers likewise; it logs and sends nothing.

--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -122,7 +122,8 @@
     async fn submit_record(self: &Arc<Self>, record: JobRecord) -> Result<Submitted, Refusal> {
         let shard = record.id.shard;
         match self.read(|core, now| core.shard_owner(shard, now)) {
-            ShardOwner::Local => self.submit_here(record).await,
+            // A host that may not act for the shard may still know the submission.
+            ShardOwner::Local | ShardOwner::Unreachable => self.submit_here(record).await,
             ShardOwner::Peer(host) => {
                 let call = PeerCall::Submit(record);
                 match self.links.call(host, call, LOG_TIMEOUT).await {
@@ -133,7 +134,6 @@
                     Err(CallFailure::NotSent) => Err(CallFailure::NotSent.refusal()),
                 }
             }
-            ShardOwner::Unreachable => Err(owner_unreachable(shard)),
         }
     }
 
--- a/src/entry/core/batch.rs
+++ b/src/entry/core/batch.rs
@@ -8,11 +8,15 @@
 use crate::moment::Moment;
 
 impl Core {
-    /// Decides on a submission to a shard that this host owns.
+    /// Decides on a submission to a shard that this host owns. One that repeats a
+    /// known submission is not refused because nothing can be logged now: the refusal
+    /// would say that the job was not accepted.
     pub fn submit(&mut self, record: JobRecord, now: Moment, wall: WallClock) -> SubmitStep {
         let shard = record.id.shard;
         if let Some(refusal) = self.cannot_log(shard, now) {
-            return SubmitStep::Refused(refusal);
+            let ledger = self.ledgers.get(&shard);
+            let repeated = ledger.and_then(|ledger| ledger.repeated_submission(&record, wall));
+            return repeated.unwrap_or(SubmitStep::Refused(refusal));
         }
         let shards = self.fitting_shards(record.size);
         let other = pick_shard(&shards, record.id.number);
--- a/src/entry/core/requests.rs
+++ b/src/entry/core/requests.rs
@@ -129,7 +129,8 @@
     }
 
     /// Decides on a request with an idempotency key whose home shard this host
-    /// owns.
+    /// owns. One with a known key is not refused because nothing can be logged now:
+    /// the refusal would say that it did not run.
     pub fn begin_key(
         &mut self,
         shard: ShardId,
@@ -139,7 +140,9 @@
         wall: WallClock,
     ) -> KeyStep {
         if let Some(refusal) = self.cannot_log(shard, now) {
-            return KeyStep::Refuse(refusal);
+            let ledger = self.ledgers.get(&shard);
+            let repeated = ledger.and_then(|ledger| ledger.keys.repeated(key, digest));
+            return repeated.unwrap_or(KeyStep::Refuse(refusal));
         }
         let Some(ledger) = self.ledgers.get_mut(&shard) else {
             return KeyStep::Refuse(owner_unreachable(shard));
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -70,9 +70,10 @@
 
     async fn serve_keyed(self: &Arc<Self>, call: ServeCall, key: IdempotencyKey) -> Served {
         match self.read(|core, now| core.shard_owner(key.shard, now)) {
-            ShardOwner::Local => self.serve_once(&call, key).await,
+            // A host that may not act for the shard may still know the key.
+            ShardOwner::Local | ShardOwner::Unreachable => self.serve_once(&call, key).await,
             ShardOwner::Peer(host) if !call.forwarded => self.forward_keyed(host, &call).await,
-            ShardOwner::Peer(_) | ShardOwner::Unreachable => {
+            ShardOwner::Peer(_) => {
                 let message = format!("no entry host that owns shard {} can be reached", key.shard);
                 Err(Refusal::new(ErrorKind::OwnerUnavailable, message))
             }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -5,8 +5,8 @@
 use super::core::{Core, CoreSettings, Effect, NextStep};
 use crate::configuration::{Configuration, Size, Zone};
 use crate::dispatch::Arrival;
-use crate::ids::HostId;
-use crate::jobs::WallClock;
+use crate::ids::{HostId, JobId, ShardId};
+use crate::jobs::{JobRecord, KeyOutcome, KeyStep, SubmitStep, WallClock};
 use crate::moment::Moment;
 use crate::ownership::OwnershipSettings;
 use crate::platform::{HostState, ListedHost};
@@ -23,6 +23,13 @@
 /// Returns an entry host that owns the shard of one worker with two slots, and
 /// the current time.
 fn ready() -> (Core, Moment) {
+    let (core, _, _, now) = ready_with_platform();
+    (core, now)
+}
+
+/// Returns an entry host that owns the shard of one worker with two slots, the
+/// store, the worker and the current time.
+fn ready_with_platform() -> (Core, Store, TaskModel, Moment) {
     let settings = CoreSettings {
         ownership: OwnershipSettings {
             zone: "z".to_owned(),
@@ -43,7 +50,91 @@
         ..Configuration::default()
     };
     core.on_configuration(configuration, now);
-    let host = ListedHost {
+    core.on_hosts(vec![listed_worker()], now);
+    let key = core.placement.find("w").unwrap();
+    for _ in 0..60 {
+        now = now + Duration::from_millis(50);
+        run_tick(&mut core, &mut store, now);
+        if let Some(call) = core.sync_call(key, now) {
+            let reply = model.sync(&call.request, &[], |_| false, now);
+            core.on_sync(key, &call.request, Some(reply), now);
+        }
+    }
+    (core, store, model, now)
+}
+
+/// Runs the periodic work and answers the calls to the store.
+fn run_tick(core: &mut Core, store: &mut Store, now: Moment) {
+    core.tick(now, WallClock(0));
+    while let Some(effect) = core.next_effect() {
+        if let Effect::Store { call, op } = effect {
+            let reply = store.call(op, now);
+            core.on_store(call, Some(reply), now);
+        }
+    }
+}
+
+/// The later time by which an entry host without the store has lost its lease.
+const OUTAGE: Duration = Duration::from_secs(20);
+
+fn job() -> JobRecord {
+    JobRecord {
+        id: JobId {
+            shard: ShardId(0),
+            number: 5,
+        },
+        digest: 1,
+        team: "t".to_owned(),
+        class: "plain".to_owned(),
+        tasks: 1,
+        payload: String::new(),
+        checkpoints: Vec::new(),
+        submitted: WallClock(0),
+        deadline: WallClock(3_600_000),
+        duration: 1000,
+        size: WORKER_SIZE,
+        checkpointable: false,
+        idempotent: false,
+        urgent: false,
+        overnight: false,
+        attempts: 1,
+    }
+}
+
+#[test]
+fn a_repeated_key_is_not_refused_as_not_run_while_the_first_request_runs() {
+    let (mut core, mut store, _, now) = ready_with_platform();
+    let begin = |core: &mut Core, digest, now| match core.begin_key(
+        ShardId(0),
+        7,
+        digest,
+        now,
+        WallClock(0),
+    ) {
+        KeyStep::Refuse(refusal) => refusal.kind.to_string(),
+        KeyStep::Log(_) => "log".to_owned(),
+        KeyStep::Stored(outcome) => format!("{outcome:?}"),
+    };
+    let mut steps = vec![begin(&mut core, 1, now)];
+    run_tick(&mut core, &mut store, now + Duration::from_millis(50));
+    let later = now + OUTAGE;
+    steps.push(begin(&mut core, 1, later));
+    core.end_key(ShardId(0), 7, KeyOutcome::TooLarge, later);
+    steps.push(begin(&mut core, 1, later));
+    assert_eq!(steps, ["log", "in_progress", "TooLarge"]);
+}
+
+#[test]
+fn a_repeated_submission_is_not_refused_as_not_run_while_the_first_is_being_logged() {
+    let (mut core, _, _, now) = ready_with_platform();
+    let first = core.submit(job(), now, WallClock(0));
+    assert!(matches!(first, SubmitStep::Log(_)), "{first:?}");
+    let repeated = core.submit(job(), now + OUTAGE, WallClock(0));
+    assert_eq!(repeated, SubmitStep::Pending);
+}
+
+fn listed_worker() -> ListedHost {
+    ListedHost {
         name: "w".to_owned(),
         zone: "z".to_owned(),
         rack: "r".to_owned(),
@@ -52,24 +143,7 @@
         size: WORKER_SIZE,
         slots: 2,
         connections: 8,
-    };
-    core.on_hosts(vec![host], now);
-    let key = core.placement.find("w").unwrap();
-    for _ in 0..60 {
-        now = now + Duration::from_millis(50);
-        core.tick(now, WallClock(0));
-        while let Some(effect) = core.next_effect() {
-            if let Effect::Store { call, op } = effect {
-                let reply = store.call(op, now);
-                core.on_store(call, Some(reply), now);
-            }
-        }
-        if let Some(call) = core.sync_call(key, now) {
-            let reply = model.sync(&call.request, &[], |_| false, now);
-            core.on_sync(key, &call.request, Some(reply), now);
-        }
     }
-    (core, now)
 }
 
 fn arrival(now: Moment) -> Arrival {
--- a/src/jobs/keys.rs
+++ b/src/jobs/keys.rs
@@ -81,40 +81,47 @@
     /// assert!(matches!(keys.begin(1, 2, WallClock(0)), lycheelock::jobs::KeyStep::Refuse(_)));
     /// ```
     pub fn begin(&mut self, key: u64, digest: u64, at: WallClock) -> KeyStep {
-        let Some(state) = self.states.get(&key) else {
-            if self.states.len() * KEY_BYTES >= MAX_KEYS_BYTES {
-                let message = "the shard of this key has reached its limit of idempotency keys";
-                return KeyStep::Refuse(Refusal::new(ErrorKind::Overloaded, message));
-            }
-            self.states.insert(
-                key,
-                KeyState {
-                    digest,
-                    at,
-                    stage: KeyStage::IntentPending,
-                    dropping: false,
-                },
-            );
-            return KeyStep::Log(Change::KeyIntent { key, digest, at });
-        };
+        if let Some(step) = self.repeated(key, digest) {
+            return step;
+        }
+        if self.states.len() * KEY_BYTES >= MAX_KEYS_BYTES {
+            let message = "the shard of this key has reached its limit of idempotency keys";
+            return KeyStep::Refuse(Refusal::new(ErrorKind::Overloaded, message));
+        }
+        self.states.insert(
+            key,
+            KeyState {
+                digest,
+                at,
+                stage: KeyStage::IntentPending,
+                dropping: false,
+            },
+        );
+        KeyStep::Log(Change::KeyIntent { key, digest, at })
+    }
+
+    /// Decides on a request with a known key; none if the key is new.
+    pub fn repeated(&self, key: u64, digest: u64) -> Option<KeyStep> {
+        let state = self.states.get(&key)?;
+        let refuse = |kind, message: &str| Some(KeyStep::Refuse(Refusal::new(kind, message)));
         if state.digest != digest {
             let message = "the idempotency key was used with another request";
-            return KeyStep::Refuse(Refusal::new(ErrorKind::KeyReused, message));
+            return refuse(ErrorKind::KeyReused, message);
         }
         match &state.stage {
             KeyStage::IntentPending | KeyStage::Running => {
                 let message = "a request with this idempotency key is being carried out";
-                KeyStep::Refuse(Refusal::new(ErrorKind::InProgress, message))
+                refuse(ErrorKind::InProgress, message)
             }
             KeyStage::Abandoned => {
                 let message = "the release of this idempotency key is being logged";
-                KeyStep::Refuse(Refusal::new(ErrorKind::InProgress, message))
+                refuse(ErrorKind::InProgress, message)
             }
             KeyStage::Orphaned => {
                 let message = "the entry host that sent the request failed";
-                KeyStep::Refuse(Refusal::new(ErrorKind::AnswerLost, message))
+                refuse(ErrorKind::AnswerLost, message)
             }
-            KeyStage::Ended(outcome) => KeyStep::Stored(outcome.clone()),
+            KeyStage::Ended(outcome) => Some(KeyStep::Stored(outcome.clone())),
         }
     }
 
--- a/src/jobs/submit.rs
+++ b/src/jobs/submit.rs
@@ -145,23 +145,8 @@
         wall: WallClock,
     ) -> SubmitStep {
         let refuse = |kind, message: String| SubmitStep::Refused(Refusal::new(kind, message));
-        if let Some(digest) = self.known_digest(record.id) {
-            return match digest == record.digest {
-                true if self.is_pending(record.id) => SubmitStep::Pending,
-                true => SubmitStep::Known,
-                false => refuse(
-                    ErrorKind::KeyReused,
-                    "the idempotency key was used with another job".to_owned(),
-                ),
-            };
-        }
-        if let Some(redirect) = self.redirects.get(&record.id.number) {
-            return SubmitStep::Redirected(redirect.to);
-        }
-        let job = record.id;
-        let redirect = |to| SubmitStep::Log(Change::Redirected { job, to, at: wall });
-        if let Some(to) = self.pending_redirects.get(&job) {
-            return redirect(*to);
+        if let Some(step) = self.repeated_submission(&record, wall) {
+            return step;
         }
         if self.estimated_bytes() >= MAX_SNAPSHOT_BYTES {
             let message = format!(
@@ -172,8 +157,10 @@
         }
         if !placement.could_hold(self.shard(), record.size) {
             if let Some(to) = other.filter(|to| *to != self.shard()) {
+                let job = record.id;
+                let at = wall;
                 self.pending_redirects.insert(job, to);
-                return redirect(to);
+                return SubmitStep::Log(Change::Redirected { job, to, at });
             }
             let size = record.size;
             let message = format!(
@@ -196,6 +183,28 @@
         SubmitStep::Log(Change::Accepted(Box::new(record)))
     }
 
+    /// Decides on a job of which another submission was accepted or redirected or is
+    /// being logged; none if there was no other.
+    pub fn repeated_submission(&self, record: &JobRecord, wall: WallClock) -> Option<SubmitStep> {
+        let job = record.id;
+        if let Some(digest) = self.known_digest(job) {
+            return Some(match digest == record.digest {
+                true if self.is_pending(job) => SubmitStep::Pending,
+                true => SubmitStep::Known,
+                false => SubmitStep::Refused(Refusal::new(
+                    ErrorKind::KeyReused,
+                    "the idempotency key was used with another job",
+                )),
+            });
+        }
+        if let Some(redirect) = self.redirects.get(&job.number) {
+            return Some(SubmitStep::Redirected(redirect.to));
+        }
+        let to = *self.pending_redirects.get(&job)?;
+        let at = wall;
+        Some(SubmitStep::Log(Change::Redirected { job, to, at }))
+    }
+
     /// Returns the milliseconds that this job and all work due before it need, if
     /// that is longer than the time until its deadline.
     fn excessive_wait(
