Entry: calls to a worker that left and came back go on counting

What operators would see: a worker that left the host list and came back while its shard kept its owner and its process ran on shows as silent and gets no work for as many calls (one a second) as it had got before. Cause: numbers of sync calls were counted for each entry of the arena, and a worker that comes back gets a new one; the worker refuses the numbers below its last one, and a refusal counts as silence. Evidence: the new test failed with Refused(OldNumber). Fix: one count for all workers of a host.

--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -112,12 +112,13 @@
     pub request: SyncRequest,
 }
 
-/// Numbering of the `sync` calls to one worker.
+/// The last `sync` call to one worker and its ticket for the next one.
 #[derive(Debug, Default)]
 struct SyncState {
-    /// Epoch that the numbers belong to; they restart with a new epoch.
+    /// Epoch of the last call.
     epoch: Epoch,
-    /// Number of the last call.
+    /// Number of the last call. All workers share one count, so that the numbers of a
+    /// worker that is removed and added again in an epoch go on growing.
     number: u64,
     /// Ticket of the last report; `None` before the first report of the epoch.
     ticket: Option<Ticket>,
@@ -140,6 +141,8 @@
     pub quotas: Quotas,
     ledgers: BTreeMap<ShardId, Ledger>,
     sync_states: SecondaryMap<WorkerKey, SyncState>,
+    /// Number of the last `sync` call to any worker.
+    last_sync: u64,
     effects: VecDeque<Effect>,
     retries: Vec<RetryReason>,
     /// Host list of all zones, as read last.
@@ -166,6 +169,7 @@
             quotas: Quotas::default(),
             ledgers: BTreeMap::new(),
             sync_states: SecondaryMap::new(),
+            last_sync: 0,
             effects: VecDeque::new(),
             retries: Vec::new(),
             listed: Vec::new(),
--- a/src/entry/core/sync.rs
+++ b/src/entry/core/sync.rs
@@ -27,7 +27,8 @@
                 ..SyncState::default()
             };
         }
-        state.number += 1;
+        self.last_sync += 1;
+        state.number = self.last_sync;
         let commands = ledger.commands(key, state.number);
         let lease = self.settings.ledger.lease;
         Some(SyncCall {
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -12,7 +12,7 @@
 use crate::platform::{HostState, ListedHost};
 use crate::standins::store::Store;
 use crate::standins::tasks::TaskModel;
-use crate::workers::{BootId, TICKET_LIFETIME};
+use crate::workers::{BootId, SyncReply, TICKET_LIFETIME};
 
 const WORKER_SIZE: Size = Size {
     millicores: 1000,
@@ -133,6 +133,21 @@
     assert_eq!(repeated, SubmitStep::Pending);
 }
 
+#[test]
+fn calls_to_a_worker_that_left_and_came_back_are_not_refused_as_old() {
+    let (mut core, mut store, mut model, mut now) = ready_with_platform();
+    core.on_hosts(Vec::new(), now);
+    while core.placement.find("w").is_some() {
+        now = now + Duration::from_millis(50);
+        run_tick(&mut core, &mut store, now);
+    }
+    core.on_hosts(vec![listed_worker()], now);
+    let key = core.placement.find("w").unwrap();
+    let call = core.sync_call(key, now).unwrap();
+    let reply = model.sync(&call.request, &[], |_| false, now);
+    assert!(matches!(reply, SyncReply::Report(_)), "{reply:?}");
+}
+
 fn listed_worker() -> ListedHost {
     ListedHost {
         name: "w".to_owned(),
