Ownership: the answer to a view write counts for its own session only

What callers would see: two owners of a shard, so tasks and requests that run twice. A host whose session ends while a write of its view is in flight opens a new session and writes a new view; the late answer to the first write was taken for the second. The host then counted promises in a view that its record does not hold, while a host that takes over reads the view in the record. Cause: replies to view writes and reads were matched by kind, not by session (renewals are matched by session). Ruled out, by reading: other store calls of ownership have one call under way at a time (log writes, takeover steps, openings, renewals), and promises name session and time. Evidence: the new test failed: the proposed view of the new session was confirmed while its write was unanswered, with the version of the other record. Fix: the purpose of the call names the session; others are ignored.

--- a/src/ownership/machine.rs
+++ b/src/ownership/machine.rs
@@ -161,8 +161,8 @@
 pub(super) enum Purpose {
     Open,
     Renew(SessionId),
-    WriteView,
-    ReadView,
+    WriteView(SessionId),
+    ReadView(SessionId),
     Takeover(ShardId),
     ReadAddress(HostId),
     WriteLog(ShardId),
@@ -475,8 +475,8 @@
         match purpose {
             Purpose::Open => self.on_open(reply, now),
             Purpose::Renew(session) => self.on_renewed(session, reply, now),
-            Purpose::WriteView => self.on_view_written(reply),
-            Purpose::ReadView => self.on_view_read(reply),
+            Purpose::WriteView(session) => self.on_view_written(session, reply),
+            Purpose::ReadView(session) => self.on_view_read(session, reply),
             Purpose::Takeover(shard) => self.on_takeover_reply(shard, reply, now),
             Purpose::ReadAddress(host) => self.on_address_read(host, reply, now),
             Purpose::WriteLog(shard) => self.on_log_written(shard, reply, now),
--- a/src/ownership/opening.rs
+++ b/src/ownership/opening.rs
@@ -239,17 +239,20 @@
             view: wanted,
             sealed: false,
         };
+        let id = session.id;
         let op = StoreOp::Put {
-            key: record_key(session.id),
+            key: record_key(id),
             value: to_json(&record),
             expect: Expect::Version(session.version),
             lease: None,
         };
-        self.call(Purpose::WriteView, op);
+        self.call(Purpose::WriteView(id), op);
     }
 
-    pub(super) fn on_view_written(&mut self, reply: Option<StoreReply>) {
-        let Some(session) = &mut self.current else {
+    /// Handles the reply to a write of a session's view. One that concerns a former
+    /// session says nothing about the view of the current one.
+    pub(super) fn on_view_written(&mut self, id: SessionId, reply: Option<StoreReply>) {
+        let Some(session) = self.current.as_mut().filter(|session| session.id == id) else {
             return;
         };
         if let Some(StoreReply::Written(version)) = reply {
@@ -259,19 +262,19 @@
             }
             return;
         }
-        let key = record_key(session.id);
-        self.call(Purpose::ReadView, StoreOp::Get { key });
+        let key = record_key(id);
+        self.call(Purpose::ReadView(id), StoreOp::Get { key });
     }
 
     /// Resolves a view change whose write was not confirmed. Until the record
     /// shows that the write took effect or no longer can, both views count.
-    pub(super) fn on_view_read(&mut self, reply: Option<StoreReply>) {
-        let Some(session) = &mut self.current else {
+    pub(super) fn on_view_read(&mut self, id: SessionId, reply: Option<StoreReply>) {
+        let Some(session) = self.current.as_mut().filter(|session| session.id == id) else {
             return;
         };
-        let key = record_key(session.id);
+        let key = record_key(id);
         let Some(StoreReply::Value(Some(entry))) = reply else {
-            self.call(Purpose::ReadView, StoreOp::Get { key });
+            self.call(Purpose::ReadView(id), StoreOp::Get { key });
             return;
         };
         let text = entry.value.as_deref().unwrap_or_default();
@@ -295,7 +298,7 @@
                 expect,
                 lease: None,
             };
-            self.call(Purpose::WriteView, op);
+            self.call(Purpose::WriteView(id), op);
             return;
         }
         session.version = entry.version;
--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -5,11 +5,13 @@
 use rstest::rstest;
 
 use super::machine::{Action, CallId, Ownership, OwnershipSettings};
+use super::messages::{Announcement, PeerMessage};
 use super::promise::View;
-use crate::ids::{HostId, ShardId};
+use crate::drain::LeavingList;
+use crate::ids::{HostId, SessionId, ShardId};
 use crate::jobs::{Change, WallClock};
 use crate::moment::Moment;
-use crate::platform::StoreOp;
+use crate::platform::{Expect, StoreOp};
 use crate::standins::store::Store;
 
 const SHARD: ShardId = ShardId(0);
@@ -200,6 +202,53 @@
     assert!(!late.may_act(SHARD, at(9000)));
 }
 
+#[test]
+fn the_answer_to_a_view_write_of_a_former_session_does_not_confirm_the_view_of_the_next() {
+    let mut store = Store::default();
+    let mut only = host(1);
+    run(&mut only, &mut store, 0, 1500);
+    let view_write = |op: &StoreOp| matches!(op, StoreOp::Put { key, expect: Expect::Version(_), .. } if key.starts_with("sessions/"));
+    meet(&mut only, 2, at(1500));
+    let mut late = run_actions(&mut only, &mut store, at(1500), view_write).1;
+    let former = only.current.as_mut().unwrap();
+    former.expired = true;
+    let former = former.id;
+    run_actions(&mut only, &mut store, at(1550), view_write);
+    meet(&mut only, 3, at(1600));
+    let unanswered = run_actions(&mut only, &mut store, at(1600), view_write).1;
+    assert_eq!((late.len(), unanswered.len()), (1, 1));
+    let DelayedCall { call, op } = late.remove(0);
+    let reply = store.call(op, at(1650));
+    only.on_reply(call, Some(reply), at(1650));
+    let current = only.current.as_ref().unwrap();
+    assert_ne!(current.id, former);
+    assert!(current.proposed.is_some(), "{current:?}");
+}
+
+/// Lets a host hear of another one.
+fn meet(host: &mut Ownership, other: u64, now: Moment) {
+    let announcement = |id: u64| Announcement {
+        host: HostId(id),
+        session: SessionId(id),
+        name: format!("h{id}"),
+        zone: "z".to_owned(),
+        peers: format!("address-{id}"),
+        callers: String::new(),
+    };
+    let all: Vec<Announcement> = (2..=other).map(announcement).collect();
+    host.on_announcements(&all, now);
+    let heartbeat = PeerMessage::Heartbeat {
+        sessions: Vec::new(),
+        sent: 0,
+        owned: Vec::new(),
+        revision: 0,
+        leaving: LeavingList::default(),
+        free: 0,
+        stopping: false,
+    };
+    host.on_message(HostId(other), heartbeat, now);
+}
+
 /// Any set of hosts whose promises let an owner act and any set that allows a
 /// takeover have a host in common.
 #[rstest]
