Jobs: a start overtaken by its job's cancellation is not sent

What callers would see: a cancelled job's task that is not idempotent starts after the cancellation was confirmed and runs to its end. The task was placed while the cancellation was being logged; when the cancellation took effect the intent of the start was not logged yet, and when the intent was, nobody looked at the job again. Fix: a start whose intent is logged under a cancelled job is placed as one to stop. It was never sent, so the next report ends it as cancelled.

--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -453,6 +453,7 @@
             return;
         };
         let task = &mut self.tasks[key];
+        let cancelled = self.jobs[task.job].cancelled;
         task.intent_logged = true;
         if let TaskStage::IntentPending {
             worker,
@@ -466,7 +467,7 @@
                 attempt,
                 sent_call: None,
                 seen: false,
-                stop: None,
+                stop: cancelled.then_some(StopReason::Cancelled),
             };
         }
     }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -25,6 +25,23 @@
     Moment::from_micros(ms * 1000)
 }
 
+fn listed(name: &str, address: &str) -> ListedHost {
+    ListedHost {
+        name: name.to_owned(),
+        zone: "a".to_owned(),
+        rack: "r".to_owned(),
+        address: address.to_owned(),
+        state: HostState::Live,
+        size: Size {
+            millicores: 2000,
+            memory: 100,
+            accelerators: 0,
+        },
+        slots: 2,
+        connections: 4,
+    }
+}
+
 /// A ledger with two workers in its shard.
 struct Fixture {
     ledger: Ledger,
@@ -41,20 +58,7 @@
         let source = Source::parse("d.ini", SETTINGS).unwrap();
         let mut placement = Placement::default();
         let workers = (0..2).map(|number| {
-            let host = ListedHost {
-                name: format!("w{number}"),
-                zone: "a".to_owned(),
-                rack: "r".to_owned(),
-                address: "127.0.0.1:1".to_owned(),
-                state: HostState::Live,
-                size: Size {
-                    millicores: 2000,
-                    memory: 100,
-                    accelerators: 0,
-                },
-                slots: 2,
-                connections: 4,
-            };
+            let host = listed(&format!("w{number}"), "127.0.0.1:1");
             let key = placement.upsert_listed(&host, SHARD);
             placement.get_mut(key).unwrap().contact = Contact::Reachable;
             key
@@ -392,6 +396,25 @@
     );
 }
 
+#[rstest]
+fn a_task_placed_while_its_cancellation_is_being_logged_does_not_start(
+    #[values("plain", "once")] class: &str,
+) {
+    let mut fixture = Fixture::new(&[]);
+    fixture.accept(1, class, 1);
+    assert!(fixture.ledger.cancel(fixture.record(1, class, 1).id));
+    fixture.plan(10);
+    fixture.log();
+    let commands = [fixture.call(0), fixture.call(1)].concat();
+    let starts = commands.iter().filter(|line| line.starts_with("start"));
+    assert_eq!(starts.count(), 0, "{commands:?}");
+    for worker in 0..2 {
+        fixture.report(worker, Vec::new(), 20);
+    }
+    fixture.log();
+    assert_eq!(fixture.ended(1), r#"{"cancelled": 1}"#);
+}
+
 #[test]
 fn tasks_too_large_for_every_worker_move_with_their_checkpoints() {
     let mut fixture = Fixture::new(&[]);
