Jobs: a worker at a new address does not answer for the process at the old one

What callers would see: a task runs twice for up to ten seconds. The host list gives a worker's name another address (a host that was replaced, or cut off and started elsewhere); the owner called the new one at once, and the report of the new process, which lists nothing, was read as "the worker restarted": its tasks were started elsewhere, while those at the old address ran on until their leases ended. A new owner ended its recovery in the same way. Cause: the address of a call was that of the host list, whatever process the tasks were given to. Ruled out: a new process at the same address proves that the old one has ended. Fix: a worker is called at its former address, without new work, until no task is left there: they ended, were evicted, or their leases ended after the recovery delay of silence. Then it gets the new address and is logged in the roster with it. A new owner starts from the address in the roster; replies from an address that a worker has left are ignored.

--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -120,7 +120,10 @@
     /// Number of the last call. All workers share one count, so that the numbers of a
     /// worker that is removed and added again in an epoch go on growing.
     number: u64,
-    /// Ticket of the last report; `None` before the first report of the epoch.
+    /// Address of the last call.
+    address: String,
+    /// Ticket of the last report; `None` before the first report of the epoch from
+    /// this address.
     ticket: Option<Ticket>,
 }
 
@@ -290,8 +293,16 @@
         let settings = self.settings.ledger.clone();
         let ledger = Ledger::replay(shard, gained.epoch, &gained.changes, settings, now);
         for worker in ledger.roster() {
-            if self.placement.find(&worker.name).is_none() {
-                self.placement.add(&worker.name, &worker.address, shard);
+            match self.placement.find(&worker.name) {
+                // Its tasks run where the former owner called it.
+                Some(key) => {
+                    if let Some(known) = self.placement.get_mut(key) {
+                        known.move_to(&worker.address);
+                    }
+                }
+                None => {
+                    self.placement.add(&worker.name, &worker.address, shard);
+                }
             }
         }
         self.ledgers.insert(shard, ledger);
--- a/src/entry/core/sync.rs
+++ b/src/entry/core/sync.rs
@@ -21,9 +21,10 @@
         let epoch = self.ownership.acting_epoch(shard, now)?;
         let ledger = self.ledgers.get_mut(&shard)?;
         let state = self.sync_states.entry(key)?.or_default();
-        if state.epoch != epoch {
+        if state.epoch != epoch || state.address != worker.address {
             *state = SyncState {
                 epoch,
+                address: worker.address.clone(),
                 ..SyncState::default()
             };
         }
@@ -61,7 +62,8 @@
     }
 
     /// Handles a worker's reply, `None` if there was none in time. Ignores a
-    /// reply that is not to the last call, or of an epoch that has ended.
+    /// reply that is not to the last call, of an epoch that has ended or from an address
+    /// that the worker has left.
     pub fn on_sync(
         &mut self,
         key: WorkerKey,
@@ -77,7 +79,12 @@
             return;
         };
         let is_last = state.epoch == request.epoch && state.number == request.number;
-        if !is_last || self.ownership.acting_epoch(request.shard, now) != Some(request.epoch) {
+        let worker = self.placement.get(key);
+        let moved = worker.is_none_or(|worker| worker.address != state.address);
+        if !is_last
+            || moved
+            || self.ownership.acting_epoch(request.shard, now) != Some(request.epoch)
+        {
             return;
         }
         state.ticket = Some(report.ticket);
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -30,6 +30,25 @@
 /// Returns an entry host that owns the shard of one worker with two slots, the
 /// store, the worker and the current time.
 fn ready_with_platform() -> (Core, Store, TaskModel, Moment) {
+    let mut core = new_core(1);
+    let mut store = Store::default();
+    let mut model = TaskModel::new(BootId(1), WORKER_SIZE, TICKET_LIFETIME);
+    let mut now = Moment::from_micros(1_000_000);
+    core.on_hosts(vec![listed_worker()], now);
+    let key = core.placement.find("w").unwrap();
+    for _ in 0..60 {
+        now = now + Duration::from_millis(50);
+        run_tick(&mut core, &mut store, now);
+        if let Some(call) = core.sync_call(key, now) {
+            let reply = model.sync(&call.request, &[], |_| false, now);
+            core.on_sync(key, &call.request, Some(reply), now);
+        }
+    }
+    (core, store, model, now)
+}
+
+/// Returns an entry host with a configuration of one shard.
+fn new_core(id: u64) -> Core {
     let settings = CoreSettings {
         ownership: OwnershipSettings {
             zone: "z".to_owned(),
@@ -37,10 +56,7 @@
         },
         ..CoreSettings::default()
     };
-    let mut core = Core::new(HostId(1), settings);
-    let mut store = Store::default();
-    let mut model = TaskModel::new(BootId(1), WORKER_SIZE, TICKET_LIFETIME);
-    let mut now = Moment::from_micros(1_000_000);
+    let mut core = Core::new(HostId(id), settings);
     let configuration = Configuration {
         revision: 1,
         zones: vec![Zone {
@@ -49,18 +65,8 @@
         }],
         ..Configuration::default()
     };
-    core.on_configuration(configuration, now);
-    core.on_hosts(vec![listed_worker()], now);
-    let key = core.placement.find("w").unwrap();
-    for _ in 0..60 {
-        now = now + Duration::from_millis(50);
-        run_tick(&mut core, &mut store, now);
-        if let Some(call) = core.sync_call(key, now) {
-            let reply = model.sync(&call.request, &[], |_| false, now);
-            core.on_sync(key, &call.request, Some(reply), now);
-        }
-    }
-    (core, store, model, now)
+    core.on_configuration(configuration, Moment::from_micros(1_000_000));
+    core
 }
 
 /// Runs the periodic work and answers the calls to the store.
@@ -133,6 +139,37 @@
     assert_eq!(repeated, SubmitStep::Pending);
 }
 
+#[test]
+fn a_new_owner_asks_a_worker_at_the_address_at_which_it_was_given_tasks() {
+    let (mut former, mut store, mut model, mut now) = ready_with_platform();
+    former.ownership.stop();
+    let mut core = new_core(2);
+    let moved = ListedHost {
+        address: "127.0.0.1:2".to_owned(),
+        ..listed_worker()
+    };
+    core.on_hosts(vec![moved], now);
+    while core.acting_shards(now).is_empty() {
+        now = now + Duration::from_millis(50);
+        run_tick(&mut former, &mut store, now);
+        run_tick(&mut core, &mut store, now);
+    }
+    let key = core.placement.find("w").unwrap();
+    let mut addresses = Vec::new();
+    for _ in 0..10 {
+        now = now + Duration::from_millis(50);
+        run_tick(&mut core, &mut store, now);
+        let call = core.sync_call(key, now).unwrap();
+        let reply = model.sync(&call.request, &[], |_| false, now);
+        core.on_sync(key, &call.request, Some(reply), now);
+        addresses.push(call.address);
+    }
+    addresses.dedup();
+    assert_eq!(addresses, ["127.0.0.1:1", "127.0.0.1:2"]);
+    let worker = core.placement.get(key).unwrap();
+    assert!(worker.in_roster && worker.is_usable(now), "{worker:?}");
+}
+
 #[test]
 fn calls_to_a_worker_that_left_and_came_back_are_not_refused_as_old() {
     let (mut core, mut store, mut model, mut now) = ready_with_platform();
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -25,8 +25,9 @@
             return;
         };
         let name = worker.name.clone();
-        let address = worker.address.clone();
-        let (listed, leaving) = (worker.listed, worker.leaving);
+        let mut address = worker.address.clone();
+        let listed_address = worker.listed_address.clone();
+        let (listed, leaving, moving) = (worker.listed, worker.leaving, worker.is_moving());
         let silent = matches!(worker.contact, Contact::Silent { .. });
         let expired = silent
             && worker
@@ -37,21 +38,30 @@
         }
         let empty = self.placed.get(&key).is_none_or(BTreeSet::is_empty);
         let reported = !self.unreported.contains(&name) || now >= self.recovery_deadline;
-        if leaving {
+        if leaving || moving {
             self.drain_worker(key);
         }
-        let known = self
-            .roster
-            .get(&name)
-            .map(|entry| (entry.logged, entry.removing));
-        match known {
+        if moving && empty && reported {
+            address = listed_address;
+            if let Some(worker) = placement.get_mut(key) {
+                worker.move_to(&address);
+            }
+        }
+        match self.roster.get(&name) {
             None if listed && !leaving => self.add_to_roster(&name, address),
-            Some((true, false)) if !listed && empty && reported && (expired || !silent) => {
-                self.remove_from_roster(&name);
+            Some(entry) if entry.logged && !entry.removing => {
+                let known = entry.address == address;
+                if !listed && empty && reported && (expired || !silent) {
+                    self.remove_from_roster(&name);
+                } else if !known && listed && !leaving {
+                    self.add_to_roster(&name, address);
+                } else if let Some(worker) = placement.get_mut(key) {
+                    worker.in_roster = known;
+                }
             }
-            Some((logged, removing)) => {
+            Some(_) => {
                 if let Some(worker) = placement.get_mut(key) {
-                    worker.in_roster = logged && !removing;
+                    worker.in_roster = false;
                 }
             }
             None => {}
--- a/src/placement/state.rs
+++ b/src/placement/state.rs
@@ -56,7 +56,8 @@
         self.tolerance = DEFAULT_TOLERANCE * weights.throughput / latency;
     }
 
-    /// Adds a worker from the host list, or updates a known one.
+    /// Adds a worker from the host list, or updates a known one. A known worker is
+    /// called at its former address until [`Worker::move_to`].
     ///
     /// ```
     /// use lycheelock::configuration::Size;
@@ -76,7 +77,7 @@
         let known = self.names.get(&host.name).copied();
         let key = known.unwrap_or_else(|| self.add(&host.name, &host.address, shard));
         let worker = &mut self.workers[key];
-        worker.address.clone_from(&host.address);
+        worker.listed_address.clone_from(&host.address);
         worker.size = host.size;
         worker.slots = host.slots;
         worker.connections = host.connections;
--- a/src/placement/worker.rs
+++ b/src/placement/worker.rs
@@ -58,6 +58,9 @@
     pub name: String,
     /// Address of the worker's HTTP server.
     pub address: String,
+    /// Address in the host list. While it differs, the process at the other address
+    /// may still run tasks, and the worker receives no new work.
+    pub listed_address: String,
     /// Shard that the worker belongs to.
     pub shard: ShardId,
     /// Total capacity for batch tasks, including the reserve.
@@ -123,6 +126,7 @@
         Self {
             name: name.to_owned(),
             address: address.to_owned(),
+            listed_address: address.to_owned(),
             shard,
             size: Size::default(),
             slots: 0,
@@ -162,7 +166,20 @@
             Health::Quarantined { until, .. } => now >= until,
             Health::Probing { .. } => false,
         };
-        healthy && !self.leaving && self.contact == Contact::Reachable
+        healthy && !self.leaving && !self.is_moving() && self.contact == Contact::Reachable
+    }
+
+    /// Whether the host list names another address than the one that is called.
+    pub fn is_moving(&self) -> bool {
+        self.address != self.listed_address
+    }
+
+    /// Calls the worker at this address from now on; it has to report first.
+    pub fn move_to(&mut self, address: &str) {
+        self.address = address.to_owned();
+        self.contact = Contact::Unreported;
+        self.in_roster = false;
+        self.last_report = None;
     }
 
     /// Occupies a slot for an interactive request that is about to be sent.
@@ -254,6 +271,7 @@
         let state = match (self.leaving, self.contact, self.health) {
             (true, _, _) => "leaving",
             (_, Contact::Unreported, _) => "unasked",
+            _ if self.is_moving() => "moving",
             (_, Contact::Silent { .. }, _) => "silent",
             (_, _, Health::Quarantined { until, .. }) if now < until => "quarantined",
             (_, _, Health::Quarantined { .. } | Health::Probing { .. }) => "probing",
