Entry: a keyed request may run at a peer if the owner of its key has no free slot

What callers saw: 503 owner_unavailable, run: no, for a request with an idempotency key, as soon as the owner of its home shard has no free slot and a peer has one; the owner waits for no slot and uses none of the peer's. Nothing ran twice. Cause: the owner forwarded the request with its key; the peer does not own the home shard, and refuses to pass a forwarded request on. Fix: once the intent is logged the request goes on without its key, and may be forwarded once, whether or not it reached the owner by a forward. It still runs at most once: a lost forward is answered and stored as unknown.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -71,7 +71,7 @@
     async fn serve_keyed(self: &Arc<Self>, call: ServeCall, key: IdempotencyKey) -> Served {
         match self.read(|core, now| core.shard_owner(key.shard, now)) {
             // A host that may not act for the shard may still know the key.
-            ShardOwner::Local | ShardOwner::Unreachable => self.serve_once(&call, key).await,
+            ShardOwner::Local | ShardOwner::Unreachable => self.serve_once(call, key).await,
             ShardOwner::Peer(host) if !call.forwarded => self.forward_keyed(host, &call).await,
             ShardOwner::Peer(_) => {
                 let message = format!("no entry host that owns shard {} can be reached", key.shard);
@@ -82,7 +82,7 @@
 
     /// Logs the intent of a keyed request, sends the request at most once and
     /// logs the outcome.
-    async fn serve_once(self: &Arc<Self>, call: &ServeCall, key: IdempotencyKey) -> Served {
+    async fn serve_once(self: &Arc<Self>, call: ServeCall, key: IdempotencyKey) -> Served {
         let change = PendingChange::Key(key.shard, key.key);
         let (step, logged) = self.decide(|core, now| {
             let step = core.begin_key(key.shard, key.key, key.digest, now, WallClock::now());
@@ -99,7 +99,13 @@
             let result = timeout(deadline, logged).await;
             self.check_intent(key, result.ok().and_then(Result::ok))?;
         }
-        let served = self.serve_here(call).await;
+        // The key is settled here: a peer that runs the request must not look it up.
+        let call = ServeCall {
+            key: None,
+            forwarded: false,
+            ..call
+        };
+        let served = self.serve_here(&call).await;
         let outcome = self.key_outcome(&served);
         self.decide(|core, now| core.end_key(key.shard, key.key, outcome, now));
         served
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -105,6 +105,36 @@
     assert_eq!(forged.send().await.unwrap().status(), 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_request_runs_at_a_peer_if_the_owner_of_its_key_has_no_free_slot() {
+    let size = DeploymentSize {
+        entries: 2,
+        workers: 1,
+    };
+    let deployment = Deployment::start("keyed-forward", size).await;
+    deployment
+        .wait_for("each entry host owns a shard", || async {
+            let mut owners = 0;
+            for entry in 0..2 {
+                let status = deployment.status(entry).await;
+                owners += usize::from(
+                    status.is_some_and(|status| status.shards.iter().any(|shard| shard.acting)),
+                );
+            }
+            owners == 2
+        })
+        .await;
+    sleep_ms(1000).await;
+    let mut results = Vec::new();
+    for number in 0..16 {
+        let mark = format!("keyed-{number}");
+        let call = deployment.call(number % 2, "/trademark", &mark, Some(&mark));
+        results.push(call.await.result);
+    }
+    assert_eq!(count_answered(&results), 16, "{results:?}");
+    assert_eq!(deployment.audit(&results).await, Violations::default());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn oversized_requests_are_refused_as_not_run() {
     let deployment = Deployment::start("limits", SMALL).await;
