--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -112,14 +112,18 @@
     pub request: SyncRequest,
 }
 
-/// Numbering of the `sync` calls to one worker.
+/// The last `sync` call to one worker and its ticket for the next one.
 #[derive(Debug, Default)]
 struct SyncState {
-    /// Epoch that the numbers belong to; they restart with a new epoch.
+    /// Epoch of the last call.
     epoch: Epoch,
-    /// Number of the last call.
+    /// Number of the last call. All workers share one count, so that the numbers of a
+    /// worker that is removed and added again in an epoch go on growing.
     number: u64,
-    /// Ticket of the last report; `None` before the first report of the epoch.
+    /// Address of the last call.
+    address: String,
+    /// Ticket of the last report; `None` before the first report of the epoch from
+    /// this address.
     ticket: Option<Ticket>,
 }
 
@@ -140,6 +144,8 @@
     pub quotas: Quotas,
     ledgers: BTreeMap<ShardId, Ledger>,
     sync_states: SecondaryMap<WorkerKey, SyncState>,
+    /// Number of the last `sync` call to any worker.
+    last_sync: u64,
     effects: VecDeque<Effect>,
     retries: Vec<RetryReason>,
     /// Host list of all zones, as read last.
@@ -166,6 +172,7 @@
             quotas: Quotas::default(),
             ledgers: BTreeMap::new(),
             sync_states: SecondaryMap::new(),
+            last_sync: 0,
             effects: VecDeque::new(),
             retries: Vec::new(),
             listed: Vec::new(),
@@ -286,8 +293,16 @@
         let settings = self.settings.ledger.clone();
         let ledger = Ledger::replay(shard, gained.epoch, &gained.changes, settings, now);
         for worker in ledger.roster() {
-            if self.placement.find(&worker.name).is_none() {
-                self.placement.add(&worker.name, &worker.address, shard);
+            match self.placement.find(&worker.name) {
+                // Its tasks run where the former owner called it.
+                Some(key) => {
+                    if let Some(known) = self.placement.get_mut(key) {
+                        known.move_to(&worker.address);
+                    }
+                }
+                None => {
+                    self.placement.add(&worker.name, &worker.address, shard);
+                }
             }
         }
         self.ledgers.insert(shard, ledger);
--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -13,6 +13,7 @@
 use crate::ids::{Attempt, Epoch, JobId, JobKey, ShardId, TaskId, TaskKey, WorkerKey};
 use crate::kind::RetryReason;
 use crate::moment::Moment;
+use crate::workers::BootId;
 
 /// The leases, delays and retention times of a ledger.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -122,6 +123,8 @@
     pub(super) index: HashMap<JobId, JobKey>,
     /// The digests of submissions that are being logged, by job.
     pub(super) pending: HashMap<JobId, u64>,
+    /// The shards of redirects that are being logged, by job.
+    pub(super) pending_redirects: HashMap<JobId, ShardId>,
     /// The redirected jobs by the number of their id.
     pub(super) redirects: BTreeMap<u64, Redirect>,
     /// Moved tasks that the other shard has not accepted yet, by the id that
@@ -136,6 +139,8 @@
     pub(super) queued: HashMap<WorkerKey, QueuedCommands>,
     /// The workers that may run tasks of the shard, by name.
     pub(super) roster: BTreeMap<String, RosterEntry>,
+    /// The process of each worker that sent its last report to this owner.
+    pub(super) boots: HashMap<WorkerKey, BootId>,
     /// The names of workers that have not reported to this owner yet.
     pub(super) unreported: BTreeSet<String>,
     /// The time by which no task that a former owner started still runs.
@@ -189,6 +194,7 @@
             tasks: SlotMap::with_key(),
             index: HashMap::new(),
             pending: HashMap::new(),
+            pending_redirects: HashMap::new(),
             redirects: BTreeMap::new(),
             pending_moves: BTreeMap::new(),
             waiting: BTreeSet::new(),
@@ -197,6 +203,7 @@
             placed: HashMap::new(),
             queued: HashMap::new(),
             roster: BTreeMap::new(),
+            boots: HashMap::new(),
             unreported: BTreeSet::new(),
             recovery_deadline,
             changes: Vec::new(),
@@ -355,6 +362,7 @@
                     to: *to,
                     at: *at,
                 };
+                self.pending_redirects.remove(job);
                 self.redirects.insert(job.number, redirect);
             }
             Change::Dropped { job } => {
@@ -445,6 +453,7 @@
             return;
         };
         let task = &mut self.tasks[key];
+        let cancelled = self.jobs[task.job].cancelled;
         task.intent_logged = true;
         if let TaskStage::IntentPending {
             worker,
@@ -458,7 +467,7 @@
                 attempt,
                 sent_call: None,
                 seen: false,
-                stop: None,
+                stop: cancelled.then_some(StopReason::Cancelled),
             };
         }
     }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -25,6 +25,23 @@
     Moment::from_micros(ms * 1000)
 }
 
+fn listed(name: &str, address: &str) -> ListedHost {
+    ListedHost {
+        name: name.to_owned(),
+        zone: "a".to_owned(),
+        rack: "r".to_owned(),
+        address: address.to_owned(),
+        state: HostState::Live,
+        size: Size {
+            millicores: 2000,
+            memory: 100,
+            accelerators: 0,
+        },
+        slots: 2,
+        connections: 4,
+    }
+}
+
 /// A ledger with two workers in its shard.
 struct Fixture {
     ledger: Ledger,
@@ -32,6 +49,8 @@
     configuration: Configuration,
     workers: Vec<WorkerKey>,
     number: u64,
+    /// The process of the workers that the next report is from.
+    boot: BootId,
 }
 
 impl Fixture {
@@ -39,20 +58,7 @@
         let source = Source::parse("d.ini", SETTINGS).unwrap();
         let mut placement = Placement::default();
         let workers = (0..2).map(|number| {
-            let host = ListedHost {
-                name: format!("w{number}"),
-                zone: "a".to_owned(),
-                rack: "r".to_owned(),
-                address: "127.0.0.1:1".to_owned(),
-                state: HostState::Live,
-                size: Size {
-                    millicores: 2000,
-                    memory: 100,
-                    accelerators: 0,
-                },
-                slots: 2,
-                connections: 4,
-            };
+            let host = listed(&format!("w{number}"), "127.0.0.1:1");
             let key = placement.upsert_listed(&host, SHARD);
             placement.get_mut(key).unwrap().contact = Contact::Reachable;
             key
@@ -65,6 +71,7 @@
             placement,
             workers,
             number: 0,
+            boot: BootId(1),
         };
         fixture.maintain(0);
         fixture
@@ -147,7 +154,7 @@
 
     fn report(&mut self, worker: usize, tasks: Vec<TaskReport>, ms: u64) {
         let report = Report {
-            boot: BootId(1),
+            boot: self.boot,
             ticket: Ticket(1),
             tasks,
             requests: Vec::new(),
@@ -316,6 +323,36 @@
     insta::assert_snapshot!(name, text);
 }
 
+#[rstest]
+#[case("once", r#"{"unknown": 1}"#, 0)]
+#[case("plain", "{}", 1)]
+fn a_start_that_a_restarted_worker_refuses_may_have_run_before(
+    #[case] class: &str,
+    #[case] ended: &str,
+    #[case] starts: usize,
+) {
+    let mut fixture = Fixture::new(&[]);
+    for worker in 0..2 {
+        fixture.call(worker);
+        fixture.report(worker, Vec::new(), 5);
+    }
+    fixture.accept(1, class, 1);
+    fixture.plan(10);
+    fixture.log();
+    let first = usize::from(fixture.call(0).is_empty());
+    // This call is carried out without an answer, then the worker restarts.
+    fixture.call(first);
+    fixture.boot = BootId(2);
+    assert_eq!(fixture.call(first).len(), 1);
+    fixture.report(first, vec![task(1, 2, 1, TaskState::Refused, 0)], 20);
+    fixture.log();
+    fixture.plan(10_000);
+    fixture.log();
+    let next = [fixture.call(0), fixture.call(1)].concat();
+    let next = next.iter().filter(|line| line.starts_with("start"));
+    assert_eq!((fixture.ended(1).as_str(), next.count()), (ended, starts));
+}
+
 #[test]
 fn a_started_task_that_is_not_idempotent_is_unknown_after_a_takeover() {
     let record = Fixture::new(&[]).record(1, "once", 1);
@@ -359,6 +396,68 @@
     );
 }
 
+#[rstest]
+fn a_task_placed_while_its_cancellation_is_being_logged_does_not_start(
+    #[values("plain", "once")] class: &str,
+) {
+    let mut fixture = Fixture::new(&[]);
+    fixture.accept(1, class, 1);
+    assert!(fixture.ledger.cancel(fixture.record(1, class, 1).id));
+    fixture.plan(10);
+    fixture.log();
+    let commands = [fixture.call(0), fixture.call(1)].concat();
+    let starts = commands.iter().filter(|line| line.starts_with("start"));
+    assert_eq!(starts.count(), 0, "{commands:?}");
+    for worker in 0..2 {
+        fixture.report(worker, Vec::new(), 20);
+    }
+    fixture.log();
+    assert_eq!(fixture.ended(1), r#"{"cancelled": 1}"#);
+}
+
+#[test]
+fn a_process_at_a_new_address_does_not_answer_for_the_one_at_the_old_address() {
+    let mut fixture = Fixture::new(&[]);
+    for worker in 0..2 {
+        fixture.call(worker);
+        fixture.report(worker, Vec::new(), 5);
+    }
+    fixture.accept(1, "plain", 1);
+    fixture.plan(10);
+    let busy = usize::from(fixture.call(0).is_empty());
+    fixture.call(busy);
+    fixture.report(busy, vec![task(1, 2, 1, TaskState::Running, 0)], 20);
+    let called = |fixture: &Fixture| {
+        let worker = |index: usize| fixture.placement.get(fixture.workers[index]).unwrap();
+        [worker(busy), worker(1 - busy)].map(|worker| worker.address.clone())
+    };
+    for name in ["w0", "w1"] {
+        let host = listed(name, "127.0.0.1:2");
+        fixture.placement.upsert_listed(&host, SHARD);
+    }
+    fixture.maintain(100);
+    let while_it_may_run = called(&fixture);
+    let key = fixture.workers[busy];
+    fixture.placement.get_mut(key).unwrap().last_report = Some(at(100));
+    fixture.placement.on_silence(key, at(200));
+    let recovered = 100 + LedgerSettings::default().recovery_delay().as_millis() as u64;
+    fixture.maintain(recovered - 1);
+    let before_its_lease_has_ended = called(&fixture);
+    let changes = fixture.maintain(recovered);
+    let (old, new) = ("127.0.0.1:1".to_owned(), "127.0.0.1:2".to_owned());
+    let apart = [old, new.clone()];
+    assert_eq!(
+        [
+            while_it_may_run,
+            before_its_lease_has_ended,
+            called(&fixture)
+        ],
+        [apart.clone(), apart, [new.clone(), new.clone()]]
+    );
+    let name = format!("w{busy}");
+    assert!(changes.contains(&Change::WorkerJoined { name, address: new }));
+}
+
 #[test]
 fn tasks_too_large_for_every_worker_move_with_their_checkpoints() {
     let mut fixture = Fixture::new(&[]);
@@ -442,6 +541,68 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+#[test]
+fn a_submission_is_not_accepted_here_while_its_redirect_is_being_logged() {
+    let mut fixture = Fixture::new(&[]);
+    let record = fixture.record(1, "plain", 1);
+    let submit = |fixture: &mut Fixture, other| {
+        let placement = &fixture.placement;
+        let ledger = &mut fixture.ledger;
+        let other = Some(ShardId(other));
+        match ledger.submit(record.clone(), placement, other, at(0), WallClock(0)) {
+            SubmitStep::Log(Change::Redirected { to, .. }) => format!("redirect to {to}"),
+            step => format!("{step:?}"),
+        }
+    };
+    let leave = |fixture: &mut Fixture, leaving| {
+        for worker in &fixture.workers {
+            fixture.placement.get_mut(*worker).unwrap().leaving = leaving;
+        }
+    };
+    leave(&mut fixture, true);
+    let first = submit(&mut fixture, 1);
+    let other_shard_fits = submit(&mut fixture, 2);
+    leave(&mut fixture, false);
+    let own_shard_fits = submit(&mut fixture, 1);
+    assert_eq!([&other_shard_fits, &own_shard_fits], [&first, &first]);
+}
+
+#[test]
+fn a_key_is_not_used_again_while_its_former_intent_may_still_be_logged() {
+    let mut keys = IdempotencyKeys::default();
+    let KeyStep::Log(intent) = keys.begin(1, 5, WallClock(0)) else {
+        panic!("a new key");
+    };
+    // The request ends without being sent before its intent is logged.
+    let release = keys.end(1, KeyOutcome::NotRun);
+    let is_sent =
+        |keys: &mut IdempotencyKeys| matches!(keys.begin(1, 5, WallClock(1)), KeyStep::Log(_));
+    let mut sent = vec![is_sent(&mut keys)];
+    for change in [intent, release] {
+        keys.apply(&change, false);
+        sent.push(is_sent(&mut keys));
+    }
+    assert_eq!(sent, [false, false, true]);
+}
+
+#[test]
+fn the_logged_release_of_a_key_does_not_free_it_under_its_next_request() {
+    let mut keys = IdempotencyKeys::default();
+    let KeyStep::Log(intent) = keys.begin(1, 5, WallClock(0)) else {
+        panic!("a new key");
+    };
+    keys.apply(&intent, false);
+    let release = keys.end(1, KeyOutcome::NotRun);
+    let KeyStep::Log(next) = keys.begin(1, 5, WallClock(1)) else {
+        panic!("a key that is free again");
+    };
+    for change in [release, next] {
+        keys.apply(&change, false);
+        let step = keys.begin(1, 5, WallClock(2));
+        assert!(matches!(step, KeyStep::Refuse(_)), "{change:?}: {step:?}");
+    }
+}
+
 #[test]
 fn a_repeated_key_is_answered_by_its_stage() {
     let mut keys = IdempotencyKeys::default();
