--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -9,6 +9,7 @@
 mod late_orders;
 mod overload;
 mod placing;
+mod review_late_orders;
 mod slow;
 mod slow_share;
 mod takeover;
--- /dev/null
+++ b/src/schedule/tests/review_late_orders.rs
@@ -0,0 +1,102 @@
+//! Tests of start orders that a worker carries out after an event that seemed to settle
+//! them: a restart, a refused connection, a confirmed stop.
+
+use rstest::rstest;
+
+use super::*;
+
+/// What is known of a start order when its worker restarts.
+#[derive(Debug, Clone, Copy)]
+enum Copies {
+    /// A copy is on its way.
+    InFlight,
+    /// A copy got no answer.
+    Unanswered,
+    /// The new incarnation answered a copy before its first report.
+    Answered,
+}
+
+/// A start order that was sent to a worker.
+#[derive(Debug, Clone, Copy)]
+struct SentStart {
+    index: usize,
+    worker: WorkerKey,
+    key: TaskKey,
+    task: TaskName,
+    run: u64,
+}
+
+/// A shard of two workers that has sent one copy of the start order of its only task.
+fn shard_with_sent_start(step: Step) -> (Shard, SentStart) {
+    let mut shard = Shard::first_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step], 1, 0));
+    shard.plan();
+    let sent = shard.send_first_start();
+    (shard, sent)
+}
+
+impl Shard {
+    /// Sends the first order of the last pass, which is to start a task.
+    fn send_first_start(&mut self) -> SentStart {
+        let Some((worker, Order::Start { task: key, run })) = self.orders.first().cloned() else {
+            panic!("no start is ordered first: {}", self.orders());
+        };
+        let order = self
+            .scheduler
+            .start_order(worker, key, run, at(self.now))
+            .expect("the start is wanted");
+        SentStart {
+            index: self.workers.iter().position(|it| *it == worker).unwrap(),
+            worker,
+            key,
+            task: order.task,
+            run,
+        }
+    }
+
+    fn settle(&mut self, sent: SentStart, copies: Copies) {
+        let SentStart {
+            worker, key, run, ..
+        } = sent;
+        let (scheduler, now) = (&mut self.scheduler, at(self.now));
+        match copies {
+            Copies::InFlight => {}
+            Copies::Unanswered => scheduler.on_start_unanswered(worker, key, run),
+            Copies::Answered => {
+                scheduler.on_start(worker, key, run, StartReply::Running, now);
+            }
+        }
+    }
+
+    /// Lets a worker report as its second incarnation, whose clock has begun anew.
+    fn report_restarted(&mut self, worker: usize, running: &[(TaskName, u64)]) {
+        let report = WorkerReport {
+            clock: 300,
+            incarnation: 2,
+            running: running.iter().map(|run| live(run.0, run.1, 0)).collect(),
+            ended: Vec::new(),
+        };
+        let now = at(self.now);
+        self.scheduler
+            .on_report(self.workers[worker], now, &report, now);
+    }
+
+    /// Plans 100 ms later, when the other worker has reported.
+    fn plan_later(&mut self, sent: SentStart) {
+        self.now += 100;
+        self.report(1 - sent.index, &[], &[]);
+        self.plan();
+    }
+}
+
+#[rstest]
+fn a_run_that_a_restarted_worker_lists_is_started_again_elsewhere(
+    #[values(Copies::InFlight, Copies::Unanswered, Copies::Answered)] copies: Copies,
+) {
+    let (mut shard, sent) = shard_with_sent_start(step(1, 1));
+    shard.now = 300;
+    shard.settle(sent, copies);
+    shard.report_restarted(sent.index, &[(sent.task, sent.run)]);
+    shard.plan_later(sent);
+    assert!(!shard.orders().contains("start"), "{}", shard.orders());
+}
