--- a/src/schedule/tests/review_late_orders.rs
+++ b/src/schedule/tests/review_late_orders.rs
@@ -12,6 +12,8 @@
     InFlight,
     /// A copy got no answer.
     Unanswered,
+    /// A copy got no answer and a later one was refused; the stop is on its way.
+    Withdrawn,
     /// The new incarnation answered a copy before its first report.
     Answered,
 }
@@ -62,6 +64,10 @@
         match copies {
             Copies::InFlight => {}
             Copies::Unanswered => scheduler.on_start_unanswered(worker, key, run),
+            Copies::Withdrawn => {
+                scheduler.on_start_unanswered(worker, key, run);
+                scheduler.on_start_refused(worker, key, run, now);
+            }
             Copies::Answered => {
                 scheduler.on_start(worker, key, run, StartReply::Running, now);
             }
@@ -100,3 +106,27 @@
     shard.plan_later(sent);
     assert!(!shard.orders().contains("start"), "{}", shard.orders());
 }
+
+#[rstest]
+fn a_task_is_started_elsewhere_while_a_restarted_worker_may_begin_an_open_copy(
+    #[values(Copies::InFlight, Copies::Unanswered, Copies::Withdrawn)] copies: Copies,
+) {
+    let (mut shard, sent) = shard_with_sent_start(step(1, 1));
+    shard.now = 300;
+    shard.settle(sent, copies);
+    shard.report_restarted(sent.index, &[]);
+    shard.plan_later(sent);
+    assert!(!shard.orders().contains("start"), "{}", shard.orders());
+}
+
+#[test]
+fn capacity_is_given_away_that_a_restarted_worker_may_use_for_an_open_copy() {
+    let (mut shard, sent) = shard_with_sent_start(step(1, 8));
+    shard.now = 300;
+    shard.settle(sent, Copies::InFlight);
+    shard.report_restarted(sent.index, &[]);
+    shard.submit(active_workflow(2, vec![step(2, 8)], 2, 0));
+    shard.plan_later(sent);
+    let started = shard.confirm();
+    assert!(started.iter().all(|run| run.0 != sent.index));
+}
