Workers: a refused connection no longer settles a withdrawn run

What callers would see: a run that begins after an earlier one has ended as done (TWICE). Sequence: a worker is silent, its task is ordered to start on a second one, that copy gets no answer; the first run is found done, so the second one is to be stopped; the second worker drains, leaves the registry, and a connection to it is reset. Cause: only tasks kept the worker from being removed, not runs that the ledger no longer knows; with the worker went its stop order and its polls. A reset may come from a partition, as a_refused_connection_does_not_prove_that_runs_have_ended says for tasks. Seen: wants_stop was false after on_poll_failed; the new test failed before and passes. A worker that has really left is now removed when its leases have ended.

--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -98,7 +98,7 @@
     }
 
     /// Processes a failed poll. `refused` means that the connection was refused:
-    /// a draining, unregistered worker without tasks has then left. A network
+    /// a draining, unregistered worker without runs has then left. A network
     /// partition may also reset connections, so runs count as lost only when
     /// their leases have ended.
     pub fn on_poll_failed(&mut self, key: WorkerKey, refused: bool) {
@@ -107,7 +107,8 @@
         };
         let gone = refused && worker.synced && !worker.listed;
         let leaving = worker.registration.availability == Availability::Draining;
-        if gone && leaving && worker.tasks.is_empty() {
+        let empty = worker.tasks.is_empty() && worker.unknown_runs.is_empty();
+        if gone && leaving && empty {
             self.remove_worker(key, "left");
         }
     }
--- a/src/schedule/tests/review_late_orders.rs
+++ b/src/schedule/tests/review_late_orders.rs
@@ -4,6 +4,7 @@
 use rstest::rstest;
 
 use super::*;
+use crate::fleet::StopOrder;
 
 /// What is known of a start order when its worker restarts.
 #[derive(Debug, Clone, Copy)]
@@ -28,6 +29,16 @@
     run: u64,
 }
 
+impl SentStart {
+    const fn stop(self) -> StopOrder {
+        StopOrder {
+            task: self.task,
+            run: self.run,
+            fence: FENCE,
+        }
+    }
+}
+
 /// A shard of two workers that has sent one copy of the start order of its only task.
 fn shard_with_sent_start(step: Step) -> (Shard, SentStart) {
     let mut shard = Shard::first_owner(&["w0", "w1"]);
@@ -130,3 +141,39 @@
     let started = shard.confirm();
     assert!(started.iter().all(|run| run.0 != sent.index));
 }
+
+/// A shard of two workers of which the first one to run the only task was silent until its
+/// leases ended, with that run, and the start order that was then sent to the other one.
+fn shard_with_later_start() -> (Shard, (usize, TaskName, u64), SentStart) {
+    let (mut shard, first) = shard_with_sent_start(step(1, 6));
+    shard.settle(first, Copies::Answered);
+    for now in [6_000, 6_100] {
+        shard.now = now;
+        shard.report(1 - first.index, &[], &[]);
+        shard.plan();
+    }
+    let later = shard.send_first_start();
+    assert_eq!(later.index, 1 - first.index);
+    (shard, (first.index, first.task, first.run), later)
+}
+
+#[test]
+fn a_refused_connection_ends_the_stop_of_a_run_that_an_open_copy_may_begin() {
+    let (mut shard, (first, task, earlier), later) = shard_with_later_start();
+    shard.settle(later, Copies::Unanswered);
+    shard.report(first, &[], &[(1, task, earlier, RunOutcome::Done)]);
+    let ids = ["w0", "w1"];
+    let draining = Registration {
+        availability: Availability::Draining,
+        ..registration(ids[later.index])
+    };
+    let other = registration(ids[first]);
+    let now = at(shard.now);
+    let entries = vec![draining, other.clone()];
+    shard.scheduler.on_registry(entries, now);
+    shard.scheduler.on_registry(vec![other], now);
+    assert!(shard.scheduler.wants_stop(later.worker, &later.stop()));
+    // A network partition may reset connections although the worker is alive.
+    shard.scheduler.on_poll_failed(later.worker, true);
+    assert!(shard.scheduler.wants_stop(later.worker, &later.stop()));
+}
