--- a/src/schedule/tests/review_late_orders.rs
+++ b/src/schedule/tests/review_late_orders.rs
@@ -177,3 +177,68 @@
     shard.scheduler.on_poll_failed(later.worker, true);
     assert!(shard.scheduler.wants_stop(later.worker, &later.stop()));
 }
+
+#[test]
+fn a_worker_stays_closed_after_an_unwanted_run_that_had_begun_is_gone() {
+    let (mut shard, (first, task, earlier), later) = shard_with_later_start();
+    shard.settle(later, Copies::Answered);
+    shard.report(first, &[], &[(1, task, earlier, RunOutcome::Done)]);
+    shard.now += 100;
+    shard.report(later.index, &[], &[]);
+    let worker = &shard.scheduler.workers[later.worker];
+    assert!(worker.unknown_runs.is_empty());
+}
+
+#[rstest]
+fn a_poll_that_was_sent_before_an_order_was_answered_frees_its_task(
+    #[values(StartReply::NoCapacity, StartReply::LeaseExpired(0))] reply: StartReply,
+) {
+    let (mut shard, sent) = shard_with_sent_start(step(1, 1));
+    shard.settle(sent, Copies::Unanswered);
+    let (scheduler, now) = (&mut shard.scheduler, at(300));
+    scheduler.on_start(sent.worker, sent.key, sent.run, reply, now);
+    scheduler.on_stop(sent.worker, &sent.stop(), now);
+    let report = WorkerReport {
+        clock: 1_000_400,
+        incarnation: 1,
+        ..WorkerReport::default()
+    };
+    scheduler.on_report(sent.worker, at(200), &report, at(400));
+    assert_eq!(shard.stage(sent.task).worker(), Some(sent.worker));
+    let (scheduler, worker) = (&mut shard.scheduler, sent.worker);
+    scheduler.on_report(worker, at(400), &report, at(500));
+    assert_eq!(shard.stage(sent.task), Stage::Waiting);
+}
+
+#[rstest]
+#[case(Copies::InFlight, true)]
+#[case(Copies::Unanswered, false)]
+fn an_undelivered_copy_frees_a_task_of_which_another_copy_is_open(
+    #[case] copies: Copies,
+    #[case] freed: bool,
+) {
+    let (mut shard, sent) = shard_with_sent_start(step(1, 1));
+    shard.settle(sent, copies);
+    let (scheduler, now) = (&mut shard.scheduler, at(300));
+    let released = scheduler.on_start_undelivered(sent.worker, sent.key, sent.run, now);
+    assert_eq!(released, freed);
+    assert_eq!(shard.stage(sent.task) == Stage::Waiting, freed);
+}
+
+#[rstest]
+#[case(Copies::InFlight, false)]
+#[case(Copies::Unanswered, true)]
+fn a_task_is_suspected_although_another_worker_answered_its_only_copy(
+    #[case] copies: Copies,
+    #[case] suspected: bool,
+) {
+    let (mut shard, sent) = shard_with_sent_start(step(1, 1));
+    shard.settle(sent, copies);
+    let (scheduler, now) = (&mut shard.scheduler, at(300));
+    scheduler.take_events();
+    scheduler.on_start_misdirected(sent.worker, sent.key, sent.run, now);
+    let events = scheduler.take_events();
+    let crashed = |event: &Event| matches!(event, Event::WorkerCrashed { .. });
+    assert_eq!(events.iter().any(crashed), suspected);
+    assert_eq!(shard.stage(sent.task), Stage::Waiting);
+}
