--- a/src/schedule/tests/review_late_orders.rs
+++ b/src/schedule/tests/review_late_orders.rs
@@ -242,3 +242,14 @@
     assert_eq!(events.iter().any(crashed), suspected);
     assert_eq!(shard.stage(sent.task), Stage::Waiting);
 }
+
+#[test]
+fn a_task_waits_for_a_long_poll_although_the_stop_of_its_open_copies_is_confirmed() {
+    let (mut shard, sent) = shard_with_sent_start(step(1, 1));
+    shard.now = 300;
+    shard.settle(sent, Copies::Withdrawn);
+    let now = at(shard.now);
+    shard.scheduler.on_stop(sent.worker, &sent.stop(), now);
+    let poll = shard.scheduler.poll_order(sent.worker, true, now).unwrap();
+    assert_eq!(poll.wait, Duration::ZERO);
+}
