--- a/src/schedule/tests/review_late_orders.rs
+++ b/src/schedule/tests/review_late_orders.rs
@@ -253,3 +253,24 @@
     let poll = shard.scheduler.poll_order(sent.worker, true, now).unwrap();
     assert_eq!(poll.wait, Duration::ZERO);
 }
+
+#[test]
+fn a_pause_without_an_answer_is_not_ordered_again_while_the_tail_is_over_its_target() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![serving(1, 1, "video")], 1, 0));
+    shard.submit(active_workflow(2, vec![best_effort(1, 1, "loud")], 2, 2));
+    shard.plan();
+    let runs = shard.confirm();
+    let mut pauses = Vec::new();
+    for now in (600..9_000).step_by(600) {
+        shard.now = now;
+        let measured = |task| if task == name(1, 0, 0) { 60 } else { 900 };
+        let rows = runs.iter().map(|run| live(run.1, run.2, measured(run.1)));
+        shard.report_with(0, 1, rows.collect(), &[]);
+        shard.plan();
+        if shard.orders().contains(" at 0") {
+            pauses.push(now);
+        }
+    }
+    assert!(pauses.len() > 1, "the task was paused at {pauses:?}");
+}
