--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -1,3 +1,5 @@
+mod review_late_orders;
+
 use std::sync::Arc;
 use std::time::Duration;
 
