--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -1,5 +1,6 @@
 //! The two tasks of a worker: one sends orders, one polls the worker.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,104 +28,139 @@
 /// acknowledged yet. It answers such polls immediately.
 const UNACKNOWLEDGED_DELAY: Duration = Duration::from_millis(120);
 
-/// Sends the orders for a worker, one at a time.
+/// Sends the orders for a worker, one at a time. An order that is not settled is sent
+/// again after the others, so that it does not hold them up.
 pub(super) async fn send_orders(
     owned: Arc<OwnedShard>,
     key: WorkerKey,
     api: WorkerApi,
     mut orders: mpsc::UnboundedReceiver<Order>,
 ) {
-    while let Some(order) = orders.recv().await {
-        match order {
-            Order::Start { task, run } => send_start(&owned, key, &api, task, run).await,
-            Order::Stop(stop) => send_stop(&owned, key, &api, &stop).await,
-            Order::Throttle(order, percent) => {
-                let wanted = owned
-                    .decide(|scheduler, now| scheduler.begin_throttle(key, &order, percent, now));
-                if !wanted {
-                    continue;
-                }
-                if let Err(fault) = api.throttle(&order, percent).await {
-                    handle_fault(&owned, &api, OrderKind::Throttle, &order, &fault);
-                }
+    let mut pending = VecDeque::new();
+    loop {
+        if pending.is_empty() {
+            let Some(order) = orders.recv().await else {
+                return;
+            };
+            pending.push_back(order);
+        }
+        for _ in 0..pending.len() {
+            let Some(order) = pending.pop_front() else {
+                break;
+            };
+            pending.extend(send_order(&owned, key, &api, order).await);
+            while let Ok(order) = orders.try_recv() {
+                pending.push_back(order);
             }
         }
+        if !pending.is_empty() {
+            sleep(RETRY_DELAY).await;
+        }
     }
 }
 
-/// Sends copies of a start order until the worker has answered one or the run is
-/// obsolete.
-async fn send_start(owned: &OwnedShard, key: WorkerKey, api: &WorkerApi, task: TaskKey, run: u64) {
-    loop {
-        owned.wait_confirmed().await;
-        let order = owned.decide(|scheduler, now| scheduler.start_order(key, task, run, now));
-        let Some(order) = order else {
-            return;
-        };
-        let sent = Moment::now();
-        let fault = match api.start(&order).await {
-            Ok(reply) => {
-                let took = Moment::now() - sent;
-                owned.node.latencies.record(Span::StartOrder, took);
-                let stop =
-                    owned.decide(|scheduler, now| scheduler.on_start(key, task, run, reply, now));
-                return send_withdrawal(owned, key, api, stop).await;
-            }
-            Err(fault) => fault,
-        };
-        if !fault.may_have_arrived()
-            && owned.decide(|scheduler, now| scheduler.on_start_undelivered(key, task, run, now))
-        {
-            return owned.wake();
+/// Sends one copy of an order. Returns the order that has to follow, which may be the
+/// same one.
+async fn send_order(
+    owned: &OwnedShard,
+    key: WorkerKey,
+    api: &WorkerApi,
+    order: Order,
+) -> Option<Order> {
+    match order {
+        Order::Start { task, run } => send_start(owned, key, api, task, run).await,
+        Order::Stop(stop) => send_stop(owned, key, api, stop).await,
+        Order::Throttle(run, percent) => send_throttle(owned, key, api, run, percent).await,
+    }
+}
+
+async fn send_start(
+    owned: &OwnedShard,
+    key: WorkerKey,
+    api: &WorkerApi,
+    task: TaskKey,
+    run: u64,
+) -> Option<Order> {
+    owned.wait_confirmed().await;
+    let order = owned.decide(|scheduler, now| scheduler.start_order(key, task, run, now))?;
+    let sent = Moment::now();
+    let fault = match api.start(&order).await {
+        Ok(reply) => {
+            let took = Moment::now() - sent;
+            owned.node.latencies.record(Span::StartOrder, took);
+            let stop =
+                owned.decide(|scheduler, now| scheduler.on_start(key, task, run, reply, now));
+            owned.wake();
+            return stop.map(Order::Stop);
         }
-        handle_fault(owned, api, OrderKind::Start, &name_run(&order), &fault);
-        match fault {
-            WorkerFault::Fenced => return,
-            WorkerFault::Replaced => {
-                owned.decide(|scheduler, now| scheduler.on_start_misdirected(key, task, run, now));
-                return owned.wake();
-            }
-            WorkerFault::Refused(_) => {
-                let stop =
-                    owned.decide(|scheduler, now| scheduler.on_start_refused(key, task, run, now));
-                return send_withdrawal(owned, key, api, stop).await;
-            }
-            WorkerFault::Unanswered(_) => {
-                let stop = owned
-                    .decide(|scheduler, now| scheduler.on_start_unanswered(key, task, run, now));
-                if stop.is_some() {
-                    return send_withdrawal(owned, key, api, stop).await;
-                }
-            }
-            WorkerFault::ConnectFailed(_) | WorkerFault::ConnectionRefused(_) => {}
+        Err(fault) => fault,
+    };
+    if !fault.may_have_arrived()
+        && owned.decide(|scheduler, now| scheduler.on_start_undelivered(key, task, run, now))
+    {
+        owned.wake();
+        return None;
+    }
+    handle_fault(owned, api, OrderKind::Start, &name_run(&order), &fault);
+    let repeated = Order::Start { task, run };
+    match fault {
+        WorkerFault::Fenced => None,
+        WorkerFault::Replaced => {
+            owned.decide(|scheduler, now| scheduler.on_start_misdirected(key, task, run, now));
+            owned.wake();
+            None
+        }
+        WorkerFault::Refused(_) => {
+            let stop =
+                owned.decide(|scheduler, now| scheduler.on_start_refused(key, task, run, now));
+            owned.wake();
+            stop.map(Order::Stop)
+        }
+        WorkerFault::Unanswered(_) => {
+            let stop =
+                owned.decide(|scheduler, now| scheduler.on_start_unanswered(key, task, run, now));
+            Some(stop.map_or(repeated, Order::Stop))
         }
-        sleep(RETRY_DELAY).await;
+        WorkerFault::ConnectFailed(_) | WorkerFault::ConnectionRefused(_) => Some(repeated),
     }
 }
 
-/// Sends the stop order for a run that was withdrawn, if there is one. It goes before the
-/// queued orders, as the task waits for it.
-async fn send_withdrawal(
+async fn send_stop(
     owned: &OwnedShard,
     key: WorkerKey,
     api: &WorkerApi,
-    stop: Option<StopOrder>,
-) {
-    owned.wake();
-    if let Some(stop) = stop {
-        send_stop(owned, key, api, &stop).await;
+    stop: StopOrder,
+) -> Option<Order> {
+    if !owned.decide(|scheduler, _| scheduler.wants_stop(key, &stop)) {
+        return None;
+    }
+    match api.stop(&stop).await {
+        Ok(()) => owned.decide(|scheduler, now| scheduler.on_stop(key, &stop, now)),
+        Err(fault) => {
+            handle_fault(owned, api, OrderKind::Stop, &stop, &fault);
+            return (fault != WorkerFault::Fenced).then_some(Order::Stop(stop));
+        }
     }
+    None
 }
 
-async fn send_stop(owned: &OwnedShard, key: WorkerKey, api: &WorkerApi, stop: &StopOrder) {
-    while owned.decide(|scheduler, _| scheduler.wants_stop(key, stop)) {
-        match api.stop(stop).await {
-            Ok(()) => return owned.decide(|scheduler, now| scheduler.on_stop(key, stop, now)),
-            Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
-            Err(fault) => handle_fault(owned, api, OrderKind::Stop, stop, &fault),
-        }
-        sleep(RETRY_DELAY).await;
+/// Sends a throttle order once its run is no longer starting; reports show whether it took
+/// effect.
+async fn send_throttle(
+    owned: &OwnedShard,
+    key: WorkerKey,
+    api: &WorkerApi,
+    run: StopOrder,
+    percent: u8,
+) -> Option<Order> {
+    if owned.decide(|scheduler, _| scheduler.is_starting(key, &run)) {
+        return Some(Order::Throttle(run, percent));
+    }
+    let wanted = owned.decide(|scheduler, now| scheduler.begin_throttle(key, &run, percent, now));
+    if wanted && let Err(fault) = api.throttle(&run, percent).await {
+        handle_fault(owned, api, OrderKind::Throttle, &run, &fault);
     }
+    None
 }
 
 /// The run that a start order names.
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -118,6 +118,8 @@
     pub in_roster: bool,
     /// Whether the worker answered recently; the roster marks one that did not as closed.
     pub responsive: bool,
+    /// Whether the last poll failed, so that the worker may have restarted since.
+    pub poll_failed: bool,
     /// Whether the worker is known to have ended: another one answers at its address.
     pub replaced: bool,
     /// Whether the worker has answered this owner, so that it refuses former owners.
@@ -174,6 +176,7 @@
             listed: true,
             in_roster: false,
             responsive: true,
+            poll_failed: false,
             replaced: false,
             synced: false,
             used: Capacity::default(),
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -32,6 +32,7 @@
         worker.last_contact = now;
         worker.responsive = true;
         worker.replaced = false;
+        worker.poll_failed = false;
         let first = !std::mem::replace(&mut worker.synced, true);
         if !worker.in_roster {
             // The next write of the roster marks the worker as open.
@@ -98,16 +99,18 @@
     }
 
     /// Processes a failed poll. `refused` means that the connection was refused:
-    /// a draining, unregistered worker without tasks has then left. A network
+    /// a draining, unregistered worker without runs has then left. A network
     /// partition may also reset connections, so runs count as lost only when
     /// their leases have ended.
     pub fn on_poll_failed(&mut self, key: WorkerKey, refused: bool) {
-        let Some(worker) = self.workers.get(key) else {
+        let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        worker.poll_failed = true;
         let gone = refused && worker.synced && !worker.listed;
         let leaving = worker.registration.availability == Availability::Draining;
-        if gone && leaving && worker.tasks.is_empty() {
+        let empty = worker.tasks.is_empty() && worker.unknown_runs.is_empty();
+        if gone && leaving && empty {
             self.remove_worker(key, "left");
         }
     }
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -70,7 +70,7 @@
         self.add_usage(task, key);
         // The end of the lease is a time on the clock of the former incarnation.
         self.ledger.tasks[task].lease_end = None;
-        if self.ledger.tasks[task].stage == Stage::Starting(key) {
+        if self.ledger.tasks[task].stage != Stage::Stopping(key) {
             self.stop(task, "the worker restarted", now);
         }
     }
@@ -90,6 +90,6 @@
     /// which has seen no fencing token and accepts it.
     fn may_arrive(&self, key: TaskKey) -> bool {
         let task = &self.ledger.tasks[key];
-        !task.confirmed && task.lease_end.is_some()
+        task.unanswered_copies > 0 || (!task.confirmed && task.lease_end.is_some())
     }
 }
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -163,6 +163,12 @@
         true
     }
 
+    /// Whether the start of a run is not settled.
+    pub fn is_starting(&self, worker: WorkerKey, run: &StopOrder) -> bool {
+        let task = self.ledger.find_task(run.task);
+        task.is_some_and(|task| self.starting_workflow(worker, task, run.run).is_some())
+    }
+
     /// The job of a task, if the worker was ordered to start this run of it and the order
     /// is not settled.
     fn starting_workflow(&self, worker: WorkerKey, key: TaskKey, run: u64) -> Option<WorkflowKey> {
@@ -195,6 +201,7 @@
     /// Builds the next poll of a worker. Without `renew` the leases are not
     /// renewed.
     pub fn poll_order(&mut self, key: WorkerKey, renew: bool, now: Moment) -> Option<PollOrder> {
+        let settles = self.awaits_report(key);
         let worker = self.workers.get_mut(key)?;
         let renews = renew && worker.synced && now - worker.last_contact < MAX_RENEWAL_SILENCE;
         let until = match worker.clock {
@@ -208,8 +215,27 @@
         Some(PollOrder {
             lease_end: until,
             fence: self.term.fence,
-            acknowledged: worker.acknowledged,
-            wait: if renews { POLL_WAIT } else { Duration::ZERO },
+            // A restarted worker counts its ends anew, and would forget unseen ones.
+            acknowledged: if worker.poll_failed {
+                0
+            } else {
+                worker.acknowledged
+            },
+            wait: if renews && !settles {
+                POLL_WAIT
+            } else {
+                Duration::ZERO
+            },
         })
     }
+
+    /// Whether a run that may not have begun is withdrawn, and only the next report is
+    /// missing.
+    fn awaits_report(&self, key: WorkerKey) -> bool {
+        let Some(worker) = self.workers.get(key) else {
+            return false;
+        };
+        let mut tasks = worker.tasks.values().map(|task| &self.ledger.tasks[*task]);
+        tasks.any(|task| task.stage == Stage::Stopping(key) && task.confirmed && !task.begun)
+    }
 }
