Schedule: a gang is given up for the crashes under all its members

Cause: crashes are recorded for each member and were counted for each member alone, so in each run another one had its first crash. Change: a gang is given up as well after crashes under three of its runs, whichever member was the suspect. Several members in one run (a rack without power) are one crash, and two runs of different members are not enough, as no member is then known to crash twice.

--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -10,7 +10,7 @@
 use super::{Event, Scheduler};
 use crate::fleet::{Availability, WorkerKey};
 use crate::moment::Moment;
-use crate::workflow::{JobTransition, SURVIVAL_TIME, Stage, Task, TaskKey, TaskName};
+use crate::workflow::{CrashRecord, JobTransition, SURVIVAL_TIME, Stage, Task, TaskKey, TaskName};
 
 /// How long the runs of a worker whose leases have ended are kept, as the worker may
 /// turn out to have crashed.
@@ -192,16 +192,19 @@
     /// Gives up a task if its crashes show that it causes them. A task that has
     /// survived meanwhile, elsewhere, is not given up.
     fn give_up_hopeless(&mut self, key: TaskKey, worker: &str, now: Moment) {
+        let Some(crashes) = self.hopeless_crashes(key) else {
+            return;
+        };
         let task = &self.ledger.tasks[key];
         let survives = task.survived >= task.crashes.survival_time();
-        if !task.crashes.is_hopeless() || (survives && task.stage.worker().is_some()) {
+        if survives && task.stage.worker().is_some() {
             return;
         }
         let event = Event::TaskGivenUp {
             task: task.name.to_string(),
             run: task.run,
             worker: worker.to_owned(),
-            crashes: task.crashes.suspected().to_vec(),
+            crashes: crashes.suspected().to_vec(),
         };
         let workflow = task.workflow;
         let transition = self.ledger.give_up(key);
@@ -211,6 +214,21 @@
         }
     }
 
+    /// Returns the crashes for which a task is to be given up: its own, or those of all
+    /// members of its gang, as each run of the gang may have another guilty member.
+    fn hopeless_crashes(&self, key: TaskKey) -> Option<CrashRecord> {
+        let own = &self.ledger.tasks[key].crashes;
+        if own.is_hopeless() {
+            return Some(own.clone());
+        }
+        if !self.is_gang(key) {
+            return None;
+        }
+        let members = self.members(key);
+        let records = members.iter().map(|key| &self.ledger.tasks[*key].crashes);
+        Some(CrashRecord::of_gang(records)).filter(CrashRecord::is_hopeless)
+    }
+
     /// Records that the current run of a task ended by itself, so that it did not
     /// crash its worker.
     pub(super) fn record_own_end(&mut self, key: TaskKey) {
--- a/src/workflow/crashes.rs
+++ b/src/workflow/crashes.rs
@@ -48,6 +48,29 @@
         &self.suspected
     }
 
+    /// Returns the crashes under a gang, given the records of its members. Several members
+    /// that are suspects in one run count as one crash, and none as the sole suspect.
+    ///
+    /// ```
+    /// use lycheelock::workflow::CrashRecord;
+    ///
+    /// let mut members = [CrashRecord::default(), CrashRecord::default()];
+    /// for (member, run) in [(0, 7), (1, 7), (1, 8)] {
+    ///     members[member].record_suspected(run, true);
+    /// }
+    /// assert!(!CrashRecord::of_gang(members.iter()).is_hopeless());
+    /// members[0].record_suspected(9, true);
+    /// assert!(CrashRecord::of_gang(members.iter()).is_hopeless());
+    /// ```
+    pub fn of_gang<'a>(members: impl Iterator<Item = &'a Self>) -> Self {
+        let mut gang = Self::default();
+        for crash in members.flat_map(|member| &member.suspected) {
+            gang.record_suspected(crash.run, false);
+        }
+        gang.suspected.sort_by_key(|crash| crash.run);
+        gang
+    }
+
     /// Whether no crash is recorded.
     pub const fn is_empty(&self) -> bool {
         self.count() == 0
