Schedule: a run that its worker still reports was in no crash

What callers could see (LOST): a job shown as failed for crashes that did not happen. Cause: an answer of another worker at an address is charged to the runs there at once. If the call was misdirected, the worker itself reports again and gets tasks again, but the crash stayed on its tasks' records, as the sole one for a minute of survival. Two such calls gave up a task. Change: a report that lists the run takes the crash under that run back, in the stored progress as well. A worker that has really ended can't list it: polls name the incarnation.

--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -119,6 +119,10 @@
         let task = &mut self.ledger.tasks[key];
         if matches!(task.stage, Stage::Running(_)) {
             task.begun = true;
+            // A misdirected call may have shown a crash that did not happen.
+            if task.crashes.retract(task.run) {
+                self.writes.mark_progress_changed(task.workflow);
+            }
             task.survived = now - task.since;
             task.crashes.record_survival(task.survived);
         }
--- a/src/schedule/tests/uncertain_crashes.rs
+++ b/src/schedule/tests/uncertain_crashes.rs
@@ -330,3 +330,22 @@
     let task = later.task(name(1, 0, 0));
     assert!(later.scheduler.needs_trial(task, at(later.now)));
 }
+
+#[test]
+fn a_task_is_not_given_up_for_runs_that_its_worker_still_reports() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    for round in 1..=3 {
+        shard.write();
+        shard.plan();
+        let run = shard.confirm()[0];
+        shard.now += 100;
+        shard.scheduler.on_replaced(shard.workers[0], at(shard.now));
+        shard.now += 100;
+        shard.report(0, &[(run.1, run.2)], &[]);
+        let task = shard.task(name(1, 0, 0));
+        assert!(shard.scheduler.ledger.tasks[task].crashes.is_empty());
+        let end = (round, run.1, run.2, RunOutcome::Lapsed);
+        shard.report(0, &[], &[end]);
+    }
+}
--- a/src/workflow/crashes.rs
+++ b/src/workflow/crashes.rs
@@ -146,6 +146,16 @@
         }
     }
 
+    /// Forgets the crash under a run that has not ended, as its worker still reports it.
+    /// Returns whether one was recorded.
+    pub fn retract(&mut self, run: u64) -> bool {
+        let before = self.count();
+        self.suspected.retain(|crash| crash.run != run);
+        self.late.retain(|late| *late != run);
+        self.uncertain.retain(|uncertain| *uncertain != run);
+        self.count() < before
+    }
+
     /// Records for how long a run has survived.
     ///
     /// ```
