--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -13,6 +13,7 @@
 
 use super::Node;
 use super::lines::{DaemonLine, ShardLine};
+use super::ownership::write_incarnation;
 use super::{restore, worker};
 use crate::fleet::WorkerKey;
 use crate::journal;
@@ -22,7 +23,7 @@
 use crate::schedule::{Event, Order, Scheduler, Term};
 use crate::shards::{
     FormerOwner, Incarnations, OWNER_TIMEOUT, Owner, OwnerRecord, encode, epoch_key,
-    incarnation_key, owner_lease_key, recovery_deadline,
+    owner_lease_key, recovery_deadline,
 };
 
 /// The longest interval between two passes over the waiting tasks.
@@ -118,6 +119,9 @@
             fence: claim.fence,
             recovery_deadline,
         };
+        let mut tokens = node.tokens.lock().expect("no holder panics");
+        tokens.hold(claim.fence);
+        drop(tokens);
         Self {
             write: Notify::new(),
             scheduler: Mutex::new(Scheduler::new(term)),
@@ -250,6 +254,7 @@
             fence: self.claim.fence,
             reason,
         });
+        let resignation = self.give_up_token();
         let (shard, fence) = (&self.claim.shard, self.claim.fence);
         let record = encode(&self.node.owner_record(true));
         let transaction = Transaction::default()
@@ -260,20 +265,29 @@
             Ok(Commit::Done(_)) => {}
             // Another host has claimed the shard. Tell it that this host gives no
             // more orders, which shortens its recovery.
-            Ok(Commit::Conflict(_)) => self.resign().await,
+            Ok(Commit::Conflict(_)) => {
+                if let Some(record) = resignation {
+                    self.resign(&record).await;
+                }
+            }
             Ok(Commit::LeaseGone) => {}
             Err(fault) => log::warn!("shard {shard:?} was not released in the store: {fault}"),
         }
     }
 
-    async fn resign(&self) {
-        let record = OwnerRecord {
-            resigned: self.claim.fence,
+    /// Gives up the fencing token. Returns the record that tells a newer owner so; `None`
+    /// while this host owns another shard under a lower token, which the record would cover.
+    pub fn give_up_token(&self) -> Option<OwnerRecord> {
+        let mut tokens = self.node.tokens.lock().expect("no holder panics");
+        let resigned = tokens.end(self.claim.fence)?;
+        Some(OwnerRecord {
+            resigned,
             ..self.node.owner_record(false)
-        };
-        let key = incarnation_key(&self.node.settings.name);
-        let transaction = Transaction::default().set(&key, encode(&record));
-        if let Err(fault) = self.node.store.commit(&transaction).await {
+        })
+    }
+
+    async fn resign(&self, record: &OwnerRecord) {
+        if let Err(fault) = write_incarnation(&self.node, record).await {
             log::warn!("the end of the ownership was not written to the store: {fault}");
         }
     }
