--- a/tests/fleet/deployment.rs
+++ b/tests/fleet/deployment.rs
@@ -1,10 +1,10 @@
 //! A test deployment on one machine: entry daemons in processes of their own,
 //! and a store and workers inside the test.
 
-use std::fs;
+use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -12,6 +12,7 @@
 use lycheelock::server::RunningServer;
 use serde_json::{Value, json};
 
+use crate::faults::Faults;
 use crate::ports::free_address;
 use crate::store::Store;
 use crate::workers::{Journal, Worker};
@@ -72,12 +73,14 @@
     pub store: Arc<Store>,
     /// Runs of all workers.
     pub journal: Arc<Journal>,
+    /// Faults that all workers apply to orders.
+    pub faults: Arc<Faults>,
     front_addresses: Vec<SocketAddr>,
     ready_addresses: Vec<SocketAddr>,
     metrics_addresses: Vec<SocketAddr>,
     client: reqwest::Client,
     folder: PathBuf,
-    workers: Vec<RunningServer>,
+    workers: Vec<(Arc<Worker>, RunningServer)>,
     _store_server: RunningServer,
 }
 
@@ -94,17 +97,20 @@
         let store_server = store.serve(platform).await;
         let mut running = Vec::new();
         let journal = Arc::new(Journal::default());
+        let faults = Arc::new(Faults::default());
         for number in 0..workers {
-            let address = free_address();
-            let worker = Worker::new(&format!("w{number}"), &journal, TASK_DURATION);
-            running.push(worker.serve(address).await);
-            store.put(&format!("servers/w{number}"), &worker.roster_entry(address));
+            let id = format!("w{number}");
+            let worker = Worker::new(&id, free_address(), &journal, &faults, TASK_DURATION);
+            let server = worker.serve().await;
+            store.put(&format!("servers/{id}"), &worker.roster_entry());
+            running.push((worker, server));
         }
         store.put("op/config", &configuration(1, "/q/"));
         let mut deployment = Self {
             entries: Vec::new(),
             store,
             journal,
+            faults,
             front_addresses: Vec::new(),
             ready_addresses: Vec::new(),
             metrics_addresses: Vec::new(),
@@ -134,7 +140,7 @@
         let child = Command::new(assert_cmd::cargo::cargo_bin!("lycheelock"))
             .args(["entry", "-c"])
             .arg(&path)
-            .stdout(Stdio::null())
+            .stdout(File::create(self.log(number)).expect("a log can be written"))
             .spawn()
             .expect("the daemon starts");
         self.entries.push(Process(child));
@@ -143,6 +149,10 @@
         self.metrics_addresses.push(metrics);
     }
 
+    fn log(&self, entry: usize) -> PathBuf {
+        self.folder.join(format!("e{entry}.log"))
+    }
+
     async fn wait_ready(&self, entry: usize) {
         let deadline = Instant::now() + WAIT_TIMEOUT;
         while self.ready(entry).await != Some(200) {
@@ -221,7 +231,15 @@
 
     /// Stops a worker permanently. The roster still lists it.
     pub fn stop_worker(&mut self, worker: usize) {
-        self.workers.remove(worker).abort();
+        self.workers.remove(worker).1.abort();
+    }
+
+    /// Restarts a worker under its id.
+    pub fn restart_worker(&self, worker: usize) {
+        let worker = &self.workers[worker].0;
+        worker.restart();
+        let key = format!("servers/{}", worker.id);
+        self.store.put(&key, &worker.roster_entry());
     }
 
     /// Kills an entry daemon and waits for its process to exit.
@@ -294,6 +312,10 @@
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.entries.clear();
+        if std::thread::panicking() {
+            eprintln!("logs of the daemons: {}", self.folder.display());
+            return;
+        }
         // A leftover in the temporary folder is harmless.
         let _ = fs::remove_dir_all(&self.folder);
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,10 +3,13 @@
 //! The counterpart for lycheelock's own protocol is `tests/processes`.
 
 mod deployment;
+mod faults;
+
 mod odd;
 #[path = "../common/ports.rs"]
 mod ports;
 mod store;
+mod unanswered;
 mod workers;
 
 use std::time::{Duration, Instant};
--- a/tests/fleet/workers.rs
+++ b/tests/fleet/workers.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for workers, with fencing tokens, run leases and a journal of all runs.
 
 use std::collections::BTreeMap;
+use std::future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -12,6 +13,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
+use crate::faults::{Fate, Faults, OrderKind};
 use crate::store::{Reply, json_answer};
 
 /// Limit on the size of a request body.
@@ -51,6 +53,14 @@
             .collect()
     }
 
+    /// Describes the runs that have not ended.
+    pub fn active_runs(&self) -> Vec<String> {
+        let runs = self.0.lock().unwrap();
+        let active = runs.iter().filter(|run| run.ended.is_none());
+        let describe = |run: &Run| format!("{}: run {} on {}", run.task, run.run, run.worker);
+        active.map(describe).collect()
+    }
+
     /// Describes the tasks that ran twice at a time, or again after they were done.
     pub fn duplicate_runs(&self) -> Vec<String> {
         let runs = self.0.lock().unwrap();
@@ -72,39 +82,118 @@
         });
         lines.collect()
     }
+
+    /// Describes the starts with which more than `limit` runs were on a worker.
+    pub fn starts_beyond(&self, limit: usize) -> Vec<String> {
+        let runs = self.0.lock().unwrap();
+        let beside = |run: &Run| {
+            let earlier = runs.iter().filter(|other| {
+                let ended = other.ended.map(|(at, _)| at);
+                other.worker == run.worker
+                    && other.started <= run.started
+                    && ended.is_none_or(|at| at > run.started + OVERLAP_TOLERANCE)
+            });
+            earlier.count()
+        };
+        let beyond = runs.iter().filter(|run| beside(run) > limit);
+        let lines = beyond.map(|run| {
+            let (task, count) = (&run.task, beside(run));
+            format!(
+                "{task}: run {} on {} is one of {count}",
+                run.run, run.worker
+            )
+        });
+        lines.collect()
+    }
+
+    /// Records that an end may never be reported to the owner.
+    fn mark_unreported(&self, index: usize) {
+        if let Some(ended) = &mut self.0.lock().unwrap()[index].ended {
+            ended.1 = "unreported";
+        }
+    }
+
+    /// Records the end of a run.
+    fn end(&self, index: usize, at: Instant, outcome: &'static str) {
+        self.0.lock().unwrap()[index].ended = Some((at, outcome));
+    }
 }
 
+/// Task and number of a run.
+type RunKey = (String, u64);
+
 #[derive(Debug)]
 struct ActiveRun {
     /// Position in the journal.
     index: usize,
-    /// End of the lease in milliseconds of the worker's clock.
-    lease_end: u64,
     /// When the task is done, absent for an endless one.
     finish_at: Option<Instant>,
-    run: u64,
 }
 
-#[derive(Debug, Default)]
+/// An end that the owner has not acknowledged.
+#[derive(Debug)]
+struct End {
+    number: u64,
+    /// Position in the journal.
+    index: usize,
+    run: RunKey,
+    outcome: &'static str,
+}
+
+/// What one incarnation of a worker knows.
+#[derive(Debug)]
 struct Inner {
+    /// Number of the incarnation.
+    born: u64,
+    /// Start of the incarnation, from which its clock counts.
+    started: Instant,
     /// Highest fencing token seen.
     fence: u64,
-    active: BTreeMap<String, ActiveRun>,
+    /// End of the lease of all runs in milliseconds of the worker's clock.
+    lease_end: u64,
+    active: BTreeMap<RunKey, ActiveRun>,
     /// Highest run of each task that may not start any more.
     closed_runs: BTreeMap<String, u64>,
-    /// Ends that the owner has not acknowledged: number, task, run and outcome.
-    ends: Vec<(u64, String, u64, &'static str)>,
+    ends: Vec<End>,
     /// Number of the last end.
     last_end: u64,
 }
 
+impl Inner {
+    fn new(born: u64) -> Self {
+        Self {
+            born,
+            started: Instant::now(),
+            fence: 0,
+            lease_end: 0,
+            active: BTreeMap::new(),
+            closed_runs: BTreeMap::new(),
+            ends: Vec::new(),
+            last_end: 0,
+        }
+    }
+
+    fn clock(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn refuse(&self, reason: &str) -> Reply {
+        json_answer(409, &json!({"clock_ms": self.clock(), "reason": reason}))
+    }
+
+    fn accept(&self) -> Reply {
+        json_answer(200, &json!({"clock_ms": self.clock()}))
+    }
+}
+
 /// A worker and its runs.
 #[derive(Debug)]
 pub struct Worker {
     /// Name in the roster.
     pub id: String,
+    address: SocketAddr,
     journal: Arc<Journal>,
-    started: Instant,
+    faults: Arc<Faults>,
     task_duration: Duration,
     inner: Mutex<Inner>,
 }
@@ -112,19 +201,26 @@
 impl Worker {
     /// Creates a worker whose tasks take `task_duration`, or never end if their
     /// payload is `endless`.
-    pub fn new(id: &str, journal: &Arc<Journal>, task_duration: Duration) -> Arc<Self> {
+    pub fn new(
+        id: &str,
+        address: SocketAddr,
+        journal: &Arc<Journal>,
+        faults: &Arc<Faults>,
+        task_duration: Duration,
+    ) -> Arc<Self> {
         Arc::new(Self {
             id: id.to_owned(),
+            address,
             journal: journal.clone(),
-            started: Instant::now(),
+            faults: faults.clone(),
             task_duration,
-            inner: Mutex::default(),
+            inner: Mutex::new(Inner::new(1)),
         })
     }
 
-    /// Serves the worker's interface on an address.
-    pub async fn serve(self: &Arc<Self>, address: SocketAddr) -> RunningServer {
-        let rocket = server::build(address, SHUTDOWN_TIMEOUT, MAX_BODY_BYTES)
+    /// Serves the worker's interface.
+    pub async fn serve(self: &Arc<Self>) -> RunningServer {
+        let rocket = server::build(self.address, SHUTDOWN_TIMEOUT, MAX_BODY_BYTES)
             .manage(self.clone())
             .mount("/", routes![start, stop, hold, throttle]);
         RunningServer::start(rocket)
@@ -133,16 +229,28 @@
     }
 
     /// Returns the entry that the worker writes about itself to the roster.
-    pub fn roster_entry(&self, address: SocketAddr) -> Value {
+    pub fn roster_entry(&self) -> Value {
+        let born = self.inner.lock().unwrap().born;
         json!({
-            "backend": "pool", "address": address.to_string(), "zone": "a", "version": "v1",
-            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+            "backend": "pool", "address": self.address.to_string(), "zone": "a", "version": "v1",
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": born,
             "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0}, "labels": ["kind", "rack"],
         })
     }
 
-    fn clock(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+    /// Ends all runs and begins a new incarnation that knows nothing of the former one.
+    pub fn restart(&self) {
+        self.update(|inner| {
+            let now = Instant::now();
+            for active in inner.active.values() {
+                self.journal.end(active.index, now, "crashed");
+            }
+            // The owner may never learn of these ends, and then has to repeat the tasks.
+            for end in &inner.ends {
+                self.journal.mark_unreported(end.index);
+            }
+            *inner = Inner::new(inner.born + 1);
+        });
     }
 
     /// Ends due runs, then applies a change.
@@ -152,129 +260,140 @@
         change(&mut inner)
     }
 
-    /// Executes an order unless its fencing token is outdated.
-    fn execute(&self, fence: u64, order: impl FnOnce(&mut Inner) -> Reply) -> Reply {
-        self.update(|inner| {
-            if fence < inner.fence {
-                return self.refuse("fence");
-            }
-            inner.fence = fence;
-            order(inner)
-        })
-    }
-
     /// Ends the runs that are done or whose leases have expired.
     fn end_due_runs(&self, inner: &mut Inner) {
-        let (now, clock) = (Instant::now(), self.clock());
-        let ended = inner.active.iter().filter_map(|(task, active)| {
-            let done = active.finish_at.is_some_and(|at| at <= now);
-            let outcome = if done { "done" } else { "lapsed" };
-            (done || active.lease_end < clock).then(|| (task.clone(), outcome))
+        let now = Instant::now();
+        let lease_end = inner.started + Duration::from_millis(inner.lease_end);
+        let due = inner.active.iter().filter_map(|(run, active)| {
+            let (at, outcome) = match active.finish_at {
+                Some(finish_at) if finish_at <= lease_end => (finish_at, "done"),
+                _ => (lease_end, "lapsed"),
+            };
+            (at <= now).then(|| (run.clone(), at, outcome))
         });
-        let ended: Vec<(String, &'static str)> = ended.collect();
-        ended
-            .into_iter()
-            .for_each(|(task, outcome)| self.end(inner, &task, outcome));
+        let due: Vec<(RunKey, Instant, &'static str)> = due.collect();
+        for (run, at, outcome) in due {
+            self.end(inner, run, at, outcome);
+        }
     }
 
-    fn end(&self, inner: &mut Inner, task: &str, outcome: &'static str) {
-        let Some(active) = inner.active.remove(task) else {
+    fn end(&self, inner: &mut Inner, run: RunKey, at: Instant, outcome: &'static str) {
+        let Some(ActiveRun { index, .. }) = inner.active.remove(&run) else {
             return;
         };
         inner.last_end += 1;
-        inner
-            .ends
-            .push((inner.last_end, task.to_owned(), active.run, outcome));
-        inner.closed_runs.insert(task.to_owned(), active.run);
-        self.journal.0.lock().unwrap()[active.index].ended = Some((Instant::now(), outcome));
+        let closed_run = inner.closed_runs.entry(run.0.clone()).or_default();
+        *closed_run = run.1.max(*closed_run);
+        inner.ends.push(End {
+            number: inner.last_end,
+            index,
+            run,
+            outcome,
+        });
+        self.journal.end(index, at, outcome);
     }
 
-    fn refuse(&self, reason: &str) -> Reply {
-        json_answer(409, &json!({"clock_ms": self.clock(), "reason": reason}))
+    /// Applies the current faults to an order.
+    async fn receive(self: &Arc<Self>, kind: OrderKind, order: Order) -> Reply {
+        match self.faults.decide(kind, &order.task, order.run) {
+            Fate::Served => self.update(|inner| self.execute(inner, kind, &order)),
+            Fate::Late(delay) => {
+                self.execute_later(kind, order, delay);
+                future::pending().await
+            }
+            Fate::Unavailable => json_answer(503, &json!({})),
+            Fate::NoRoom => self.update(|inner| inner.refuse("room")),
+        }
     }
 
-    fn accept(&self) -> Reply {
-        json_answer(200, &json!({"clock_ms": self.clock()}))
+    /// Executes an order after a delay, unless the worker has restarted by then.
+    fn execute_later(self: &Arc<Self>, kind: OrderKind, order: Order, delay: Duration) {
+        let worker = self.clone();
+        let born = self.inner.lock().unwrap().born;
+        tokio::spawn(async move {
+            sleep(delay).await;
+            worker.update(|inner| {
+                if inner.born == born {
+                    worker.execute(inner, kind, &order);
+                }
+            });
+            worker.faults.carried_out();
+        });
     }
-}
 
-#[derive(Deserialize)]
-struct StartBody {
-    task: String,
-    run: u64,
-    spec: String,
-    until_ms: u64,
-    fence: u64,
-}
+    /// Executes an order unless its fencing token is outdated.
+    fn execute(&self, inner: &mut Inner, kind: OrderKind, order: &Order) -> Reply {
+        if order.fence < inner.fence {
+            return inner.refuse("fence");
+        }
+        inner.fence = order.fence;
+        match kind {
+            OrderKind::Start => self.start(inner, order),
+            OrderKind::Stop => {
+                let run = (order.task.clone(), order.run);
+                self.end(inner, run, Instant::now(), "stopped");
+                let closed_run = inner.closed_runs.entry(order.task.clone()).or_default();
+                *closed_run = order.run.max(*closed_run);
+                inner.accept()
+            }
+            OrderKind::Throttle => inner.accept(),
+        }
+    }
 
-#[post("/run-start", data = "<body>")]
-fn start(body: Json<StartBody>, worker: &State<Arc<Worker>>) -> Reply {
-    worker.execute(body.fence, |inner| {
-        if inner
-            .active
-            .get(&body.task)
-            .is_some_and(|active| active.run == body.run)
-        {
-            return worker.accept();
+    fn start(&self, inner: &mut Inner, order: &Order) -> Reply {
+        let run = (order.task.clone(), order.run);
+        inner.lease_end = inner.lease_end.max(order.until_ms);
+        if inner.active.contains_key(&run) {
+            return inner.accept();
         }
-        let closed_run = inner
-            .closed_runs
-            .get(&body.task)
-            .copied()
-            .unwrap_or_default();
-        if body.run <= closed_run {
-            return worker.refuse("old");
+        let closed_run = inner.closed_runs.get(&order.task).copied();
+        if order.run <= closed_run.unwrap_or_default() {
+            return inner.refuse("old");
         }
-        if body.until_ms <= worker.clock() {
-            return worker.refuse("late");
+        if order.until_ms <= inner.clock() {
+            return inner.refuse("late");
         }
-        let mut runs = worker.journal.0.lock().unwrap();
+        let started = Instant::now();
+        let mut runs = self.journal.0.lock().unwrap();
         let index = runs.len();
         runs.push(Run {
-            task: body.task.clone(),
-            run: body.run,
-            worker: worker.id.clone(),
-            started: Instant::now(),
+            task: order.task.clone(),
+            run: order.run,
+            worker: self.id.clone(),
+            started,
             ended: None,
         });
-        let finish_at = (body.spec != "endless").then(|| Instant::now() + worker.task_duration);
-        let active = ActiveRun {
-            index,
-            lease_end: body.until_ms,
-            finish_at,
-            run: body.run,
-        };
-        inner.active.insert(body.task.clone(), active);
-        worker.accept()
-    })
+        let finish_at = (order.spec != "endless").then(|| started + self.task_duration);
+        inner.active.insert(run, ActiveRun { index, finish_at });
+        inner.accept()
+    }
 }
 
+/// The body of an order. Only starts have a payload and a lease end.
 #[derive(Deserialize)]
-struct StopBody {
+struct Order {
     task: String,
     run: u64,
     fence: u64,
+    #[serde(default)]
+    spec: String,
+    #[serde(default)]
+    until_ms: u64,
+}
+
+#[post("/run-start", data = "<body>")]
+async fn start(body: Json<Order>, worker: &State<Arc<Worker>>) -> Reply {
+    worker.receive(OrderKind::Start, body.into_inner()).await
 }
 
 #[post("/run-stop", data = "<body>")]
-fn stop(body: Json<StopBody>, worker: &State<Arc<Worker>>) -> Reply {
-    worker.execute(body.fence, |inner| {
-        if inner
-            .active
-            .get(&body.task)
-            .is_some_and(|active| active.run == body.run)
-        {
-            worker.end(inner, &body.task, "stopped");
-        }
-        let closed_run = inner.closed_runs.entry(body.task.clone()).or_default();
-        *closed_run = body.run.max(*closed_run);
-        worker.accept()
-    })
+async fn stop(body: Json<Order>, worker: &State<Arc<Worker>>) -> Reply {
+    worker.receive(OrderKind::Stop, body.into_inner()).await
 }
 
-#[post("/pace", data = "<_body>")]
-fn throttle(_body: Json<Value>, worker: &State<Arc<Worker>>) -> Reply {
-    worker.accept()
+#[post("/pace", data = "<body>")]
+async fn throttle(body: Json<Order>, worker: &State<Arc<Worker>>) -> Reply {
+    worker.receive(OrderKind::Throttle, body.into_inner()).await
 }
 
 #[derive(Deserialize)]
@@ -288,42 +407,47 @@
 
 #[post("/hold", data = "<body>")]
 async fn hold(body: Json<HoldBody>, worker: &State<Arc<Worker>>) -> Reply {
-    let stale = worker.update(|inner| {
+    let applied = worker.update(|inner| {
         if body.fence < inner.fence {
-            return true;
+            return Err(inner.refuse("fence"));
         }
         inner.fence = body.fence;
-        inner.ends.retain(|end| end.0 > body.last_seen);
-        if let Some(lease_end) = body.until_ms {
-            inner
-                .active
-                .values_mut()
-                .for_each(|active| active.lease_end = active.lease_end.max(lease_end));
-        }
-        false
+        inner.ends.retain(|end| end.number > body.last_seen);
+        inner.lease_end = inner.lease_end.max(body.until_ms.unwrap_or_default());
+        Ok(inner.born)
     });
-    if stale {
-        return worker.refuse("fence");
-    }
+    let born = match applied {
+        Ok(born) => born,
+        Err(refusal) => return refusal,
+    };
     let deadline = Instant::now() + Duration::from_millis(body.wait_ms);
-    while Instant::now() < deadline && worker.update(|inner| inner.ends.is_empty()) {
+    while Instant::now() < deadline
+        && worker.update(|inner| inner.born == born && inner.ends.is_empty())
+    {
         sleep(POLL_INTERVAL).await;
     }
-    worker.update(|inner| {
-        let running = inner
-            .active
-            .iter()
-            .map(|(task, active)| json!([task, active.run, "", 100, 0]));
-        let running: Vec<Value> = running.collect();
-        let ended = inner
-            .ends
-            .iter()
-            .map(|end| json!([end.0, end.1, end.2, end.3, ""]));
-        let finished: Vec<Value> = ended.collect();
-        let clock = worker.clock();
-        json_answer(
-            200,
-            &json!({"clock_ms": clock, "born": 1, "running": running, "finished": finished}),
-        )
-    })
+    let report = worker.update(|inner| (inner.born == born).then(|| report(inner)));
+    match report {
+        Some(report) => report,
+        // The incarnation that got the call has ended, and its connections with it.
+        None => json_answer(503, &json!({})),
+    }
+}
+
+fn report(inner: &Inner) -> Reply {
+    let running = inner.active.keys();
+    let running: Vec<Value> = running
+        .map(|(task, run)| json!([task, run, "", 100, 0]))
+        .collect();
+    let ends = inner.ends.iter();
+    let finished: Vec<Value> = ends
+        .map(|end| json!([end.number, end.run.0, end.run.1, end.outcome, ""]))
+        .collect();
+    json_answer(
+        200,
+        &json!({
+            "clock_ms": inner.clock(), "born": inner.born,
+            "running": running, "finished": finished,
+        }),
+    )
 }
