--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod odd;
 #[path = "../common/ports.rs"]
 mod ports;
+mod restarts;
 mod store;
 mod unanswered;
 mod workers;
--- a/tests/fleet/workers.rs
+++ b/tests/fleet/workers.rs
@@ -23,6 +23,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest overlap of two runs of a task that is not reported.
 const OVERLAP_TOLERANCE: Duration = Duration::from_millis(5);
+/// Run time of a brief task.
+const BRIEF_DURATION: Duration = Duration::from_millis(50);
 
 /// One run of a task, as its worker recorded it.
 #[derive(Debug, Clone)]
@@ -199,8 +201,8 @@
 }
 
 impl Worker {
-    /// Creates a worker whose tasks take `task_duration`, or never end if their
-    /// payload is `endless`.
+    /// Creates a worker whose tasks take `task_duration`, or less if their payload is
+    /// `brief`, or never end if it is `endless`.
     pub fn new(
         id: &str,
         address: SocketAddr,
@@ -363,7 +365,11 @@
             started,
             ended: None,
         });
-        let finish_at = (order.spec != "endless").then(|| started + self.task_duration);
+        let finish_at = match order.spec.as_str() {
+            "endless" => None,
+            "brief" => Some(started + BRIEF_DURATION),
+            _ => Some(started + self.task_duration),
+        };
         inner.active.insert(run, ActiveRun { index, finish_at });
         inner.accept()
     }
