--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// A run on a worker that the ledger does not know.
+/// A run on a worker that is not, or no longer, the current run of its task.
 #[derive(Debug, Clone, Copy)]
 pub struct UnknownRun {
     /// When the run was last ordered to stop.
@@ -133,8 +133,8 @@
     pub best_effort_cpu: u32,
     /// The tasks that the worker may be running.
     pub tasks: BTreeMap<TaskName, TaskKey>,
-    /// Runs that the ledger does not know and that must end before the worker gets new
-    /// tasks, as their size is unknown.
+    /// Runs that are not the current ones of their tasks, and that must end before the
+    /// worker gets new tasks, as what they use is not in `used`.
     pub unknown_runs: HashMap<(TaskName, u64), UnknownRun>,
     /// The last reading of the worker's clock; absent until the first answer.
     pub clock: Option<Clock>,
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -131,7 +131,8 @@
     /// and all copies with it.
     pub fn on_start_misdirected(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
         if let Some(workflow) = self.starting_workflow(worker, key, run) {
-            // An earlier copy may have begun the run and crashed the worker.
+            // An earlier copy may have begun the run and crashed the worker, so the crash is
+            // recorded before the run is lost.
             if self.ledger.tasks[key].unanswered_copies > 0 {
                 self.on_replaced(worker, now);
             }
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -133,7 +133,8 @@
     /// The task restarts only once the store has confirmed the ownership after this
     /// moment: until then a newer owner could have renewed the run that seems lost.
     pub restart_gate: Moment,
-    /// Whether the worker has confirmed the order that led to the task's stage.
+    /// Whether the worker has confirmed the order that led to the task's stage, or no copy
+    /// of it can have an effect any more.
     pub confirmed: bool,
 }
 
