Orders: what is queued does not wait for the delay of an unsettled order

What callers would see: each second and later start of a batch for a worker was sent 60 ms late. Cause: since the order task slept before it went on whenever any order was left, also new ones. Ruled out as a way out: no delay at all, as a worker that refuses would be called without a pause. Change: new orders are sent as they come; unsettled ones have a time for their next round.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::lines::{DaemonLine, OrderKind};
 use super::term::OwnedShard;
@@ -29,39 +29,55 @@
 const UNACKNOWLEDGED_DELAY: Duration = Duration::from_millis(120);
 
 /// Sends the orders for a worker, one at a time. An order that is not settled is sent
-/// again after the others, so that it does not hold them up.
+/// again after a delay and does not hold up the others.
 pub(super) async fn send_orders(
     owned: Arc<OwnedShard>,
     key: WorkerKey,
     api: WorkerApi,
     mut orders: mpsc::UnboundedReceiver<Order>,
 ) {
-    let mut pending = VecDeque::new();
+    let mut unsettled = VecDeque::new();
+    let mut retry_at = Instant::now();
     loop {
-        if pending.is_empty() {
-            let Some(order) = orders.recv().await else {
-                return;
-            };
-            pending.push_back(order);
-        }
-        for _ in 0..pending.len() {
-            let Some(order) = pending.pop_front() else {
-                break;
-            };
-            pending.extend(send_order(&owned, key, &api, order).await);
-            while let Ok(order) = orders.try_recv() {
-                pending.push_back(order);
+        tokio::select! {
+            order = orders.recv() => {
+                let Some(order) = order else {
+                    return;
+                };
+                let first = unsettled.is_empty();
+                unsettled.extend(send_order(&owned, key, &api, order).await);
+                if first {
+                    retry_at = Instant::now() + RETRY_DELAY;
+                }
+            }
+            () = sleep_until(retry_at), if !unsettled.is_empty() => {
+                for order in std::mem::take(&mut unsettled) {
+                    unsettled.extend(send_order(&owned, key, &api, order).await);
+                }
+                retry_at = Instant::now() + RETRY_DELAY;
             }
-        }
-        if !pending.is_empty() {
-            sleep(RETRY_DELAY).await;
         }
     }
 }
 
+/// Sends one copy of an order, and the stop order that follows a start which is
+/// withdrawn. Returns the order that is not settled.
+async fn send_order(
+    owned: &OwnedShard,
+    key: WorkerKey,
+    api: &WorkerApi,
+    order: Order,
+) -> Option<Order> {
+    let unsettled = send_copy(owned, key, api, order).await?;
+    match (order, unsettled) {
+        (Order::Start { .. }, Order::Stop(_)) => send_copy(owned, key, api, unsettled).await,
+        _ => Some(unsettled),
+    }
+}
+
 /// Sends one copy of an order. Returns the order that has to follow, which may be the
 /// same one.
-async fn send_order(
+async fn send_copy(
     owned: &OwnedShard,
     key: WorkerKey,
     api: &WorkerApi,
