--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -178,8 +178,8 @@
         starting.then_some(task.workflow)
     }
 
-    /// Takes a run back of whose start order a copy was rejected. While other copies are
-    /// open, only a confirmed stop order keeps the worker from beginning the run.
+    /// Takes back a run after a copy of its start order was rejected. While other copies
+    /// are open, only a confirmed stop order keeps the worker from beginning the run.
     fn withdraw(&mut self, key: TaskKey, reason: &'static str, now: Moment) -> Option<StopOrder> {
         if self.ledger.tasks[key].unanswered_copies == 0 {
             self.lose(key, reason, now);
@@ -188,8 +188,8 @@
         self.begin_stop(key, reason, now)
     }
 
-    /// Takes note that the worker begins no copy of a start order any more. If a copy is
-    /// open, it may have begun the run; the next report tells.
+    /// Records that the worker refuses all further copies of a start order. An open copy
+    /// may have begun the run before; the next report tells.
     fn end_copies(&mut self, key: TaskKey, reason: &'static str, now: Moment) {
         if self.ledger.tasks[key].unanswered_copies == 0 {
             return self.lose(key, reason, now);
