Shards: as few owners as can command the workers; owners share evidence of interference

Cause: at 540 workers the layout made one shard for each of five zones, as an owner was taken to command 1,000 workers a core. Tasks then wait in one zone while others have room, and each owner learns the same pairs of images alone. Change: the limit is 1,600 workers a core; beyond it zones are joined to groups, so that the number of shards grows 1, 2, 3, ... with the fleet. Owners of several shards add the evidence that the others have observed: each stores how much it has observed in sum, and the others add the growth since they last read it. Bad records are refused by field. Less work for an owner: no copy of a step for each row of a report, one look-up of the open workers a pass, cheaper look-up of pairs, capacity checked before labels. The record of evidence is limited to 4,000 pairs, so that it stays below the store's limit. Tests: schedule::tests::peers, shards::tests; the four known red ones still fail.

--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -90,7 +90,8 @@
         let unknown = || Refusal::new(ErrorKind::NotReady, "the shard layout is not known yet");
         let layout = self.layout().ok_or_else(unknown)?;
         let mut shards = layout.shards(&self.settings.zones);
-        shards.retain(|shard| layout.is_home(shard, &self.settings.zone));
+        let (zones, zone) = (&self.settings.zones, &self.settings.zone);
+        shards.retain(|shard| layout.is_home(shard, zones, zone));
         let index = id.0 as usize % shards.len().max(1);
         shards.into_iter().nth(index).ok_or_else(unknown)
     }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -153,6 +153,7 @@
             host: self.settings.name.clone(),
             incarnation: self.incarnation,
             zone: self.settings.zone.clone(),
+            zones: self.settings.zones.clone(),
             layout: self.layout().unwrap_or(Layout::Whole),
             owned,
             millicores: self.settings.millicores,
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -17,10 +17,10 @@
 use crate::platform::fleet::{
     Change, Item, Page, REGISTRY_PREFIX, StoreFault, Watched, read_worker,
 };
-use crate::schedule::PairRecord;
+use crate::schedule::{PAIRS_INTERVAL, PairRecord};
 use crate::shards::{
-    AcceptedJob, JobKey, decode, is_later_claim, pairs_key, progress_prefix, read_job_key,
-    roster_key, work_prefix,
+    AcceptedJob, JobKey, Layout, decode, is_later_claim, pairs_key, pairs_prefix, progress_prefix,
+    read_job_key, roster_key, work_prefix,
 };
 use crate::workflow::{ActiveWorkflow, Progress, WorkflowId, WorkflowState, due_times};
 
@@ -48,6 +48,7 @@
     owned.wake();
     owned.spawn(writer::run(owned.clone()));
     owned.spawn(follow_registry(owned.clone()));
+    owned.spawn(follow_pairs(owned.clone()));
     loop {
         let next = tokio::select! {
             next = follow_jobs(&owned, revision) => next,
@@ -78,24 +79,70 @@
     let shard = &owned.claim.shard;
     let store = &owned.node.store;
     let (progress_path, work_path) = (progress_prefix(shard), work_prefix(shard));
-    let (roster_path, pairs_path) = (roster_key(shard), pairs_key(shard));
+    let roster_path = roster_key(shard);
     let (progress, work, roster, pairs, registry) = tokio::try_join!(
         store.range(&progress_path, false),
         store.range(&work_path, false),
         store.get(&roster_path),
-        store.get(&pairs_path),
+        store.range(pairs_prefix(), false),
         store.range(REGISTRY_PREFIX, false),
     )?;
     let progress = read_progress(&progress_path, &progress.items);
     apply_jobs(owned, items_up_to_revision(&work), &progress);
     apply_registry(owned, &registry.items);
     apply_roster(owned, roster);
-    if let Some(records) = pairs.as_ref().and_then(decode_item::<Vec<PairRecord>>) {
-        owned.decide(|scheduler, _| scheduler.on_pairs(&records));
-    }
+    restore_pairs(owned, &pairs.items);
     Ok(work.revision)
 }
 
+/// Restores the evidence of interference that a former owner of the shard stored. It
+/// includes that of the other shards' owners; the first owner adds theirs.
+fn restore_pairs(owned: &OwnedShard, items: &[Item]) {
+    let shard = owned.claim.shard.as_str();
+    let own = items.iter().find(|item| item.key == pairs_key(shard));
+    let Some(own) = own.and_then(decode_item::<Vec<PairRecord>>) else {
+        return merge_pairs(owned, items);
+    };
+    owned.decide(|scheduler, _| scheduler.on_pairs(shard, &own));
+    for (peer, revision, records) in peer_pairs(owned, items) {
+        owned.decide(|scheduler, _| scheduler.skip_peer_pairs(peer, revision, &records));
+    }
+}
+
+fn merge_pairs(owned: &OwnedShard, items: &[Item]) {
+    for (peer, revision, records) in peer_pairs(owned, items) {
+        owned.decide(|scheduler, _| scheduler.merge_peer_pairs(peer, revision, &records));
+    }
+}
+
+/// The evidence that the owners of the other shards stored: the name of the shard, the
+/// revision of the record, and the record.
+fn peer_pairs<'a>(
+    owned: &'a OwnedShard,
+    items: &'a [Item],
+) -> impl Iterator<Item = (&'a str, u64, Vec<PairRecord>)> {
+    items.iter().filter_map(|item| {
+        let shard = item.key.strip_prefix(pairs_prefix())?;
+        let other = shard != owned.claim.shard;
+        let records = other.then(|| decode_item::<Vec<PairRecord>>(item))?;
+        records.map(|records| (shard, item.revision, records))
+    })
+}
+
+/// Reads the evidence of interference that the owners of other shards store.
+async fn follow_pairs(owned: Arc<OwnedShard>) {
+    if owned.node.layout() == Some(Layout::Whole) {
+        return;
+    }
+    loop {
+        sleep(PAIRS_INTERVAL).await;
+        let read = owned.node.store.range(pairs_prefix(), true);
+        if let Ok(page) = owned.node.call(read).await {
+            merge_pairs(&owned, &page.items);
+        }
+    }
+}
+
 fn read_progress(prefix: &str, items: &[Item]) -> HashMap<WorkflowId, Progress> {
     let rows = items.iter().filter_map(|item| {
         let id = item.key.strip_prefix(prefix)?.parse().ok()?;
@@ -195,7 +242,8 @@
 
 fn shard_of(owned: &OwnedShard, entry: &Registration) -> Option<String> {
     let layout = owned.node.layout()?;
-    Some(layout.shard_of(&entry.zone, entry.rack()))
+    let zones = &owned.node.settings.zones;
+    Some(layout.shard_of(zones, &entry.zone, entry.rack()))
 }
 
 fn apply_roster(owned: &Arc<OwnedShard>, item: Option<Item>) {
--- a/src/interference/mod.rs
+++ b/src/interference/mod.rs
@@ -12,4 +12,4 @@
 
 pub use baseline::{Baseline, Tail};
 pub use image::{ImageKey, Images};
-pub use pairs::{ImagePairs, Neighbour, Observation};
+pub use pairs::{Evidence, ImagePairs, Neighbour, Observation};
--- a/src/interference/pairs.rs
+++ b/src/interference/pairs.rs
@@ -1,13 +1,14 @@
 //! The evidence about each pair of images, as the logarithm of the odds that
 //! the best-effort image disturbs the serving one.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use super::{ImageKey, Tail};
 
-/// The probability that a pair interferes, before any evidence.
-const PRIOR_PROBABILITY: f64 = 0.15;
+/// The log odds of a pair without evidence: it interferes with a probability of 15 percent.
+const PRIOR_LOG_ODDS: f64 = -1.734_601;
 /// The limit on the log odds of a pair in either direction, so that a pair whose
 /// behaviour changes can still be relearned.
 const MAX_LOG_ODDS: f64 = 5.0;
@@ -44,10 +45,35 @@
     pub neighbours: &'a [Neighbour],
 }
 
+/// The evidence about a pair of images.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Evidence {
+    /// The logarithm of the odds that the best-effort image disturbs the serving one.
+    pub log_odds: f64,
+    /// The sum of the changes of the log odds by reports of this shard's workers, without
+    /// limits and decay. Other owners add what it has grown by since they last read it.
+    pub observed: f64,
+}
+
+impl Default for Evidence {
+    fn default() -> Self {
+        Self {
+            log_odds: PRIOR_LOG_ODDS,
+            observed: 0.0,
+        }
+    }
+}
+
+impl Evidence {
+    fn add(&mut self, change: f64) {
+        self.log_odds = (self.log_odds + change).clamp(-MAX_LOG_ODDS, MAX_LOG_ODDS);
+    }
+}
+
 /// The evidence about all pairs of images.
 #[derive(Debug, Default)]
 pub struct ImagePairs {
-    log_odds: HashMap<(ImageKey, ImageKey), f64>,
+    evidence: FxHashMap<(ImageKey, ImageKey), Evidence>,
 }
 
 impl ImagePairs {
@@ -79,17 +105,15 @@
 
     /// Returns the logarithm of the odds that the best-effort image disturbs the serving one.
     pub fn log_odds(&self, serving: ImageKey, best_effort: ImageKey) -> f64 {
-        let current = self.log_odds.get(&(serving, best_effort));
-        current
-            .copied()
-            .unwrap_or_else(|| (PRIOR_PROBABILITY / (1.0 - PRIOR_PROBABILITY)).ln())
+        let known = self.evidence.get(&(serving, best_effort));
+        known.map_or(PRIOR_LOG_ODDS, |evidence| evidence.log_odds)
     }
 
-    /// Returns all pairs with evidence and their log odds, sorted by their keys.
-    pub fn all(&self) -> Vec<(ImageKey, ImageKey, f64)> {
-        let rows = self.log_odds.iter();
+    /// Returns all pairs with evidence, sorted by their keys.
+    pub fn all(&self) -> Vec<(ImageKey, ImageKey, Evidence)> {
+        let rows = self.evidence.iter();
         let mut all: Vec<_> = rows
-            .map(|((serving, best_effort), log_odds)| (*serving, *best_effort, *log_odds))
+            .map(|((serving, best_effort), evidence)| (*serving, *best_effort, *evidence))
             .collect();
         all.sort_by_key(|row| (row.0, row.1));
         all
@@ -98,21 +122,38 @@
     /// Lets evidence for interference decay over `span`.
     pub fn decay(&mut self, span: Duration) {
         let step = DECAY_PER_SECOND * span.as_secs_f64();
-        for log_odds in self
-            .log_odds
-            .values_mut()
-            .filter(|log_odds| **log_odds > 0.0)
-        {
-            *log_odds = (*log_odds - step).max(0.0);
+        let harmful = |evidence: &&mut Evidence| evidence.log_odds > 0.0;
+        for evidence in self.evidence.values_mut().filter(harmful) {
+            evidence.log_odds = (evidence.log_odds - step).max(0.0);
         }
     }
 
     /// Restores evidence that a former owner stored, unless the pair already has some.
-    pub fn restore(&mut self, serving: ImageKey, best_effort: ImageKey, log_odds: f64) {
-        let log_odds = log_odds.clamp(-MAX_LOG_ODDS, MAX_LOG_ODDS);
-        self.log_odds
+    pub fn restore(&mut self, serving: ImageKey, best_effort: ImageKey, stored: Evidence) {
+        let log_odds = stored.log_odds.clamp(-MAX_LOG_ODDS, MAX_LOG_ODDS);
+        let restored = Evidence { log_odds, ..stored };
+        self.evidence
+            .entry((serving, best_effort))
+            .or_insert(restored);
+    }
+
+    /// Adds evidence that the owner of another shard has observed.
+    ///
+    /// ```
+    /// use lycheelock::interference::{ImagePairs, Images};
+    ///
+    /// let mut images = Images::default();
+    /// let (serving, image) = (images.key("video"), images.key("batch"));
+    /// let mut pairs = ImagePairs::default();
+    /// pairs.merge(serving, image, 4.0);
+    /// assert!(pairs.is_harmful(serving, image));
+    /// assert_eq!(pairs.all()[0].2.observed, 0.0);
+    /// ```
+    pub fn merge(&mut self, serving: ImageKey, best_effort: ImageKey, change: f64) {
+        self.evidence
             .entry((serving, best_effort))
-            .or_insert(log_odds);
+            .or_default()
+            .add(change);
     }
 
     fn add_evidence_against(&mut self, observation: &Observation<'_>) {
@@ -122,7 +163,7 @@
             .filter(|row| row.share >= MIN_SHARE)
         {
             let evidence = (neighbour.share * LOW_TAIL_EVIDENCE).min(LOW_TAIL_LIMIT);
-            self.add(observation.serving, neighbour.image, -evidence);
+            self.observe(observation.serving, neighbour.image, -evidence);
         }
     }
 
@@ -139,13 +180,13 @@
         let weighted: Vec<(ImageKey, f64)> = present.map(|row| (row.image, weight(row))).collect();
         let total: f64 = weighted.iter().map(|row| row.1).sum();
         for (image, weight) in weighted {
-            self.add(observation.serving, image, evidence * weight / total);
+            self.observe(observation.serving, image, evidence * weight / total);
         }
     }
 
-    fn add(&mut self, serving: ImageKey, best_effort: ImageKey, evidence: f64) {
-        let current = self.log_odds(serving, best_effort);
-        let log_odds = (current + evidence).clamp(-MAX_LOG_ODDS, MAX_LOG_ODDS);
-        self.log_odds.insert((serving, best_effort), log_odds);
+    fn observe(&mut self, serving: ImageKey, best_effort: ImageKey, change: f64) {
+        let evidence = self.evidence.entry((serving, best_effort)).or_default();
+        evidence.add(change);
+        evidence.observed += change;
     }
 }
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -218,6 +218,25 @@
         #[serde(rename = "strain")]
         worst_tail: u32,
     },
+    /// The evidence of interference that another shard's owner stored was read.
+    EvidenceMerged {
+        /// The name of the other shard.
+        from: String,
+        /// The number of pairs of images in the record.
+        pairs: usize,
+        /// The number of pairs for which this owner's evidence changed.
+        changed: usize,
+    },
+    /// The evidence of interference that an owner stored has a field with an impossible
+    /// value; nothing of it is used.
+    EvidenceRefused {
+        /// The name of the shard whose owner stored it.
+        from: String,
+        /// The name of the field.
+        field: &'static str,
+        /// The value of the field; for texts and lists its length.
+        value: String,
+    },
     /// Recovery ended: tasks that no worker was found to run may start again.
     #[serde(rename = "settled")]
     RecoveryFinished {
--- a/src/schedule/gang.rs
+++ b/src/schedule/gang.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use super::place::{Candidates, Tolerance, has_label};
+use super::place::{Candidates, OpenWorkers, Tolerance, has_label};
 use crate::fleet::Worker;
 use crate::moment::Moment;
 use crate::workflow::{Stage, Step, TaskKey};
@@ -28,7 +28,13 @@
     }
 
     /// Places all members at once, under one run number, or none of them.
-    pub(super) fn place_gang(&mut self, task: TaskKey, tolerance: Tolerance, now: Moment) -> bool {
+    pub(super) fn place_gang(
+        &mut self,
+        task: TaskKey,
+        open: &OpenWorkers,
+        tolerance: Tolerance,
+        now: Moment,
+    ) -> bool {
         let members = self.members(task);
         let waiting = |task: &TaskKey| self.ledger.tasks[*task].stage == Stage::Waiting;
         if !members.iter().all(waiting) {
@@ -43,7 +49,7 @@
         let candidate_sets = self.candidate_sets(task, now);
         let placed = candidate_sets
             .iter()
-            .any(|candidates| self.assign_all(&members, run, candidates, tolerance, now));
+            .any(|candidates| self.assign_all(&members, run, open, candidates, tolerance, now));
         if !placed {
             return false;
         }
@@ -91,6 +97,7 @@
         &mut self,
         members: &[TaskKey],
         run: u64,
+        open: &OpenWorkers,
         candidates: &Candidates,
         tolerance: Tolerance,
         now: Moment,
@@ -99,7 +106,8 @@
         for member in members {
             let task = &self.ledger.tasks[*member];
             let workflow = &self.ledger.workflows[task.workflow];
-            let Some(placement) = self.choose(workflow, task, candidates, tolerance, now) else {
+            let Some(placement) = self.choose(workflow, task, open, candidates, tolerance, now)
+            else {
                 self.undo_assignments(&placed, now);
                 return false;
             };
--- a/src/schedule/impaired.rs
+++ b/src/schedule/impaired.rs
@@ -131,6 +131,10 @@
             |task: &&TaskKey| matches!(self.ledger.tasks[**task].stage, Stage::Running(_));
         let down = members.len() - members.iter().filter(running).count();
         let tolerable = step.may_miss == 0 || down < step.may_miss as usize;
-        tolerable && !step.gang && self.choose_for(task, Tolerance::NONE, now).is_some()
+        if !tolerable || step.gang {
+            return false;
+        }
+        let open = self.open_workers(now);
+        self.choose_for(task, &open, Tolerance::NONE, now).is_some()
     }
 }
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -1,5 +1,6 @@
 //! Chooses a worker for a task.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::fleet::{Capacity, Worker, WorkerKey};
@@ -94,6 +95,18 @@
     pub speed: u8,
 }
 
+/// The workers of each pool that accept new tasks, as looked up once for several tasks.
+#[derive(Debug, Default)]
+pub(super) struct OpenWorkers {
+    pools: HashMap<String, Vec<WorkerKey>>,
+}
+
+impl OpenWorkers {
+    fn of_pool(&self, pool: &str) -> &[WorkerKey] {
+        self.pools.get(pool).map(Vec::as_slice).unwrap_or_default()
+    }
+}
+
 /// The workers on which a task may be placed.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Candidates {
@@ -185,12 +198,28 @@
 }
 
 impl Scheduler {
-    /// Chooses the best worker for a waiting task, if any worker can take it
-    /// now.
+    /// Looks up the workers that accept new tasks, in quarantine or not.
+    pub(super) fn open_workers(&self, now: Moment) -> OpenWorkers {
+        let mut open = OpenWorkers::default();
+        let accepting = |(_, worker): &(WorkerKey, &Worker)| worker.accepts_tasks(now);
+        for (key, worker) in self.workers.iter().filter(accepting) {
+            match open.pools.get_mut(&worker.registration.pool) {
+                Some(keys) => keys.push(key),
+                None => {
+                    let pool = worker.registration.pool.clone();
+                    open.pools.insert(pool, vec![key]);
+                }
+            }
+        }
+        open
+    }
+
+    /// Chooses the best of these workers for a waiting task, if any can take it now.
     pub(super) fn choose(
         &self,
         workflow: &ActiveWorkflow,
         task: &Task,
+        open: &OpenWorkers,
         candidates: &Candidates,
         tolerance: Tolerance,
         now: Moment,
@@ -199,7 +228,8 @@
         let image = self.images.find(&step.image);
         let risk = tolerance.risk;
         let trial = self.trial_rule(workflow, task, now);
-        let mut open = self.open_workers(workflow, task, candidates, now);
+        let open = open.of_pool(&workflow.queue.pool);
+        let mut open = self.eligible_workers(workflow, task, open, candidates, now);
         open.retain(|(key, _)| self.allows(trial, *key, name));
         if !tolerance.quarantine || !is_mostly_quarantined(&open, now) {
             open.retain(|(_, worker)| worker.is_open(now));
@@ -223,25 +253,25 @@
         self.choose_slow(open.iter(), step, name, now)
     }
 
-    /// The workers that accept new tasks and may run the task as far as its pool, its label,
+    /// Those of the open workers of a task's pool that may run the task as far as its label,
     /// the rack of its data and the candidates are concerned, in quarantine or not.
-    fn open_workers(
+    fn eligible_workers(
         &self,
         workflow: &ActiveWorkflow,
         task: &Task,
+        open: &[WorkerKey],
         candidates: &Candidates,
         now: Moment,
     ) -> Vec<(WorkerKey, &Worker)> {
         let step = workflow.step(task.name);
         let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
-        let open = self.workers.iter().filter(|(_, worker)| {
-            worker.registration.pool == workflow.queue.pool
-                && worker.accepts_tasks(now)
-                && candidates.contains(worker)
+        let workers = open.iter().map(|key| (*key, &self.workers[*key]));
+        let eligible = workers.filter(|(_, worker)| {
+            candidates.contains(worker)
                 && has_label(worker, step)
                 && (!waits_for_rack || is_on_data_rack(worker, step))
         });
-        open.collect()
+        eligible.collect()
     }
 
     /// What a waiting task accepts now.
@@ -385,11 +415,11 @@
 }
 
 fn fits(worker: &Worker, step: &Step, name: TaskName) -> bool {
-    has_label(worker, step)
+    has_capacity(worker, step)
+        && has_label(worker, step)
         && step
             .worker_limit
             .is_none_or(|limit| count_of_step(worker, name) < limit as usize)
-        && has_capacity(worker, step)
 }
 
 pub(super) fn has_label(worker: &Worker, step: &Step) -> bool {
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -10,7 +10,8 @@
 use super::crash::LostWorkers;
 use super::delay::Delays;
 use super::idle::IdleJobs;
-use super::place::{Candidates, Placement, PlacementFailures, Tolerance};
+use super::peers::PeerEvidence;
+use super::place::{Candidates, OpenWorkers, Placement, PlacementFailures, Tolerance};
 use super::rank::{Rank, rank};
 use super::trial::Trials;
 use super::waiting::WaitList;
@@ -110,6 +111,8 @@
     pub(super) writes: Writes,
     pub(super) images: Images,
     pub(super) pairs: ImagePairs,
+    /// What was last read of the evidence of other shards' owners, by shard.
+    pub(super) peers: HashMap<String, PeerEvidence>,
     pub(super) baselines: HashMap<ImageKey, Baseline>,
     /// The send time of the newest call by which the store confirmed this
     /// ownership.
@@ -148,6 +151,7 @@
             writes: Writes::default(),
             images: Images::default(),
             pairs: ImagePairs::default(),
+            peers: HashMap::new(),
             baselines: HashMap::new(),
             confirmed: Moment::default(),
             last_ranked: Moment::default(),
@@ -338,6 +342,7 @@
 
     fn place_waiting(&mut self, now: Moment) {
         let mut failures = PlacementFailures::default();
+        let open = self.open_workers(now);
         let queue: Vec<TaskKey> = self.waiting.iter().collect();
         for key in queue {
             let Some(task) = self.ledger.tasks.get(key) else {
@@ -369,7 +374,7 @@
             let holds_back = gang
                 && (GANG_HOLD_DELAY..GANG_RELEASE_DELAY).contains(&(now - task.ready))
                 && self.waits_for_capacity(key, now);
-            if self.place_task(key, tolerance, now) {
+            if self.place_task(key, &open, tolerance, now) {
                 self.waiting.remove(key);
             } else if holds_back {
                 let workflow = &self.ledger.workflows[self.ledger.tasks[key].workflow];
@@ -393,11 +398,17 @@
         self.ledger.workflows[task.workflow].step(task.name)
     }
 
-    fn place_task(&mut self, key: TaskKey, tolerance: Tolerance, now: Moment) -> bool {
+    fn place_task(
+        &mut self,
+        key: TaskKey,
+        open: &OpenWorkers,
+        tolerance: Tolerance,
+        now: Moment,
+    ) -> bool {
         if self.is_gang(key) {
-            return self.place_gang(key, tolerance, now);
+            return self.place_gang(key, open, tolerance, now);
         }
-        let Some(placement) = self.choose_for(key, tolerance, now) else {
+        let Some(placement) = self.choose_for(key, open, tolerance, now) else {
             return false;
         };
         if !self.begin_trial(key, placement.worker, now) {
@@ -412,12 +423,13 @@
     pub(super) fn choose_for(
         &self,
         key: TaskKey,
+        open: &OpenWorkers,
         tolerance: Tolerance,
         now: Moment,
     ) -> Option<Placement> {
         let task = &self.ledger.tasks[key];
         let workflow = &self.ledger.workflows[task.workflow];
-        self.choose(workflow, task, &Candidates::All, tolerance, now)
+        self.choose(workflow, task, open, &Candidates::All, tolerance, now)
     }
 
     /// Assigns a run of a task to a worker and adds the capacity that it uses.
--- a/src/schedule/slow.rs
+++ b/src/schedule/slow.rs
@@ -96,7 +96,7 @@
         if waits || self.is_gang(key) {
             return false;
         }
-        let placement = self.choose_for(key, Tolerance::NONE, now);
+        let placement = self.choose_for(key, &self.open_workers(now), Tolerance::NONE, now);
         placement.is_some_and(|placement| placement.worker != worker)
     }
 
--- a/src/schedule/tests/delays.rs
+++ b/src/schedule/tests/delays.rs
@@ -82,7 +82,10 @@
         shard.scheduler.images.key("video"),
         shard.scheduler.images.key("batch"),
     );
-    shard.scheduler.pairs.restore(serving_image, batch, 4.0);
+    shard
+        .scheduler
+        .pairs
+        .restore(serving_image, batch, stored(4.0));
     let busy = vec![serving(1, 2, "video"), step(1, 4)];
     shard.submit(active_workflow(1, busy, 1, 0));
     shard.plan();
@@ -180,7 +183,7 @@
     let running: Vec<_> = shard.confirm().iter().map(|run| (run.1, run.2)).collect();
     let images = &mut shard.scheduler.images;
     let (video, loud) = (images.key("video"), images.key("loud"));
-    shard.scheduler.pairs.restore(video, loud, 4.0);
+    shard.scheduler.pairs.restore(video, loud, stored(4.0));
     shard.submit(active_workflow(3, vec![best_effort(1, 1, "loud")], 3, 1));
     shard.submit(active_workflow(4, vec![step(1, 9)], 4, 0));
     shard.run_until(2_000, &running);
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -8,6 +8,7 @@
 mod interference;
 mod late_orders;
 mod overload;
+mod peers;
 mod placing;
 mod review_late_orders;
 mod slow;
@@ -26,6 +27,7 @@
     Availability, Capacity, EndedRun, LiveRun, Registration, RunOutcome, StartReply, WorkerKey,
     WorkerReport,
 };
+use crate::interference::Evidence;
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
 use crate::schedule::{Batch, Event, Order, RosterEntry, Scheduler, Term};
@@ -325,6 +327,14 @@
     roster.into_iter().map(|entry| entry.id).collect()
 }
 
+/// Evidence of a former owner with these log odds.
+fn stored(log_odds: f64) -> Evidence {
+    Evidence {
+        log_odds,
+        ..Evidence::default()
+    }
+}
+
 fn live(task: TaskName, run: u64, measurement: u32) -> LiveRun {
     LiveRun {
         task,
--- a/src/schedule/tests/overload.rs
+++ b/src/schedule/tests/overload.rs
@@ -147,7 +147,7 @@
         shard.submit(active_workflow(2, vec![serving(4, 5, "search")], 2, 0));
         let images = &mut shard.scheduler.images;
         let (video, heavy) = (images.key("video"), images.key("heavy"));
-        shard.scheduler.pairs.restore(video, heavy, 4.0);
+        shard.scheduler.pairs.restore(video, heavy, stored(4.0));
         let sims = shard.workers.iter().map(|_| SimWorker::default()).collect();
         Self {
             shard,
--- a/src/schedule/tests/slow.rs
+++ b/src/schedule/tests/slow.rs
@@ -24,7 +24,7 @@
             .collect();
         let images = &mut shard.scheduler.images;
         let (video, loud) = (images.key("video"), images.key("loud"));
-        shard.scheduler.pairs.restore(video, loud, 5.0);
+        shard.scheduler.pairs.restore(video, loud, stored(5.0));
         Self { shard, running }
     }
 
--- a/src/schedule/tests/slow_share.rs
+++ b/src/schedule/tests/slow_share.rs
@@ -18,7 +18,7 @@
     }
     let images = &mut shard.scheduler.images;
     let (video, loud) = (images.key("video"), images.key("loud"));
-    shard.scheduler.pairs.restore(video, loud, 5.0);
+    shard.scheduler.pairs.restore(video, loud, stored(5.0));
     (shard, running)
 }
 
--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -1,13 +1,14 @@
 //! Throttles best-effort tasks that interfere with serving tasks.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::{Event, Order, Scheduler};
 use crate::fleet::{LiveRun, StopOrder, WorkerKey, WorkerReport};
 use crate::interference::{ImageKey, Neighbour, Observation, Tail};
 use crate::moment::Moment;
-use crate::workflow::{FULL_SPEED, Stage, Step, Task, TaskKey};
+use crate::workflow::{FULL_SPEED, Stage, Step, Task, TaskKey, Workflow};
 
 /// The time until a changed speed takes effect in the reports.
 const THROTTLE_DELAY: Duration = Duration::from_millis(700);
@@ -25,12 +26,18 @@
 /// The step by which the speed is raised, in percent of full speed.
 const SPEED_STEP: u8 = 25;
 
-/// A reported run with its task, image and step.
+/// A reported run with its task, image and job.
 struct ReportedTask<'a> {
     run: &'a LiveRun,
     task: TaskKey,
     image: ImageKey,
-    step: Step,
+    workflow: Arc<Workflow>,
+}
+
+impl ReportedTask<'_> {
+    fn step(&self) -> &Step {
+        &self.workflow.steps[self.run.task.step as usize]
+    }
 }
 
 /// What is done with a best-effort run after a report.
@@ -56,11 +63,11 @@
         self.workers[key].evaluated_at = now;
         let reported = self.reported_tasks(report);
         let neighbours = self.neighbours(key, &reported);
-        let alone = !reported.iter().any(|row| row.step.best_effort);
+        let alone = !reported.iter().any(|row| row.step().best_effort);
         let mut over_target = Vec::new();
         let mut worst_tail = 0;
         for row in &reported {
-            let Some(percent) = row.step.tail_percent(row.run.measurement) else {
+            let Some(percent) = row.step().tail_percent(row.run.measurement) else {
                 continue;
             };
             worst_tail = worst_tail.max(percent);
@@ -106,7 +113,7 @@
         self.divide_slow_share(key);
         let running = rows.iter().filter(|row| {
             let stage = self.ledger.tasks[row.task].stage;
-            row.step.best_effort && stage == Stage::Running(key)
+            row.step().best_effort && stage == Stage::Running(key)
         });
         let rows: Vec<&ReportedTask<'_>> = running.collect();
         let mut changed = false;
@@ -155,10 +162,10 @@
         if is_slow && self.can_speed_up(row.task, worker) {
             return Adjustment::FullSpeed;
         }
-        if is_slow && row.step.checkpoints && self.can_move(row.task, worker, now) {
+        if is_slow && row.step().checkpoints && self.can_move(row.task, worker, now) {
             return Adjustment::Stop("another worker can run it at full speed");
         }
-        if row.step.checkpoints && !is_slow && interferes {
+        if row.step().checkpoints && !is_slow && interferes {
             return Adjustment::Stop("it interferes with a serving task");
         }
         let next = if alarm {
@@ -213,13 +220,12 @@
                 continue;
             };
             let workflow = &self.ledger.workflows[self.ledger.tasks[task].workflow];
-            let step = workflow.step(run.task).clone();
-            let image = self.images.key(&step.image);
+            let image = self.images.key(&workflow.step(run.task).image);
             rows.push(ReportedTask {
                 run,
                 task,
                 image,
-                step,
+                workflow: workflow.spec.clone(),
             });
         }
         rows
@@ -231,7 +237,8 @@
     fn neighbours(&self, key: WorkerKey, reported: &[ReportedTask<'_>]) -> Vec<Neighbour> {
         let whole = f64::from(self.workers[key].registration.capacity.millicores.max(1));
         let mut used: BTreeMap<ImageKey, u32> = BTreeMap::new();
-        let full_speed = |row: &&ReportedTask<'_>| row.step.best_effort && !self.is_slow(row.task);
+        let full_speed =
+            |row: &&ReportedTask<'_>| row.step().best_effort && !self.is_slow(row.task);
         for row in reported.iter().filter(full_speed) {
             *used.entry(row.image).or_default() += row.run.measurement;
         }
@@ -262,7 +269,7 @@
     if task.speed > 0 && used == 0 {
         return since_order >= REPEAT_INTERVAL;
     }
-    let allowed = row.step.need.at_speed(task.speed);
+    let allowed = row.step().need.at_speed(task.speed);
     let exceeds = used > allowed + allowed / 2;
     exceeds && task.speed < FULL_SPEED && since_order >= THROTTLE_DELAY
 }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::Scheduler;
+use super::peers::check_records;
 use crate::fleet::{Availability, Capacity, Registration, Worker, WorkerKey};
+use crate::interference::Evidence;
 use crate::moment::Moment;
 use crate::workflow::{Progress, TaskName, WorkflowId, WorkflowKey, WorkflowState};
 
@@ -89,10 +91,19 @@
     /// The log odds of interference.
     #[serde(rename = "odds")]
     pub log_odds: f64,
+    /// The log odds that the owners of the shard have observed in sum; see
+    /// [`Evidence::observed`].
+    #[serde(default)]
+    pub observed: f64,
 }
 
-/// The interval between writes of the evidence for interference.
-const PAIRS_INTERVAL: Duration = Duration::from_secs(3);
+/// The limit on the pairs of images whose evidence is stored, so that the record stays well
+/// below the store's limit on values.
+pub(super) const MAX_STORED_PAIRS: usize = 4000;
+
+/// The interval at which the evidence for interference is written, and at which that of
+/// other shards' owners is read.
+pub const PAIRS_INTERVAL: Duration = Duration::from_secs(3);
 
 /// The changes that are not written yet.
 #[derive(Debug, Default)]
@@ -343,22 +354,37 @@
         }
     }
 
-    /// Restores the evidence for interference that a former owner stored.
-    pub fn on_pairs(&mut self, records: &[PairRecord]) {
+    /// Restores the evidence for interference that a former owner of `shard` stored.
+    pub fn on_pairs(&mut self, shard: &str, records: &[PairRecord]) {
+        if let Err(field) = check_records(records) {
+            return self.record(field.refused(shard));
+        }
         for record in records {
             let serving = self.images.key(&record.serving);
             let best_effort = self.images.key(&record.best_effort);
-            self.pairs.restore(serving, best_effort, record.log_odds);
+            let stored = Evidence {
+                log_odds: record.log_odds,
+                observed: record.observed,
+            };
+            self.pairs.restore(serving, best_effort, stored);
         }
     }
 
+    /// The evidence to store: of the pairs about which most is known, if there are too many.
     fn pair_records(&self) -> Option<Vec<PairRecord>> {
-        let all = self.pairs.all().into_iter();
+        let mut all = self.pairs.all();
+        if all.len() > MAX_STORED_PAIRS {
+            let certainty = |evidence: &Evidence| evidence.log_odds.abs();
+            all.sort_by(|a, b| certainty(&b.2).total_cmp(&certainty(&a.2)));
+            all.truncate(MAX_STORED_PAIRS);
+        }
         let records: Vec<PairRecord> = all
-            .map(|(serving, best_effort, log_odds)| PairRecord {
+            .into_iter()
+            .map(|(serving, best_effort, evidence)| PairRecord {
                 serving: self.images.name(serving).to_owned(),
                 best_effort: self.images.name(best_effort).to_owned(),
-                log_odds,
+                log_odds: evidence.log_odds,
+                observed: evidence.observed,
             })
             .collect();
         (!records.is_empty()).then_some(records)
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -120,6 +120,8 @@
     pub incarnation: u64,
     /// The availability zone of the host.
     pub zone: String,
+    /// The names of all availability zones.
+    pub zones: Vec<String>,
     /// How the workers are divided into shards.
     pub layout: Layout,
     /// The number of shards that the host owns.
@@ -158,6 +160,7 @@
     ///     host: "a1".into(),
     ///     incarnation: 2,
     ///     zone: "a".into(),
+    ///     zones: vec!["a".into()],
     ///     layout,
     ///     owned: 0,
     ///     millicores: 100,
@@ -211,6 +214,7 @@
     ///     host: "a1".into(),
     ///     incarnation: 2,
     ///     zone: "a".into(),
+    ///     zones: vec!["a".into()],
     ///     layout,
     ///     owned: 0,
     ///     millicores: 100,
@@ -237,7 +241,7 @@
         const BUCKETS: u64 = 1000;
         let bucket = stable_hash(format!("{}/{shard}", self.host).as_bytes()) % BUCKETS;
         let share = bucket as f64 / BUCKETS as f64;
-        let zone_delay = if self.layout.is_home(shard, &self.zone) {
+        let zone_delay = if self.layout.is_home(shard, &self.zones, &self.zone) {
             HOME_ZONE_JITTER.mul_f64(share)
         } else {
             OTHER_ZONE_DELAY + OTHER_ZONE_JITTER.mul_f64(share)
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -155,9 +155,14 @@
     format!("roster/{shard}")
 }
 
+/// Returns the prefix of the evidence of interference, for all shards.
+pub const fn pairs_prefix() -> &'static str {
+    "pairs/"
+}
+
 /// Returns the key of the evidence of interference that a shard's owner has.
 pub fn pairs_key(shard: &str) -> String {
-    format!("pairs/{shard}")
+    format!("{}{shard}", pairs_prefix())
 }
 
 /// Returns the prefix of the counts of jobs that have not started, for all shards.
--- a/src/shards/tests.rs
+++ b/src/shards/tests.rs
@@ -12,6 +12,7 @@
         host: name.to_owned(),
         incarnation: 1,
         zone: zone.to_owned(),
+        zones: vec!["a".to_owned(), "b".to_owned()],
         layout: Layout::Zones(1),
         owned: 0,
         millicores: 100,
@@ -182,3 +183,39 @@
         assert!(lease_end < deadline, "{former:?}: {lease_end:?}");
     }
 }
+
+#[test]
+fn more_workers_get_more_shards_one_step_at_a_time() {
+    let sizes = [500, 540, 1_000, 1_250, 1_700, 2_500, 3_000, 5_000];
+    let rows = sizes.map(|workers| {
+        let zones: Vec<String> = ('a'..='f').map(|zone| zone.to_string()).collect();
+        let layout = Layout::of(workers, zones.len(), 500);
+        format!("{workers} {layout:?} {}", layout.shards(&zones).len())
+    });
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    500 Whole 1
+    540 Whole 1
+    1000 ZoneGroups(2) 2
+    1250 ZoneGroups(2) 2
+    1700 ZoneGroups(3) 3
+    2500 Zones(1) 6
+    3000 Zones(1) 6
+    5000 Zones(2) 12
+    ");
+}
+
+#[test]
+fn zones_belong_to_the_same_group_on_all_hosts() {
+    let zones = |names: [&str; 5]| names.map(str::to_owned);
+    let (one, other) = (
+        zones(["a", "b", "c", "d", "e"]),
+        zones(["d", "a", "e", "c", "b"]),
+    );
+    let layout = Layout::ZoneGroups(2);
+    for zone in &one {
+        let shard = layout.shard_of(&one, zone, "r1");
+        assert_eq!(layout.shard_of(&other, zone, "r9"), shard);
+        assert!(layout.is_home(&shard, &one, zone));
+        assert!(layout.shards(&one).contains(&shard));
+    }
+}
