--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -8,6 +8,9 @@
 /// The lease of the runs on a worker: without a renewal they end after this time.
 pub const RUN_LEASE: Duration = Duration::from_millis(4500);
 
+/// The longest lease that a worker grants; it shortens longer ones to its own limit.
+pub const MAX_WORKER_LEASE: Duration = Duration::from_secs(10);
+
 /// The factor by which a worker's clock may run slower than ours.
 pub const MAX_CLOCK_SLOWDOWN: f64 = 1.02;
 
--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -38,6 +38,8 @@
     run: u64,
     begun: bool,
     survived: Duration,
+    /// Whether a copy of the start order may still arrive.
+    open: bool,
 }
 
 /// A worker whose leases have ended while it was silent.
@@ -113,6 +115,19 @@
         }
     }
 
+    /// The runs that were lost when the leases of a worker ended, and whose start orders may
+    /// still reach a new incarnation of it: that has seen no fencing token, and its clock no
+    /// end of a lease.
+    pub(super) fn lost_open_runs(&self, key: WorkerKey) -> Vec<(TaskName, u64)> {
+        let worker = &self.workers[key].registration;
+        let lost = self.lost_workers.by_address.get(&worker.address);
+        let Some(lost) = lost.filter(|lost| lost.id == worker.id) else {
+            return Vec::new();
+        };
+        let open = lost.runs.iter().filter(|run| run.open);
+        open.map(|run| (run.task, run.run)).collect()
+    }
+
     /// Records that a report lists the current run of a task, so that it has begun and
     /// survived until now.
     pub(super) fn record_survival(&mut self, key: TaskKey, now: Moment) {
@@ -130,14 +145,15 @@
 
     fn runs_on(&self, key: WorkerKey) -> Vec<RunState> {
         let tasks = self.workers[key].tasks.values();
-        let tasks = tasks.map(|task| &self.ledger.tasks[*task]);
+        let tasks = tasks.map(|key| (*key, &self.ledger.tasks[*key]));
         let runs = tasks
-            .filter(|task| may_have_begun(task))
-            .map(|task| RunState {
+            .filter(|(_, task)| may_have_begun(task))
+            .map(|(key, task)| RunState {
                 task: task.name,
                 run: task.run,
                 begun: task.begun,
                 survived: task.survived,
+                open: self.may_arrive(key),
             });
         runs.collect()
     }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -18,6 +18,8 @@
 const MAX_NAMED_WORKERS: usize = 5;
 /// The delay after which a stop order for the same run is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(600);
+/// The end of a lease of which the worker's clock says nothing, in milliseconds.
+const NO_LEASE_END: u64 = u64::MAX;
 
 impl Scheduler {
     /// Processes the report with which a worker answered a poll sent at `sent`.
@@ -429,6 +431,7 @@
         self.add_usage(task, key);
         // The former owner may have throttled the run; its speed is not stored.
         if self.step_of(task).best_effort {
+            self.ledger.tasks[task].speed_unknown = true;
             self.throttle(task, key, FULL_SPEED, now);
         }
         let workflow = self.ledger.tasks[task].workflow;
@@ -458,19 +461,33 @@
             return;
         }
         unknown_runs.insert((run.task, run.run), UnknownRun::new(None, now));
+        self.order_stop(key, (run.task, run.run), "the run is not wanted");
+    }
+
+    /// Stops a run that a worker does not list but may begin later: only a confirmed stop
+    /// order keeps it from that.
+    pub(super) fn stop_unlisted(
+        &mut self,
+        key: WorkerKey,
+        run: (TaskName, u64),
+        reason: &'static str,
+        now: Moment,
+    ) {
+        let unknown = UnknownRun::new(Some(NO_LEASE_END), now);
+        self.workers[key].unknown_runs.insert(run, unknown);
+        self.order_stop(key, run, reason);
+    }
+
+    fn order_stop(&mut self, key: WorkerKey, (task, run): (TaskName, u64), reason: &'static str) {
         let worker = self.worker_name(key);
         self.record(Event::Stopping {
-            task: run.task.to_string(),
-            run: run.run,
+            task: task.to_string(),
+            run,
             worker,
-            reason: "the run is not wanted",
+            reason,
         });
-        let order = StopOrder {
-            task: run.task,
-            run: run.run,
-            fence: self.term.fence,
-        };
-        self.order(key, Order::Stop(order));
+        let fence = self.term.fence;
+        self.order(key, Order::Stop(StopOrder { task, run, fence }));
     }
 
     /// Treats runs as lost which the report does not list, if the worker had begun them,
--- a/src/schedule/impaired.rs
+++ b/src/schedule/impaired.rs
@@ -19,6 +19,9 @@
 /// The stall timeout is at least the estimate divided by this, as progress is
 /// reported in whole percents.
 const STALL_DIVISOR: u32 = 20;
+/// A run that uses more of the processors that it asks for than this, in percent, is not
+/// slowed down by an order of a former owner.
+const MAX_SLOW_PERCENT: u8 = 50;
 /// The number of stalled runs at which their worker counts as impaired.
 const STALLED_RUN_LIMIT: usize = 2;
 /// Runs with at least this progress, in percent, finish on an impaired worker
@@ -79,10 +82,13 @@
             };
             let step = self.step_of(task);
             let (long_running, timeout) = (step.long_running, step.estimate / STALL_DIVISOR);
+            let fast = run.measurement > step.need.at_speed(MAX_SLOW_PERCENT);
             let known = &mut self.ledger.tasks[task];
+            known.speed_unknown &= !fast;
             let progressed = known.progress.record(run.run, run.progress, now);
             let stalls = now - progressed >= STALL_TIMEOUT.max(timeout);
-            let can_progress = known.speed == FULL_SPEED && run.measurement > 0;
+            let full_speed = known.speed == FULL_SPEED && !known.speed_unknown;
+            let can_progress = full_speed && run.measurement > 0;
             if stalls && can_progress && !long_running && known.stage == Stage::Running(key) {
                 stalled.push(task);
             }
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -4,7 +4,7 @@
 
 use super::Scheduler;
 use super::ends::live_runs;
-use crate::fleet::{WorkerKey, WorkerReport};
+use crate::fleet::{MAX_CLOCK_SLOWDOWN, MAX_WORKER_LEASE, WorkerKey, WorkerReport};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey};
 
@@ -22,18 +22,29 @@
             self.unassign(*task);
         }
         let mut open = Vec::new();
-        if self.workers[key].synced {
+        let lost_open = self.lost_open_runs(key);
+        let known = self.workers[key].synced;
+        if known {
             self.record_crash(key, "it has a new incarnation", now);
             open = self.lose_ended(key, now);
         }
         self.workers[key].registration.incarnation = incarnation;
         self.workers[key].reset(now);
+        if known {
+            // The last orders gave a lease by the clock of the former incarnation, which may
+            // be far ahead of the new one.
+            let longest = MAX_WORKER_LEASE.mul_f64(MAX_CLOCK_SLOWDOWN);
+            self.workers[key].lease_deadline = now + longest;
+        }
         for task in listed {
             self.continue_run(key, task, now);
         }
         for task in open {
             self.withdraw_open(key, task, now);
         }
+        for run in lost_open {
+            self.stop_unlisted(key, run, "the worker restarted", now);
+        }
         self.closed_workers.remove(&key);
         self.record_worker_change(key, "restarted");
     }
@@ -88,7 +99,7 @@
 
     /// Whether a copy of a task's start order may be on its way to the new incarnation,
     /// which has seen no fencing token and accepts it.
-    fn may_arrive(&self, key: TaskKey) -> bool {
+    pub(super) fn may_arrive(&self, key: TaskKey) -> bool {
         let task = &self.ledger.tasks[key];
         task.unanswered_copies > 0 || (!task.confirmed && task.lease_end.is_some())
     }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -445,6 +445,7 @@
         self.ledger.tasks[key].allowed_speed = speed;
         self.ledger.tasks[key].speed_ordered = now;
         self.ledger.tasks[key].speed_pending = false;
+        self.ledger.tasks[key].speed_unknown = false;
         self.add_usage(key, worker);
     }
 
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -128,6 +128,9 @@
     pub speed_ordered: Moment,
     /// Whether the order of the current run's speed has yet to be sent.
     pub speed_pending: bool,
+    /// Whether a former owner may have ordered a lower speed of the current run, and no
+    /// report has shown yet that the run is faster.
+    pub speed_unknown: bool,
     /// The progress of the current run.
     pub progress: RunProgress,
     /// The task restarts only once the store has confirmed the ownership after this
@@ -341,6 +344,7 @@
                     allowed_speed: FULL_SPEED,
                     speed_ordered: Moment::default(),
                     speed_pending: false,
+                    speed_unknown: false,
                     progress: RunProgress::default(),
                     restart_gate: Moment::default(),
                     confirmed: false,
