Interference: few tasks of an unknown image run beside a serving image; trials bound the wait of long-running tasks

Serving tasks were also placed on workers with best-effort tasks known to interfere with them. Change: at most 4 tasks of a best-effort image run beside a serving image until the pair is proven harmless (schedule/exposure.rs); serving tasks avoid workers with best-effort images that interfere with them. LOST of long-running tasks after crashes: a suspect waited without limit for the trial of another task of its job, which lasts up to 10 s. Cost of an owner: no list of workers for each task; a pass over waiting tasks is followed by a rest of three times its length. Tests: schedule::tests::exposure (fail with the limit at 4,000), trials (failed before).

--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -31,6 +31,9 @@
 /// The delay after a pass, so that changes that arrive together share the next
 /// one.
 const BATCH_DELAY: Duration = Duration::from_millis(4);
+/// The delay after a pass is at least this many times what the pass took, so that reports
+/// and orders get most of the processor while many tasks wait.
+const PASS_REST: u32 = 3;
 /// The number of renewals of the owner lease within its time to live.
 const RENEWALS_PER_TTL: u32 = 4;
 /// The time after which an unanswered renewal is repeated.
@@ -303,6 +306,7 @@
             owned.decide(|scheduler, _| scheduler.configure(&queues));
         }
         let confirmed = owned.confirmed();
+        let begun = Moment::now();
         let orders = owned.decide(|scheduler, now| scheduler.plan(confirmed, now));
         let senders = owned.orders.lock().expect("no holder panics").clone();
         for (worker, order) in orders {
@@ -311,7 +315,8 @@
                 let _ = sender.send(order);
             }
         }
-        sleep(BATCH_DELAY).await;
+        let took = Moment::now() - begun;
+        sleep(BATCH_DELAY.max(took * PASS_REST)).await;
     }
 }
 
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -166,6 +166,8 @@
     pub throttled_at: Moment,
     /// The number of the worker's tasks of each serving image.
     pub serving_images: BTreeMap<ImageKey, u32>,
+    /// The number of the worker's best-effort tasks of each image.
+    pub best_effort_images: BTreeMap<ImageKey, u32>,
 }
 
 impl Worker {
@@ -198,6 +200,7 @@
             over_target_at: None,
             throttled_at: Moment::default(),
             serving_images: BTreeMap::new(),
+            best_effort_images: BTreeMap::new(),
         }
     }
 
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -6,6 +6,7 @@
 mod delay;
 mod ends;
 mod event;
+mod exposure;
 mod gang;
 mod idle;
 mod impaired;
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -26,6 +26,9 @@
 /// The score, in millicores, that a worker loses for each other image that it
 /// serves.
 const OTHER_IMAGE_PENALTY: i64 = 8_000;
+/// The score, in millicores, that a worker loses for each best-effort image that it runs and
+/// that interferes with a serving task.
+const HARMFUL_IMAGE_PENALTY: i64 = 4_000;
 /// The score, in millicores, that a worker on the rack of the task's data gains.
 const DATA_RACK_BONUS: i64 = 1_000_000;
 /// The waiting time after which a best-effort task may be placed although it may
@@ -228,20 +231,29 @@
         let image = self.images.find(&step.image);
         let risk = tolerance.risk;
         let trial = self.trial_rule(workflow, task, now);
+        let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
+        let is_eligible = |(key, worker): &(WorkerKey, &Worker)| {
+            candidates.contains(worker)
+                && has_label(worker, step)
+                && (!waits_for_rack || is_on_data_rack(worker, step))
+                && self.allows(trial, *key, name)
+        };
         let open = open.of_pool(&workflow.queue.pool);
-        let mut open = self.eligible_workers(workflow, task, open, candidates, now);
-        open.retain(|(key, _)| self.allows(trial, *key, name));
-        if !tolerance.quarantine || !is_mostly_quarantined(&open, now) {
-            open.retain(|(_, worker)| worker.is_open(now));
-        }
-        let fitting = open.iter().filter(|(_, worker)| {
+        let workers = || open.iter().map(|key| (*key, &self.workers[*key]));
+        let quarantine =
+            tolerance.quarantine && is_mostly_quarantined(workers().filter(is_eligible), now);
+        let is_usable = |row: &(WorkerKey, &Worker)| {
+            (quarantine || !row.1.failures.is_quarantined(now)) && is_eligible(row)
+        };
+        let fitting = workers().filter(|(key, worker)| {
             fits(worker, step, name)
-                && !(step.best_effort && self.would_interfere(worker, image, risk.log_odds()))
+                && is_usable(&(*key, worker))
+                && !(step.best_effort && self.endangers(worker, image, risk))
         });
         let scored = fitting.map(|(key, worker)| {
-            let image_affinity = image_affinity(worker, step, image);
+            let image_affinity = self.image_affinity(worker, step, image);
             let score = score(worker, step, name) + image_affinity;
-            (self.trial_score(trial, *key), score, *key)
+            (self.trial_score(trial, key), score, key)
         });
         let fast = scored.max().map(|(_, _, worker)| Placement {
             worker,
@@ -250,28 +262,7 @@
         if fast.is_some() || risk < Risk::Slow {
             return fast;
         }
-        self.choose_slow(open.iter(), step, name, now)
-    }
-
-    /// Those of the open workers of a task's pool that may run the task as far as its label,
-    /// the rack of its data and the candidates are concerned, in quarantine or not.
-    fn eligible_workers(
-        &self,
-        workflow: &ActiveWorkflow,
-        task: &Task,
-        open: &[WorkerKey],
-        candidates: &Candidates,
-        now: Moment,
-    ) -> Vec<(WorkerKey, &Worker)> {
-        let step = workflow.step(task.name);
-        let waits_for_rack = now - task.ready < step.estimate.min(MAX_DATA_RACK_DELAY);
-        let workers = open.iter().map(|key| (*key, &self.workers[*key]));
-        let eligible = workers.filter(|(_, worker)| {
-            candidates.contains(worker)
-                && has_label(worker, step)
-                && (!waits_for_rack || is_on_data_rack(worker, step))
-        });
-        eligible.collect()
+        self.choose_slow(workers().filter(is_usable), step, name, now)
     }
 
     /// What a waiting task accepts now.
@@ -369,6 +360,31 @@
         }
     }
 
+    /// Whether a best-effort image interferes with an image that a worker serves, as far as
+    /// a task does not accept it.
+    fn endangers(&self, worker: &Worker, image: Option<ImageKey>, risk: Risk) -> bool {
+        self.would_interfere(worker, image, risk.log_odds())
+            || (risk < Risk::Slow && self.is_overexposed(worker, image))
+    }
+
+    /// The score for placing a serving task beside the images that a worker serves.
+    /// Tasks of one image are placed together, so that best-effort tasks find workers
+    /// without an image that they would interfere with; and they are kept from the
+    /// best-effort tasks that interfere with them.
+    fn image_affinity(&self, worker: &Worker, step: &Step, image: Option<ImageKey>) -> i64 {
+        let Some(image) = image.filter(|_| step.tail_target.is_some()) else {
+            return 0;
+        };
+        let served = worker.serving_images.keys();
+        let others = served.filter(|served| **served != image).count() as i64;
+        let same = i64::from(worker.serving_images.contains_key(&image));
+        let best_effort = worker.best_effort_images.keys();
+        let harmful = best_effort.filter(|other| self.pairs.is_harmful(image, **other));
+        same * SAME_IMAGE_BONUS
+            - others * OTHER_IMAGE_PENALTY
+            - harmful.count() as i64 * HARMFUL_IMAGE_PENALTY
+    }
+
     /// Whether a task probably interferes with an image that a worker serves.
     pub(super) fn would_interfere_on(&self, key: TaskKey, worker: WorkerKey) -> bool {
         let image = self.images.find(&self.step_of(key).image);
@@ -387,24 +403,16 @@
 }
 
 /// Whether more than half of the workers are in quarantine.
-fn is_mostly_quarantined(workers: &[(WorkerKey, &Worker)], now: Moment) -> bool {
-    let quarantined = workers
-        .iter()
-        .filter(|(_, worker)| worker.failures.is_quarantined(now));
-    quarantined.count() * 2 > workers.len()
-}
-
-/// The score for placing a serving task beside the images that a worker serves.
-/// Tasks of one image are placed together, so that best-effort tasks find workers
-/// without an image that they would interfere with.
-fn image_affinity(worker: &Worker, step: &Step, image: Option<ImageKey>) -> i64 {
-    if step.tail_target.is_none() {
-        return 0;
+fn is_mostly_quarantined<'a>(
+    workers: impl Iterator<Item = (WorkerKey, &'a Worker)>,
+    now: Moment,
+) -> bool {
+    let (mut all, mut quarantined) = (0, 0);
+    for (_, worker) in workers {
+        all += 1;
+        quarantined += usize::from(worker.failures.is_quarantined(now));
     }
-    let served = worker.serving_images.keys();
-    let others = served.filter(|served| Some(**served) != image).count() as i64;
-    let same = image.is_some_and(|image| worker.serving_images.contains_key(&image));
-    i64::from(same) * SAME_IMAGE_BONUS - others * OTHER_IMAGE_PENALTY
+    quarantined * 2 > all
 }
 
 /// Whether the worker is on the rack of the task's data; true for tasks without
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -9,6 +9,7 @@
 
 use super::crash::LostWorkers;
 use super::delay::Delays;
+use super::exposure::Exposure;
 use super::idle::IdleJobs;
 use super::peers::PeerEvidence;
 use super::place::{Candidates, OpenWorkers, Placement, PlacementFailures, Tolerance};
@@ -111,6 +112,7 @@
     pub(super) writes: Writes,
     pub(super) images: Images,
     pub(super) pairs: ImagePairs,
+    pub(super) exposure: Exposure,
     /// What was last read of the evidence of other shards' owners, by shard.
     pub(super) peers: HashMap<String, PeerEvidence>,
     pub(super) baselines: HashMap<ImageKey, Baseline>,
@@ -151,6 +153,7 @@
             writes: Writes::default(),
             images: Images::default(),
             pairs: ImagePairs::default(),
+            exposure: Exposure::default(),
             peers: HashMap::new(),
             baselines: HashMap::new(),
             confirmed: Moment::default(),
--- a/src/schedule/slow.rs
+++ b/src/schedule/slow.rs
@@ -38,7 +38,7 @@
     /// preferably without a recent tail over its target.
     pub(super) fn choose_slow<'a>(
         &self,
-        workers: impl Iterator<Item = &'a (WorkerKey, &'a Worker)>,
+        workers: impl Iterator<Item = (WorkerKey, &'a Worker)>,
         step: &Step,
         name: TaskName,
         now: Moment,
@@ -48,7 +48,7 @@
             let need = self.slow_need(worker) + u64::from(step.need.millicores);
             let whole = u64::from(worker.registration.capacity.millicores.max(1));
             let strained = was_over_target(worker, now);
-            (strained, need * 1000 / whole, worker.worst_tail, need, *key)
+            (strained, need * 1000 / whole, worker.worst_tail, need, key)
         });
         let (_, _, _, need, worker) = ranked.min()?;
         let speed = slow_speed(&self.workers[worker], need);
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod delays;
 mod ends;
+mod exposure;
 mod idle_jobs;
 mod interference;
 mod late_orders;
@@ -15,6 +16,7 @@
 mod slow_share;
 mod takeover;
 mod throttle;
+mod trials;
 mod uncertain_crashes;
 mod workers;
 
--- a/src/schedule/trial.rs
+++ b/src/schedule/trial.rs
@@ -16,6 +16,7 @@
 /// been a suspect of several crashes.
 const MAX_TRIAL: Duration = Duration::from_secs(10);
 /// How long a task waits until its pool may have another trial; then it starts without one.
+/// So long a long-running task also waits for the trials of its job's other tasks.
 const MAX_TRIAL_WAIT: Duration = Duration::from_secs(3);
 /// How long a worker is reserved for a trial that does not begin.
 const MAX_RESERVATION: Duration = Duration::from_secs(4);
@@ -70,15 +71,18 @@
         }
         let survivors = self.trials.survivors.contains(&workflow.id);
         let blocks = |trial: &Trial| trial.task.workflow == workflow.id;
-        if !survivors && trials.values().any(blocks) {
+        let waited = now - task.ready >= MAX_TRIAL_WAIT;
+        // A long-running task must not stay without a run for as long as another's trial.
+        let may_wait = !waited || !workflow.step(task.name).long_running;
+        if may_wait && !survivors && trials.values().any(blocks) {
             return TrialRule::NotYet;
         }
         if self.has_free_trial(&workflow.queue.pool) {
             TrialRule::Trial
-        } else if now - task.ready < MAX_TRIAL_WAIT {
-            TrialRule::NotYet
-        } else {
+        } else if waited {
             TrialRule::NoTrial
+        } else {
+            TrialRule::NotYet
         }
     }
 
@@ -101,7 +105,11 @@
 
     /// Whether a rule allows a start on a worker.
     pub(super) fn allows(&self, rule: TrialRule, key: WorkerKey, task: TaskName) -> bool {
-        let trial = self.trials.by_worker.get(&key);
+        let trials = &self.trials.by_worker;
+        if trials.is_empty() && rule == TrialRule::NoTrial {
+            return true;
+        }
+        let trial = trials.get(&key);
         match rule {
             TrialRule::NoTrial | TrialRule::Trial => trial.is_none_or(|trial| trial.task == task),
             TrialRule::Reserved(reserved) => reserved == key,
--- a/src/schedule/usage.rs
+++ b/src/schedule/usage.rs
@@ -18,14 +18,14 @@
             let cpu = need.at_speed(task.allowed_speed);
             target.best_effort_cpu = target.best_effort_cpu.saturating_add(cpu);
             need.millicores = 0;
+            let image = self.images.key(&step.image);
+            self.exposure.add_best_effort(target, image);
         } else if step.long_running {
             target.long_running_cpu = target.long_running_cpu.saturating_add(need.millicores);
         }
         if step.tail_target.is_some() {
-            *target
-                .serving_images
-                .entry(self.images.key(&step.image))
-                .or_default() += 1;
+            let image = self.images.key(&step.image);
+            self.exposure.add_serving(target, image);
         }
         target.used += need;
     }
@@ -48,15 +48,14 @@
             let cpu = need.at_speed(task.allowed_speed);
             target.best_effort_cpu = target.best_effort_cpu.saturating_sub(cpu);
             need.millicores = 0;
+            let image = self.images.key(&step.image);
+            self.exposure.remove_best_effort(target, image);
         } else if step.long_running {
             target.long_running_cpu = target.long_running_cpu.saturating_sub(need.millicores);
         }
         if step.tail_target.is_some() {
             let image = self.images.key(&step.image);
-            if let Some(count) = target.serving_images.get_mut(&image) {
-                *count -= 1;
-            }
-            target.serving_images.retain(|_, count| *count > 0);
+            self.exposure.remove_serving(target, image);
         }
         target.used -= need;
     }
