Crashes: suspects on silent workers wait for the worker's fate; own protocol: repeated losses back off

A task with earlier crashes whose run would be a suspect now waits for the worker's fate, 8 s at most. Long-running tasks do not wait, as their bound is 6 s. Ruled out: holding all tasks of silent workers (a cut worker is silent without an end). - jobs: an idempotent task whose attempts are lost with their worker was started again without limit. After the second loss in a row it waits 5 s, then twice as long each time. It is not given up, as a loss shows nothing of the task.

--- a/src/jobs/report.rs
+++ b/src/jobs/report.rs
@@ -1,6 +1,7 @@
 //! Updates the ledger from a worker's report.
 
 use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 use super::change::{Change, Outcome};
 use super::ledger::{DelayedTask, Ledger};
@@ -14,6 +15,8 @@
 
 /// The longest delay after a failure, as a multiple of the first.
 const MAX_DELAY_FACTOR: u32 = 64;
+/// The delay of a task after the second attempt in a row that was lost with its worker.
+const LOSS_DELAY: Duration = Duration::from_secs(5);
 
 impl Ledger {
     /// Applies a worker's report, which answers the call with this number.
@@ -42,12 +45,12 @@
                 let refused = found.state == TaskState::Refused;
                 if refused && restarted && self.was_sent_before(key, number) {
                     // The former process may have started the attempt.
-                    self.on_absent(key, placement);
+                    self.on_absent(key, placement, now);
                 } else {
                     self.on_task_report(key, found, placement, now);
                 }
             } else if self.must_be_reported(key, number) {
-                self.on_absent(key, placement);
+                self.on_absent(key, placement, now);
             }
         }
         for each in &report.tasks {
@@ -155,6 +158,7 @@
     ) {
         let job = &self.jobs[self.tasks[key].job];
         let idempotent = job.record.idempotent;
+        self.tasks[key].losses = 0;
         match (report.state, stop) {
             (TaskState::Running, _) => {}
             (TaskState::Finished, _) => {
@@ -219,18 +223,14 @@
             return;
         }
         self.retries.push(RetryReason::TaskFailed);
-        self.dequeue(key);
-        let factor = 1_u32.checked_shl(failures - 1).unwrap_or(MAX_DELAY_FACTOR);
-        let until = now + self.settings.retry_delay * factor.min(MAX_DELAY_FACTOR);
-        self.tasks[key].stage = TaskStage::Delayed { until };
-        self.delayed.insert(DelayedTask { until, task: key });
+        self.delay(key, self.settings.retry_delay, failures - 1, now);
     }
 
     /// Handles a task that its worker does not report: the worker restarted or has
     /// been silent for the recovery delay, or the task was stopped before its start
     /// was sent. Also handles one whose earlier start the worker's former process may
     /// have carried out.
-    pub(super) fn on_absent(&mut self, key: TaskKey, placement: &mut Placement) {
+    pub(super) fn on_absent(&mut self, key: TaskKey, placement: &mut Placement, now: Moment) {
         let (stop, sent) = match self.tasks[key].stage {
             TaskStage::Placed {
                 stop,
@@ -247,17 +247,32 @@
                 self.tasks[key].intent_logged = false;
                 self.enqueue(key);
             }
-            (_, true) => self.on_lost(key),
+            (_, true) => self.on_lost(key, now),
         }
     }
 
-    fn on_lost(&mut self, key: TaskKey) {
+    /// Handles an attempt that was lost with its worker. After the second loss in a row the
+    /// task waits, each time twice as long, as it may be what ends the workers.
+    fn on_lost(&mut self, key: TaskKey, now: Moment) {
         if !self.jobs[self.tasks[key].job].record.idempotent {
             self.end_task(key, Outcome::Unknown);
             return;
         }
         self.retries.push(RetryReason::TaskLost);
-        self.enqueue(key);
+        self.tasks[key].losses += 1;
+        match self.tasks[key].losses.checked_sub(2) {
+            None => self.enqueue(key),
+            Some(earlier) => self.delay(key, LOSS_DELAY, earlier, now),
+        }
+    }
+
+    /// Lets a task wait for `delay`, doubled `doublings` times.
+    fn delay(&mut self, key: TaskKey, delay: Duration, doublings: u32, now: Moment) {
+        self.dequeue(key);
+        let factor = 1_u32.checked_shl(doublings).unwrap_or(MAX_DELAY_FACTOR);
+        let until = now + delay * factor.min(MAX_DELAY_FACTOR);
+        self.tasks[key].stage = TaskStage::Delayed { until };
+        self.delayed.insert(DelayedTask { until, task: key });
     }
 
     /// Handles an attempt that this ledger does not count on the worker: a former
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -34,7 +34,7 @@
                 .last_report
                 .is_some_and(|at| now - at >= self.settings.recovery_delay());
         if expired {
-            self.on_worker_lost(key, placement);
+            self.on_worker_lost(key, placement, now);
         }
         let empty = self.placed.get(&key).is_none_or(BTreeSet::is_empty);
         let reported = !self.unreported.contains(&name) || now >= self.recovery_deadline;
@@ -98,10 +98,10 @@
     }
 
     /// Handles every task on a silent worker, whose leases have all expired, as lost.
-    fn on_worker_lost(&mut self, worker: WorkerKey, placement: &mut Placement) {
+    fn on_worker_lost(&mut self, worker: WorkerKey, placement: &mut Placement, now: Moment) {
         let keys = self.placed.get(&worker).cloned().unwrap_or_default();
         for key in keys {
-            self.on_absent(key, placement);
+            self.on_absent(key, placement, now);
         }
     }
 
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -68,6 +68,8 @@
     pub checkpoint: u64,
     /// The number of failed attempts.
     pub failures: u32,
+    /// The number of attempts that were lost with their worker since one ended otherwise.
+    pub losses: u32,
     /// Whether the intent of the only permitted start is logged; used for tasks that are not
     /// idempotent.
     pub intent_logged: bool,
@@ -87,6 +89,7 @@
             stage: TaskStage::Waiting,
             checkpoint: 0,
             failures: 0,
+            losses: 0,
             intent_logged: false,
             unsaved_work: 0,
             last_failed: None,
--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -16,6 +16,10 @@
 /// turn out to have crashed.
 const LOST_RETENTION: Duration = Duration::from_secs(60);
 
+/// How long a task that may crash its workers does not restart after the leases on a silent
+/// worker have ended, unless it turns out earlier what became of the worker.
+const MAX_HOLD: Duration = Duration::from_secs(8);
+
 /// A run that ended with its worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct CrashedRun {
@@ -101,6 +105,21 @@
         lost.insert(worker.registration.address, entry);
     }
 
+    /// Holds tasks of a silent worker back whose runs would be suspects of a crash, if there
+    /// were crashes under them before: else they could crash further workers before it is
+    /// known that this one has crashed. Long-running tasks restart without this delay.
+    pub(super) fn hold_suspects(&mut self, key: WorkerKey, now: Moment) {
+        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
+        for key in tasks {
+            let long_running = self.step_of(key).long_running;
+            let task = &mut self.ledger.tasks[key];
+            let suspect = task.survived < task.crashes.survival_time();
+            if suspect && !long_running && !task.crashes.is_empty() {
+                task.held_until = now + MAX_HOLD;
+            }
+        }
+    }
+
     /// Checks, when a worker answers, whether the one that was lost at its address has
     /// crashed.
     pub(super) fn check_lost(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
@@ -200,7 +219,11 @@
         for (key, run) in &others {
             self.ledger.tasks[*key].crashes.record_late(run.run);
         }
-        for (key, _) in suspects.iter().chain(&uncertain).chain(&others) {
+        for (key, run) in suspects.iter().chain(&uncertain).chain(&others) {
+            let task = &mut self.ledger.tasks[*key];
+            if task.run == run.run {
+                task.held_until = Moment::default();
+            }
             let workflow = self.ledger.tasks[*key].workflow;
             self.writes.mark_progress_changed(workflow);
         }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -130,6 +130,7 @@
         for key in keys {
             if !self.workers[key].tasks.is_empty() {
                 self.keep_lost(key, now);
+                self.hold_suspects(key, now);
                 self.lose_all(key, "its lease has ended on a silent worker", now);
             }
             self.workers[key].unknown_runs.clear();
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -362,9 +362,9 @@
             let later_member = step.gang && task.name.index > 0;
             let gated = if step.gang {
                 let members = self.members(key);
-                members.iter().any(|member| self.is_gated(*member))
+                members.iter().any(|member| self.is_gated(*member, now))
             } else {
-                self.is_gated(key)
+                self.is_gated(key, now)
             };
             // What holds back other tasks says nothing of the worker of a trial.
             let needs_trial = self.needs_trial(key, now);
@@ -390,10 +390,12 @@
     }
 
     /// Whether a task waits until the store has confirmed that no newer owner renewed its
-    /// last run.
-    fn is_gated(&self, key: TaskKey) -> bool {
-        let gate = self.ledger.tasks[key].restart_gate;
-        gate > Moment::default() && gate >= self.confirmed
+    /// last run, or until it is known whether that run crashed its worker.
+    fn is_gated(&self, key: TaskKey, now: Moment) -> bool {
+        let task = &self.ledger.tasks[key];
+        let gate = task.restart_gate;
+        let unconfirmed = gate > Moment::default() && gate >= self.confirmed;
+        unconfirmed || now < task.held_until
     }
 
     pub(super) fn step_of(&self, key: TaskKey) -> &Step {
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -136,6 +136,8 @@
     /// The task restarts only once the store has confirmed the ownership after this
     /// moment: until then a newer owner could have renewed the run that seems lost.
     pub restart_gate: Moment,
+    /// Until when the task does not restart, as its last run may have crashed its worker.
+    pub held_until: Moment,
     /// Whether the worker has confirmed the order that led to the task's stage, or no copy
     /// of it can have an effect any more.
     pub confirmed: bool,
@@ -347,6 +349,7 @@
                     speed_unknown: false,
                     progress: RunProgress::default(),
                     restart_gate: Moment::default(),
+                    held_until: Moment::default(),
                     confirmed: false,
                 })
             });
