--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -26,7 +26,7 @@
 const BATCH_DELAY: Duration = Duration::from_millis(30);
 /// The delay between two polls while the worker reports ended runs that are not
 /// acknowledged yet. It answers such polls immediately.
-const UNACKNOWLEDGED_DELAY: Duration = Duration::from_millis(120);
+const UNACKNOWLEDGED_DELAY: Duration = Duration::from_millis(200);
 
 /// Sends the orders for a worker, one at a time. An order that is not settled is sent
 /// again after a delay and does not hold up the others.
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -162,15 +162,18 @@
     /// either.
     pub fn covers(&self, pool: &str, step: &Step, tolerance: Tolerance) -> bool {
         let matches = |failure: &PlacementFailure| {
-            let image = failure
-                .image
-                .as_ref()
-                .is_none_or(|image| *image == step.image);
-            image
-                && failure.pool == pool
-                && failure.best_effort == step.best_effort
+            let image = || {
+                failure
+                    .image
+                    .as_ref()
+                    .is_none_or(|image| *image == step.image)
+            };
+            // The names are compared last, as most rows differ in the rest.
+            failure.best_effort == step.best_effort
                 && failure.tolerance.includes(tolerance)
                 && step.need.holds(failure.need)
+                && image()
+                && failure.pool == pool
         };
         let waits_behind =
             |held: &HeldBack| held.pool == pool && held.best_effort == step.best_effort;
--- a/src/schedule/slow.rs
+++ b/src/schedule/slow.rs
@@ -114,13 +114,12 @@
         if !workflow.step(task.name).best_effort || waited < BUSY_POOL_DELAY {
             return false;
         }
-        if !self.ledger.is_idle(task.workflow) {
-            return false;
-        }
         let idle_pool = || self.idle_pools.contains(&workflow.queue.pool);
         let is_overdue = || workflow.overdue().is_some_and(|overdue| overdue <= now);
         let is_quiet = || !self.has_demand(&workflow.queue.pool, now);
-        (waited >= IDLE_POOL_DELAY && idle_pool()) || is_quiet() || is_overdue()
+        let may_run = (waited >= IDLE_POOL_DELAY && idle_pool()) || is_quiet() || is_overdue();
+        // Looks at all tasks of the job, so it comes last.
+        may_run && self.ledger.is_idle(task.workflow)
     }
 
     /// Whether a job of the pool was accepted recently.
--- a/src/shards/layout.rs
+++ b/src/shards/layout.rs
@@ -5,7 +5,7 @@
 use crate::ids::stable_hash;
 
 /// The number of workers that an owner can command with one processor core.
-const WORKERS_PER_CORE: usize = 1600;
+const WORKERS_PER_CORE: usize = 1200;
 /// The name of the only shard in [`Layout::Whole`].
 const WHOLE_SHARD: &str = "all";
 /// The part before the number in the names of the shards in [`Layout::ZoneGroups`].
@@ -34,8 +34,8 @@
     /// use lycheelock::shards::Layout;
     ///
     /// assert_eq!(Layout::of(48, 3, 100), Layout::Whole);
-    /// assert_eq!(Layout::of(350, 5, 100), Layout::ZoneGroups(3));
-    /// assert_eq!(Layout::of(900, 3, 100), Layout::Zones(2));
+    /// assert_eq!(Layout::of(350, 5, 150), Layout::ZoneGroups(3));
+    /// assert_eq!(Layout::of(900, 3, 100), Layout::Zones(3));
     /// assert_eq!(Layout::of(350, 3, 500), Layout::Whole);
     /// ```
     pub fn of(workers: usize, zones: usize, millicores: u32) -> Self {
--- a/src/shards/tests.rs
+++ b/src/shards/tests.rs
@@ -196,7 +196,7 @@
     500 Whole 1
     540 Whole 1
     1000 ZoneGroups(2) 2
-    1250 ZoneGroups(2) 2
+    1250 ZoneGroups(3) 3
     1700 ZoneGroups(3) 3
     2500 Zones(1) 6
     3000 Zones(1) 6
