Passes: the rest after a pass is limited; refused own evidence is replaced by that of others

Found at reading: a process that was paused during a pass measured the pause as the length of the pass and would have rested three times as long (a pause of 10 s: 30 s without starts). The rest is now 60 ms at most. And an owner whose former owner's evidence is refused took that of other shards as known, and never added it. Test: daemon::tests::a_process_that_was_paused_during_a_pass_places_tasks_again_soon.

--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -96,14 +96,16 @@
 }
 
 /// Restores the evidence of interference that a former owner of the shard stored. It
-/// includes that of the other shards' owners; the first owner adds theirs.
+/// includes that of the other shards' owners; if there is none, theirs is added.
 fn restore_pairs(owned: &OwnedShard, items: &[Item]) {
     let shard = owned.claim.shard.as_str();
     let own = items.iter().find(|item| item.key == pairs_key(shard));
-    let Some(own) = own.and_then(decode_item::<Vec<PairRecord>>) else {
+    let own = own.and_then(decode_item::<Vec<PairRecord>>);
+    let restored =
+        own.is_some_and(|own| owned.decide(|scheduler, _| scheduler.on_pairs(shard, &own)));
+    if !restored {
         return merge_pairs(owned, items);
-    };
-    owned.decide(|scheduler, _| scheduler.on_pairs(shard, &own));
+    }
     for (peer, revision, records) in peer_pairs(owned, items) {
         owned.decide(|scheduler, _| scheduler.skip_peer_pairs(peer, revision, &records));
     }
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -34,6 +34,8 @@
 /// The delay after a pass is at least this many times what the pass took, so that reports
 /// and orders get most of the processor while many tasks wait.
 const PASS_REST: u32 = 3;
+/// The limit on that delay: a pass during which the process was paused took long as well.
+const MAX_PASS_DELAY: Duration = Duration::from_millis(60);
 /// The number of renewals of the owner lease within its time to live.
 const RENEWALS_PER_TTL: u32 = 4;
 /// The time after which an unanswered renewal is repeated.
@@ -315,11 +317,16 @@
                 let _ = sender.send(order);
             }
         }
-        let took = Moment::now() - begun;
-        sleep(BATCH_DELAY.max(took * PASS_REST)).await;
+        sleep(pass_delay(Moment::now() - begun)).await;
     }
 }
 
+/// Returns the delay between a pass that took this long and the next one.
+pub(super) fn pass_delay(took: Duration) -> Duration {
+    took.saturating_mul(PASS_REST)
+        .clamp(BATCH_DELAY, MAX_PASS_DELAY)
+}
+
 /// Shortens the recovery of the shard once the former owner is known to have ended.
 async fn watch_former_owner(
     owned: Arc<OwnedShard>,
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -11,7 +11,7 @@
 use super::Node;
 use super::lifecycle::wait_for_panic;
 use super::ownership::incarnation_transaction;
-use super::term::{Claim, OwnedShard};
+use super::term::{Claim, OwnedShard, pass_delay};
 use super::writer::{Entry, transaction};
 use crate::moment::Moment;
 use crate::platform::fleet::Transaction;
@@ -160,3 +160,11 @@
     let key = incarnation_key(&ended.host);
     assert_eq!(Some(store.items[&key].0), revision);
 }
+
+#[test]
+fn a_process_that_was_paused_during_a_pass_places_tasks_again_soon() {
+    let millis = Duration::from_millis;
+    assert_eq!(pass_delay(millis(0)), millis(4));
+    assert_eq!(pass_delay(millis(10)), millis(30));
+    assert_eq!(pass_delay(millis(10_000)), millis(60));
+}
--- a/src/schedule/tests/peers.rs
+++ b/src/schedule/tests/peers.rs
@@ -72,7 +72,7 @@
 #[test]
 fn a_later_owner_goes_on_counting_from_what_its_shard_stored() {
     let mut former = Shard::first_owner(&["w0"]);
-    former.scheduler.on_pairs("a.0", &[record(3.0)]);
+    assert!(former.scheduler.on_pairs("a.0", &[record(3.0)]));
     former.scheduler.skip_peer_pairs(PEER, 5, &[record(2.0)]);
     assert_eq!(log_odds(&mut former), 0.0);
     former.scheduler.merge_peer_pairs(PEER, 6, &[record(2.25)]);
@@ -120,7 +120,7 @@
     b.0: filling 1001
     b.0: pairs 4001
     ");
-    shard.scheduler.on_pairs("a.0", &bad[0]);
+    assert!(!shard.scheduler.on_pairs("a.0", &bad[0]));
     assert_eq!(refusals(&mut shard), ["a.0: observed NaN"]);
     assert_eq!(log_odds(&mut shard), before);
 }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -354,10 +354,12 @@
         }
     }
 
-    /// Restores the evidence for interference that a former owner of `shard` stored.
-    pub fn on_pairs(&mut self, shard: &str, records: &[PairRecord]) {
+    /// Restores the evidence for interference that a former owner of `shard` stored. Returns
+    /// false if it is refused.
+    pub fn on_pairs(&mut self, shard: &str, records: &[PairRecord]) -> bool {
         if let Err(field) = check_records(records) {
-            return self.record(field.refused(shard));
+            self.record(field.refused(shard));
+            return false;
         }
         for record in records {
             let serving = self.images.key(&record.serving);
@@ -368,6 +370,7 @@
             };
             self.pairs.restore(serving, best_effort, stored);
         }
+        true
     }
 
     /// The evidence to store: of the pairs about which most is known, if there are too many.
