Stored jobs: impossible settings of the queue are refused; decoders are fed changed messages

Report of other operators: one malformed message took a process down. It could happen here: a stored job whose queue has a negative or infinite stretch made each owner panic when it ranked the job, so that no host could own the shard. The settings of the queue are now checked with the job; the value is logged as ignored. Test: ends::a_stored_job_with_impossible_settings_of_its_queue_is_not_run (panicked without the check).

--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -202,8 +202,7 @@
     let Some(accepted) = decode_item::<AcceptedJob>(item) else {
         return;
     };
-    // An older version may have accepted a job that this one refuses.
-    if let Err(reason) = accepted.workflow.check() {
+    if let Err(reason) = accepted.check() {
         return log_ignored(&item.key, reason);
     }
     let wall_clock = wall_clock();
--- a/src/platform/fleet/configuration.rs
+++ b/src/platform/fleet/configuration.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 
 use super::decode::{DecodeError, MAX_SPAN, number, span};
-use crate::routing::{Queue, Queues};
+use crate::routing::{MAX_STRETCH, Queue, Queues};
 
 #[derive(Deserialize)]
 struct Document {
@@ -50,8 +50,6 @@
 const DEFAULT_HEADER_LIMIT: u64 = 16 << 10;
 /// The limit on a request's body, in bytes, if the operator sets none.
 const DEFAULT_BODY_LIMIT: u64 = 256 << 10;
-/// The limit on the stretch of a queue.
-const MAX_STRETCH: f64 = 1000.0;
 
 /// Decodes the queues of the operator's configuration.
 ///
--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -1,3 +1,5 @@
+mod mutated;
+
 use reqwest::StatusCode;
 use serde_json::{Value, json};
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,4 +6,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use queue::{Queue, QueueMatch, Queues};
+pub use queue::{MAX_STRETCH, Queue, QueueMatch, Queues};
--- a/src/routing/queue.rs
+++ b/src/routing/queue.rs
@@ -29,6 +29,40 @@
     pub stretch: f64,
 }
 
+/// The limit on [`Queue::stretch`].
+pub const MAX_STRETCH: f64 = 1000.0;
+/// The limit on [`Queue::latency_target`].
+const MAX_LATENCY_TARGET: Duration = Duration::from_hours(366 * 24);
+
+impl Queue {
+    /// Checks the settings with which times are calculated. A stored job holds them as they
+    /// were when it was accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a sentence that names the field and the value.
+    ///
+    /// ```
+    /// use lycheelock::routing::Queue;
+    ///
+    /// let odd = Queue { stretch: -1.0, ..Queue::default() };
+    /// assert_eq!(odd.check().unwrap_err(), "stretch of -1: give 0 to 1000");
+    /// assert!(Queue::default().check().is_ok());
+    /// ```
+    pub fn check(&self) -> Result<(), String> {
+        let (stretch, target) = (self.stretch, self.latency_target);
+        if !(0.0..=MAX_STRETCH).contains(&stretch) {
+            return Err(format!("stretch of {stretch}: give 0 to {MAX_STRETCH}"));
+        }
+        if target > MAX_LATENCY_TARGET {
+            return Err(format!(
+                "latency target of {target:?}: give at most {MAX_LATENCY_TARGET:?}"
+            ));
+        }
+        Ok(())
+    }
+}
+
 /// The queues and limits of one version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Queues {
--- a/src/schedule/tests/ends.rs
+++ b/src/schedule/tests/ends.rs
@@ -1,6 +1,7 @@
 //! Tests of ended runs and their effect on jobs.
 
 use super::*;
+use crate::shards::{AcceptedJob, decode, encode};
 
 #[test]
 fn a_task_that_fails_too_often_ends_its_job_and_stops_the_rest() {
@@ -197,3 +198,25 @@
     shard.report(1, &[], &[(1, task, 6, RunOutcome::Failed)]);
     assert_eq!(shard.scheduler.collect(false, at(0)).ended.len(), 1);
 }
+
+#[test]
+fn a_stored_job_with_impossible_settings_of_its_queue_is_not_run() {
+    for stretch in [-1.0, f64::NAN, f64::INFINITY, 1e300] {
+        let mut job = active_workflow(1, vec![step(1, 1)], 1, 0);
+        let mut queue = job.queue.as_ref().clone();
+        queue.stretch = stretch;
+        let accepted = AcceptedJob {
+            queue: queue.clone(),
+            workflow: job.spec.as_ref().clone(),
+            accepted_at: 0,
+        };
+        let stored: AcceptedJob = decode(&encode(&accepted)).unwrap();
+        if stored.check().is_err() {
+            continue;
+        }
+        job.queue = Arc::new(queue);
+        let mut shard = Shard::first_owner(&["w0"]);
+        shard.submit(job);
+        shard.plan();
+    }
+}
--- a/src/shards/record.rs
+++ b/src/shards/record.rs
@@ -51,6 +51,29 @@
     pub accepted_at: u64,
 }
 
+impl AcceptedJob {
+    /// Checks that the job can be run at all: an older version may have accepted one that this
+    /// version refuses, and another program may have changed the value.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a sentence that names the field and the value.
+    ///
+    /// ```
+    /// use lycheelock::routing::Queue;
+    /// use lycheelock::shards::AcceptedJob;
+    /// use lycheelock::workflow::Workflow;
+    ///
+    /// let (queue, workflow) = (Queue::default(), Workflow::default());
+    /// let empty = AcceptedJob { queue, workflow, accepted_at: 0 };
+    /// assert_eq!(empty.check().unwrap_err(), "the job has no steps");
+    /// ```
+    pub fn check(&self) -> Result<(), String> {
+        self.queue.check()?;
+        self.workflow.check()
+    }
+}
+
 /// Encodes a value as CBOR.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     let mut bytes = Vec::new();
