Evidence: pairs with very long names of images are not stored

Found at reading: an owner refuses a record with a name above the limit as a whole, so one job with such an image would have made every later owner lose all evidence; and 4,000 pairs of names of 1,000 bytes are beyond the store's limit on values. Names above 64 bytes are left out of the record. Test: peers::stored_evidence_is_limited_... now also with a long name (failed before).

--- a/src/schedule/peers.rs
+++ b/src/schedule/peers.rs
@@ -6,12 +6,10 @@
 
 use std::collections::HashMap;
 
-use super::write::MAX_STORED_PAIRS;
+use super::write::{MAX_IMAGE_BYTES, MAX_STORED_PAIRS};
 use super::{Event, PairRecord, Scheduler};
 use crate::interference::ImageKey;
 
-/// The limit on the length of an image's name, in bytes.
-const MAX_IMAGE_BYTES: usize = 1000;
 /// The limit on the evidence that an owner may have observed for a pair, as log odds in sum.
 const MAX_OBSERVED: f64 = 1e9;
 
--- a/src/schedule/tests/peers.rs
+++ b/src/schedule/tests/peers.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::schedule::PairRecord;
+use crate::shards::encode;
 
 const PEER: &str = "b.0";
 
@@ -83,7 +84,7 @@
 
 #[test]
 fn a_record_with_an_impossible_field_adds_nothing() {
-    let long = || "x".repeat(1_001);
+    let long = || "x".repeat(65);
     let bad = [
         vec![record(f64::NAN)],
         vec![record(f64::INFINITY)],
@@ -116,8 +117,8 @@
     b.0: observed -1e300
     b.0: observed 1e10
     b.0: odds NaN
-    b.0: serving 1001
-    b.0: filling 1001
+    b.0: serving 65
+    b.0: filling 65
     b.0: pairs 4001
     ");
     assert!(!shard.scheduler.on_pairs("a.0", &bad[0]));
@@ -142,7 +143,12 @@
     }
     let loud = shard.scheduler.images.key("loud");
     shard.scheduler.pairs.merge(certain, loud, 6.0);
+    // Owners would refuse a record with such a name as a whole.
+    let long = shard.scheduler.images.key(&"x".repeat(65));
+    shard.scheduler.pairs.merge(certain, long, 6.5);
     let pairs = shard.scheduler.collect(true, at(10_000)).pairs.unwrap();
     assert_eq!(pairs.len(), 4_000);
     assert!(pairs.iter().any(|pair| pair.best_effort == "loud"));
+    assert!(pairs.iter().all(|pair| pair.best_effort.len() <= 64));
+    assert!(encode(&pairs).len() < 1_000_000);
 }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -8,7 +8,7 @@
 use super::Scheduler;
 use super::peers::check_records;
 use crate::fleet::{Availability, Capacity, Registration, Worker, WorkerKey};
-use crate::interference::Evidence;
+use crate::interference::{Evidence, ImageKey};
 use crate::moment::Moment;
 use crate::workflow::{Progress, TaskName, WorkflowId, WorkflowKey, WorkflowState};
 
@@ -97,9 +97,10 @@
     pub observed: f64,
 }
 
-/// The limit on the pairs of images whose evidence is stored, so that the record stays well
-/// below the store's limit on values.
+/// The limits on the pairs of images whose evidence is stored and on the length of their names
+/// in bytes, so that the record stays below the store's limit on values, a megabyte.
 pub(super) const MAX_STORED_PAIRS: usize = 4000;
+pub(super) const MAX_IMAGE_BYTES: usize = 64;
 
 /// The interval at which the evidence for interference is written, and at which that of
 /// other shards' owners is read.
@@ -373,9 +374,12 @@
         true
     }
 
-    /// The evidence to store: of the pairs about which most is known, if there are too many.
+    /// The evidence to store: of the pairs about which most is known, if there are too many,
+    /// and of none with a very long name.
     fn pair_records(&self) -> Option<Vec<PairRecord>> {
         let mut all = self.pairs.all();
+        let is_short = |image: ImageKey| self.images.name(image).len() <= MAX_IMAGE_BYTES;
+        all.retain(|(serving, best_effort, _)| is_short(*serving) && is_short(*best_effort));
         if all.len() > MAX_STORED_PAIRS {
             let certainty = |evidence: &Evidence| evidence.log_odds.abs();
             all.sort_by(|a, b| certainty(&b.2).total_cmp(&certainty(&a.2)));
