--- a/src/platform/fleet/tests/mutated.rs
+++ b/src/platform/fleet/tests/mutated.rs
@@ -101,7 +101,7 @@
     };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let result = runner.run(&vec(edit(), 1..MAX_EDITS), |edits| {
+    let result = runner.run(&vec(edit(), 1..=MAX_EDITS), |edits| {
         let mut bytes = message.as_bytes().to_vec();
         edits.iter().for_each(|edit| edit.apply(&mut bytes));
         decode(bytes);
--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -16,8 +16,8 @@
 /// turn out to have crashed.
 const LOST_RETENTION: Duration = Duration::from_secs(60);
 
-/// How long a task that may crash its workers does not restart after the leases on a silent
-/// worker have ended, unless it turns out earlier what became of the worker.
+/// The limit on the delay before a task that may crash its workers restarts after the leases
+/// on a silent worker have ended. The delay ends early if the worker is known to have crashed.
 const MAX_HOLD: Duration = Duration::from_secs(8);
 
 /// A run that ended with its worker.
@@ -105,9 +105,9 @@
         lost.insert(worker.registration.address, entry);
     }
 
-    /// Holds tasks of a silent worker back whose runs would be suspects of a crash, if there
-    /// were crashes under them before: else they could crash further workers before it is
-    /// known that this one has crashed. Long-running tasks restart without this delay.
+    /// Delays the restart of those tasks of a silent worker that have crashes on record and
+    /// would be suspects again if this worker has crashed. Without the delay they could crash
+    /// further workers before that is known. Long-running tasks are not delayed.
     pub(super) fn hold_suspects(&mut self, key: WorkerKey, now: Moment) {
         let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
         for key in tasks {
@@ -135,8 +135,8 @@
     }
 
     /// The runs that were lost when the leases of a worker ended, and whose start orders may
-    /// still reach a new incarnation of it: that has seen no fencing token, and its clock no
-    /// end of a lease.
+    /// still reach a new incarnation of it. The new incarnation accepts them: it has seen no
+    /// fencing token, and its clock has been reset.
     pub(super) fn lost_open_runs(&self, key: WorkerKey) -> Vec<(TaskName, u64)> {
         let worker = &self.workers[key].registration;
         let lost = self.lost_workers.by_address.get(&worker.address);
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -20,7 +20,8 @@
 const MAX_NAMED_WORKERS: usize = 5;
 /// The delay after which a stop order for the same run is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(600);
-/// The end of a lease of which the worker's clock says nothing, in milliseconds.
+/// Stands for the end of a lease, in milliseconds, that cannot be compared with the worker's
+/// clock, as it was set on the clock of a former incarnation.
 const NO_LEASE_END: u64 = u64::MAX;
 
 impl Scheduler {
@@ -468,8 +469,8 @@
         self.order_stop(key, (run.task, run.run), "the run is not wanted");
     }
 
-    /// Stops a run that a worker does not list but may begin later: only a confirmed stop
-    /// order keeps it from that.
+    /// Stops a run that a worker does not list but may begin later. The worker refuses the start
+    /// once it has confirmed the stop order.
     pub(super) fn stop_unlisted(
         &mut self,
         key: WorkerKey,
--- a/src/schedule/exposure.rs
+++ b/src/schedule/exposure.rs
@@ -1,5 +1,5 @@
-//! Counts how many best-effort tasks run beside which serving images, so that few of them do
-//! while it is unknown whether they interfere.
+//! Counts the best-effort tasks that run beside each serving image, to limit their number while
+//! it is unknown whether they interfere.
 
 use std::collections::BTreeMap;
 
@@ -9,11 +9,10 @@
 use crate::fleet::Worker;
 use crate::interference::ImageKey;
 
-/// A pair of images below these log odds of interference has shown that it does not
-/// interfere.
+/// The log odds of interference below which a pair of images counts as harmless.
 const PROVEN_LOG_ODDS: f64 = -2.5;
 /// The limit on the best-effort tasks of an image that run at full speed beside a serving
-/// image of which they are not proven to be harmless.
+/// image, unless the pair is known to be harmless.
 const MAX_UNPROVEN_RUNS: u32 = 4;
 
 /// The number of best-effort tasks of an image on workers with a serving image.
@@ -85,8 +84,8 @@
 }
 
 impl Scheduler {
-    /// Whether enough best-effort tasks of an image run beside a serving image of a worker
-    /// to find out whether they interfere.
+    /// Whether as many best-effort tasks of an image as allowed already run beside a serving
+    /// image of the worker, and the pair is not known to be harmless.
     pub(super) fn is_overexposed(&self, worker: &Worker, image: Option<ImageKey>) -> bool {
         let Some(image) = image else {
             return false;
--- a/src/schedule/place.rs
+++ b/src/schedule/place.rs
@@ -29,9 +29,10 @@
 /// The score, in millicores, that a worker loses for each best-effort image that it runs and
 /// that interferes with a serving task.
 const HARMFUL_IMAGE_PENALTY: i64 = 4_000;
-/// The score, in millicores, that a worker loses for best-effort tasks for each percent of its
-/// target that the worst tail of its serving tasks has, and the highest tail that counts.
+/// The score for best-effort tasks, in millicores, that a worker loses for each percent of its
+/// worst tail.
 const TAIL_PENALTY: i64 = 80;
+/// The limit on the worst tail in that calculation, in percent of its target.
 const MAX_PENALISED_TAIL: u32 = 200;
 /// The score, in millicores, that a worker on the rack of the task's data gains.
 const DATA_RACK_BONUS: i64 = 1_000_000;
@@ -367,8 +368,8 @@
         }
     }
 
-    /// Whether a best-effort image interferes with an image that a worker serves, as far as
-    /// a task does not accept it.
+    /// Whether a best-effort image may interfere with an image that a worker serves, by more
+    /// than `risk` accepts.
     fn endangers(&self, worker: &Worker, image: Option<ImageKey>, risk: Risk) -> bool {
         self.would_interfere(worker, image, risk.log_odds())
             || (risk < Risk::Slow && self.is_overexposed(worker, image))
@@ -376,8 +377,8 @@
 
     /// The score for placing a serving task beside the images that a worker serves.
     /// Tasks of one image are placed together, so that best-effort tasks find workers
-    /// without an image that they would interfere with; and they are kept from the
-    /// best-effort tasks that interfere with them.
+    /// without an image that they would interfere with. Workers with best-effort images that
+    /// interfere with the task are avoided.
     fn image_affinity(&self, worker: &Worker, step: &Step, image: Option<ImageKey>) -> i64 {
         let Some(image) = image.filter(|_| step.tail_target.is_some()) else {
             return 0;
@@ -510,8 +511,8 @@
     capacity + bonus - step_tasks * CROWDING_PENALTY
 }
 
-/// The score that a worker loses as best-effort tasks would bring its serving tasks closer to
-/// their targets, or further beyond.
+/// The score that a worker loses for best-effort tasks because its serving tasks are close to
+/// their targets or beyond them.
 fn tail_penalty(worker: &Worker) -> i64 {
     i64::from(worker.worst_tail.min(MAX_PENALISED_TAIL)) * TAIL_PENALTY
 }
--- a/src/schedule/tests/ends.rs
+++ b/src/schedule/tests/ends.rs
@@ -1,6 +1,7 @@
 //! Tests of ended runs and their effect on jobs.
 
 use super::*;
+use crate::routing::MAX_STRETCH;
 use crate::shards::{AcceptedJob, decode, encode};
 
 #[test]
@@ -201,22 +202,31 @@
 
 #[test]
 fn a_stored_job_with_impossible_settings_of_its_queue_is_not_run() {
-    for stretch in [-1.0, f64::NAN, f64::INFINITY, 1e300] {
-        let mut job = active_workflow(1, vec![step(1, 1)], 1, 0);
-        let mut queue = job.queue.as_ref().clone();
-        queue.stretch = stretch;
+    let stored = |stretch: f64| {
+        let job = active_workflow(1, vec![step(1, 1)], 1, 0);
         let accepted = AcceptedJob {
-            queue: queue.clone(),
+            queue: Queue {
+                stretch,
+                ..job.queue.as_ref().clone()
+            },
             workflow: job.spec.as_ref().clone(),
             accepted_at: 0,
         };
-        let stored: AcceptedJob = decode(&encode(&accepted)).unwrap();
-        if stored.check().is_err() {
-            continue;
-        }
-        job.queue = Arc::new(queue);
+        decode::<AcceptedJob>(&encode(&accepted)).unwrap()
+    };
+    for stretch in [-1.0, f64::NAN, f64::INFINITY, 1e300] {
+        assert!(stored(stretch).check().is_err(), "{stretch}");
+    }
+    // The limits are possible values: an owner can rank jobs that have them.
+    for stretch in [0.0, MAX_STRETCH] {
+        let accepted = stored(stretch);
+        assert_eq!(accepted.check(), Ok(()));
         let mut shard = Shard::first_owner(&["w0"]);
-        shard.submit(job);
+        shard.submit(ActiveWorkflow {
+            queue: Arc::new(accepted.queue),
+            ..active_workflow(1, vec![step(1, 1)], 1, 0)
+        });
         shard.plan();
+        assert_eq!(shard.confirm().len(), 1);
     }
 }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -97,9 +97,10 @@
     pub observed: f64,
 }
 
-/// The limits on the pairs of images whose evidence is stored and on the length of their names
-/// in bytes, so that the record stays below the store's limit on values, a megabyte.
+/// The limit on the pairs of images whose evidence is stored, so that the record stays below
+/// the store's limit on values, a megabyte.
 pub(super) const MAX_STORED_PAIRS: usize = 4000;
+/// The limit on the names of these images, in bytes, for the same reason.
 pub(super) const MAX_IMAGE_BYTES: usize = 64;
 
 /// The interval at which the evidence for interference is written, and at which that of
