Store writes: the order of a batch's changes is a decision of the schedule

The writer encodes and groups what Batch::changes returns, in the same order as before; a batch says itself whether it is full. Types of a batch move to schedule/batch.rs.

--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -12,9 +12,10 @@
 use super::lifecycle::wait_for_panic;
 use super::ownership::incarnation_transaction;
 use super::term::{Claim, OwnedShard, pass_delay};
-use super::writer::{Entry, transaction};
+use super::writer::transaction;
 use crate::moment::Moment;
 use crate::platform::fleet::Transaction;
+use crate::schedule::{Change, RosterEntry};
 use crate::settings::FleetSettings;
 use crate::shards::{
     FormerOwner, Incarnation, Owner, OwnerRecord, epoch_key, incarnation_key, roster_key,
@@ -103,7 +104,14 @@
     let mut store = Store::default();
     let claim = Transaction::default().set(&epoch_key("all"), Vec::new());
     assert_eq!(store.apply(&claim), Some(owned.claim.fence));
-    let roster = |text: &str| [Entry::Roster(text.as_bytes().to_vec())];
+    let roster = |id: &str| {
+        [Change::Roster(vec![RosterEntry {
+            id: id.to_owned(),
+            address: String::new(),
+            zone: String::new(),
+            closed: None,
+        }])]
+    };
     let first = store.apply(&transaction(&owned, &roster("first"), 0));
     let previous = first.expect("the first write takes effect");
     let late = transaction(&owned, &roster("late"), previous);
--- a/src/daemon/tests/review_late_orders.rs
+++ b/src/daemon/tests/review_late_orders.rs
@@ -102,7 +102,7 @@
         let key = scheduler.on_registry(vec![registration(address)], now)[0];
         scheduler.on_roster(Vec::new(), now);
         let batch = scheduler.collect(true, now);
-        scheduler.on_written(&batch, true);
+        scheduler.on_written(&batch);
         let report = WorkerReport {
             clock: 1_000,
             incarnation: 1,
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -8,12 +8,12 @@
 use super::term::OwnedShard;
 use crate::moment::Moment;
 use crate::platform::fleet::{Commit, Item, StoreFault, Transaction};
-use crate::schedule::{Batch, StateRecord};
+use crate::schedule::{Batch, Change, StateRecord};
 use crate::shards::{
     JobRecord, cancel_key, decode, encode, epoch_key, job_key, pairs_key, progress_key, roster_key,
     waiting_key, work_key, written_key,
 };
-use crate::workflow::{Progress, WorkflowKey, WorkflowState};
+use crate::workflow::WorkflowState;
 
 /// The interval between two full batches, which include the progress of all jobs.
 const FULL_BATCH_INTERVAL: Duration = Duration::from_millis(150);
@@ -26,25 +26,12 @@
 /// before, and the mark of this write.
 const COMMON_ROWS: usize = 3;
 
-/// A change to write.
-#[derive(Debug, Clone)]
-pub(super) enum Entry {
-    End(StateRecord),
-    Start(StateRecord),
-    Progress(WorkflowKey, Progress, crate::workflow::WorkflowId),
-    Roster(Vec<u8>),
-    Pending(Vec<u8>),
-    Pairs(Vec<u8>),
-}
-
-impl Entry {
-    /// Returns the number of transaction rows that the change needs at most.
-    const fn rows(&self) -> usize {
-        match self {
-            Self::End(_) => 4,
-            Self::Start(_) => 2,
-            Self::Progress(..) | Self::Roster(_) | Self::Pending(_) | Self::Pairs(_) => 1,
-        }
+/// Returns the number of transaction rows that a change needs at most.
+const fn rows(change: &Change) -> usize {
+    match change {
+        Change::End(_) => 4,
+        Change::Start(_) => 2,
+        Change::Progress(..) | Change::Roster(_) | Change::Pending(_) | Change::Pairs(_) => 1,
     }
 }
 
@@ -60,8 +47,8 @@
         let batch = owned.decide(|scheduler, now| scheduler.collect(full, now));
         match write(&owned, &batch, &mut previous).await {
             Ok(()) => {
-                owned.decide(|scheduler, _| scheduler.on_written(&batch, full));
-                if full {
+                owned.decide(|scheduler, _| scheduler.on_written(&batch));
+                if batch.full {
                     last = Moment::now();
                 }
                 if batch.roster.is_some() {
@@ -80,60 +67,36 @@
 /// Writes a batch. `previous` is the revision of the write before; a conflict corrects it if
 /// it is not known.
 async fn write(owned: &OwnedShard, batch: &Batch, previous: &mut u64) -> Result<(), StoreFault> {
-    let mut group: Vec<Entry> = Vec::new();
-    let mut rows = COMMON_ROWS;
-    for entry in entries(batch) {
-        if rows + entry.rows() > Transaction::MAX_ROWS {
+    let mut group: Vec<Change> = Vec::new();
+    let mut used = COMMON_ROWS;
+    for change in batch.changes() {
+        if used + rows(&change) > Transaction::MAX_ROWS {
             write_group(owned, std::mem::take(&mut group), previous).await?;
-            rows = COMMON_ROWS;
+            used = COMMON_ROWS;
         }
-        rows += entry.rows();
-        group.push(entry);
+        used += rows(&change);
+        group.push(change);
     }
     write_group(owned, group, previous).await
 }
 
-fn entries(batch: &Batch) -> Vec<Entry> {
-    let roster = batch
-        .roster
-        .iter()
-        .map(|roster| Entry::Roster(encode(roster)));
-    let ends = batch.ended.iter().map(|end| Entry::End(*end));
-    let starts = batch.started.iter().map(|start| Entry::Start(*start));
-    let progress = batch.progress.iter();
-    let progress =
-        progress.map(|(workflow, id, progress)| Entry::Progress(*workflow, progress.clone(), *id));
-    let pending = batch
-        .pending
-        .iter()
-        .map(|counts| Entry::Pending(encode(counts)));
-    let pairs = batch.pairs.iter().map(|pairs| Entry::Pairs(encode(pairs)));
-    roster
-        .chain(ends)
-        .chain(starts)
-        .chain(progress)
-        .chain(pending)
-        .chain(pairs)
-        .collect()
-}
-
 /// Builds the transaction for a group of changes, which takes effect only while the write at
 /// the revision `previous` is the last one.
-pub(super) fn transaction(owned: &OwnedShard, group: &[Entry], previous: u64) -> Transaction {
+pub(super) fn transaction(owned: &OwnedShard, group: &[Change], previous: u64) -> Transaction {
     let shard = &owned.claim.shard;
     let begin = Transaction::default()
         .require(&epoch_key(shard), owned.claim.fence)
         .require(&written_key(shard), previous)
         .set(&written_key(shard), Vec::new());
-    group.iter().fold(begin, |rows, entry| match entry {
-        Entry::End(end) => end_rows(owned, rows, end),
-        Entry::Start(start) => rows
+    group.iter().fold(begin, |rows, change| match change {
+        Change::End(end) => end_rows(owned, rows, end),
+        Change::Start(start) => rows
             .require(&job_key(start.id), start.revision)
             .set(&job_key(start.id), encode_record(owned, start)),
-        Entry::Progress(_, progress, id) => rows.set(&progress_key(shard, *id), encode(progress)),
-        Entry::Roster(roster) => rows.set(&roster_key(shard), roster.clone()),
-        Entry::Pending(counts) => rows.set(&waiting_key(shard), counts.clone()),
-        Entry::Pairs(pairs) => rows.set(&pairs_key(shard), pairs.clone()),
+        Change::Progress(_, id, progress) => rows.set(&progress_key(shard, *id), encode(progress)),
+        Change::Roster(roster) => rows.set(&roster_key(shard), encode(roster)),
+        Change::Pending(counts) => rows.set(&waiting_key(shard), encode(counts)),
+        Change::Pairs(pairs) => rows.set(&pairs_key(shard), encode(pairs)),
     })
 }
 
@@ -166,7 +129,7 @@
 
 async fn write_group(
     owned: &OwnedShard,
-    mut group: Vec<Entry>,
+    mut group: Vec<Change>,
     previous: &mut u64,
 ) -> Result<(), StoreFault> {
     while !group.is_empty() {
@@ -182,7 +145,7 @@
                 *previous = revision;
                 group
                     .iter()
-                    .for_each(|entry| on_entry_written(owned, entry, revision));
+                    .for_each(|change| on_change_written(owned, change, revision));
                 return Ok(());
             }
             Commit::Conflict(items) => {
@@ -199,14 +162,14 @@
     Ok(())
 }
 
-fn on_entry_written(owned: &OwnedShard, entry: &Entry, revision: u64) {
-    owned.decide(|scheduler, now| match entry {
-        Entry::End(end) => scheduler.on_end_written(end.workflow, now),
-        Entry::Start(start) => scheduler.on_start_written(start.workflow, revision),
-        Entry::Progress(workflow, progress, _) => {
+fn on_change_written(owned: &OwnedShard, change: &Change, revision: u64) {
+    owned.decide(|scheduler, now| match change {
+        Change::End(end) => scheduler.on_end_written(end.workflow, now),
+        Change::Start(start) => scheduler.on_start_written(start.workflow, revision),
+        Change::Progress(workflow, _, progress) => {
             scheduler.on_progress_written(*workflow, progress)
         }
-        Entry::Roster(_) | Entry::Pending(_) | Entry::Pairs(_) => {}
+        Change::Roster(_) | Change::Pending(_) | Change::Pairs(_) => {}
     });
 }
 
@@ -221,9 +184,9 @@
 /// have to be written.
 fn resolve(
     owned: &OwnedShard,
-    group: Vec<Entry>,
+    group: Vec<Change>,
     items: &[Item],
-) -> Result<Vec<Entry>, StoreFault> {
+) -> Result<Vec<Change>, StoreFault> {
     let epoch = epoch_key(&owned.claim.shard);
     let fenced = items
         .iter()
@@ -236,31 +199,31 @@
     }
     let left = group
         .into_iter()
-        .filter_map(|entry| resolve_entry(owned, entry, items));
+        .filter_map(|change| resolve_change(owned, change, items));
     Ok(left.collect())
 }
 
-fn resolve_entry(owned: &OwnedShard, entry: Entry, items: &[Item]) -> Option<Entry> {
-    let (Entry::End(workflow) | Entry::Start(workflow)) = &entry else {
-        return Some(entry);
+fn resolve_change(owned: &OwnedShard, change: Change, items: &[Item]) -> Option<Change> {
+    let (Change::End(workflow) | Change::Start(workflow)) = &change else {
+        return Some(change);
     };
     if workflow.state == WorkflowState::Cancelled {
-        return Some(entry);
+        return Some(change);
     }
     let key = job_key(workflow.id);
     let found = items.iter().find(|item| item.key == key);
     let Some(item) = found.filter(|item| item.revision > 0) else {
-        on_entry_written(owned, &entry, workflow.revision);
+        on_change_written(owned, &change, workflow.revision);
         return None;
     };
     if item.revision == workflow.revision {
-        return Some(entry);
+        return Some(change);
     }
     let ended = decode::<JobRecord>(&item.value.0).is_ok_and(|record| record.state.is_final());
     if ended {
         // The job was cancelled first, or an earlier attempt of this write took
         // effect although its answer was lost.
-        on_entry_written(owned, &entry, item.revision);
+        on_change_written(owned, &change, item.revision);
         return None;
     }
     let newer = StateRecord {
@@ -268,8 +231,8 @@
         ..*workflow
     };
     owned.decide(|scheduler, _| scheduler.on_start_written(workflow.workflow, item.revision));
-    Some(match entry {
-        Entry::End(_) => Entry::End(newer),
-        _ => Entry::Start(newer),
+    Some(match change {
+        Change::End(_) => Change::End(newer),
+        _ => Change::Start(newer),
     })
 }
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -2,6 +2,7 @@
 //! worker runs each task, and when. Together with `workflow` it is the counterpart
 //! of `jobs`, which serves lycheelock's own protocol.
 
+mod batch;
 mod crash;
 mod delay;
 mod ends;
@@ -27,10 +28,11 @@
 mod waiting;
 mod write;
 
+pub use batch::{Batch, Change, PairRecord, RosterEntry, StateRecord};
 pub use crash::CrashedRun;
 pub use delay::JobDelay;
 pub use event::{Event, WaitReason};
 pub use idle::WorkerCounts;
 pub use order::Order;
 pub use scheduler::{Scheduler, Term};
-pub use write::{Batch, PAIRS_INTERVAL, PairRecord, RosterEntry, StateRecord};
+pub use write::PAIRS_INTERVAL;
--- a/src/schedule/tests/ends.rs
+++ b/src/schedule/tests/ends.rs
@@ -49,7 +49,7 @@
     let batch = shard.scheduler.collect(true, at(100));
     assert_eq!(batch.progress.len(), 1);
     assert_eq!(acknowledged(&mut shard), 0);
-    shard.scheduler.on_written(&batch, true);
+    shard.scheduler.on_written(&batch);
     assert_eq!(acknowledged(&mut shard), 1);
 }
 
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -194,7 +194,7 @@
 
     fn write(&mut self) {
         let batch = self.scheduler.collect(true, at(self.now));
-        self.scheduler.on_written(&batch, true);
+        self.scheduler.on_written(&batch);
     }
 
     fn plan(&mut self) {
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -49,7 +49,7 @@
     let batch = shard.scheduler.collect(true, at(0));
     let started = batch.started[0].workflow;
     shard.scheduler.on_start_written(started, FENCE + 5);
-    shard.scheduler.on_written(&batch, true);
+    shard.scheduler.on_written(&batch);
     shard.now = 2_100;
     shard.report(0, &[(name(1, 0, 0), 7)], &[]);
     shard.plan();
@@ -83,7 +83,7 @@
     shard.now = 10_001;
     shard.report(0, &[], &[]);
     shard.plan();
-    shard.scheduler.on_written(&batch, true);
+    shard.scheduler.on_written(&batch);
     let batch = shard.scheduler.collect(false, at(shard.now));
     assert_eq!(batch.roster.map(|roster| roster.len()), Some(1));
 }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -3,99 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
-use super::Scheduler;
 use super::peers::check_records;
-use crate::fleet::{Availability, Capacity, Registration, Worker, WorkerKey};
+use super::{Batch, PairRecord, RosterEntry, Scheduler, StateRecord};
+use crate::fleet::{Worker, WorkerKey};
 use crate::interference::{Evidence, ImageKey};
 use crate::moment::Moment;
-use crate::workflow::{Progress, TaskName, WorkflowId, WorkflowKey, WorkflowState};
-
-/// A worker that an owner may have used.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RosterEntry {
-    /// The id of the worker.
-    pub id: String,
-    /// The address at which the worker takes orders.
-    pub address: String,
-    /// The availability zone of the worker.
-    pub zone: String,
-    /// The tasks that a closed worker may still be running; `None` if the worker
-    /// is open to new tasks.
-    pub closed: Option<Vec<TaskName>>,
-}
-
-impl RosterEntry {
-    /// Builds a registration for a worker of which only the roster entry is
-    /// known. It is marked as draining, so that it gets no tasks. `None` if the
-    /// address is invalid: no owner could send orders to such a worker.
-    pub fn registration(&self) -> Option<Registration> {
-        Some(Registration {
-            id: self.id.clone(),
-            incarnation: 0,
-            pool: String::new(),
-            address: self.address.parse().ok()?,
-            zone: self.zone.clone(),
-            labels: Vec::new(),
-            capacity: Capacity::default(),
-            availability: Availability::Draining,
-            remaining: None,
-        })
-    }
-}
-
-/// A job whose changed state is to be written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StateRecord {
-    /// The key of the job.
-    pub workflow: WorkflowKey,
-    /// The id of the job.
-    pub id: WorkflowId,
-    /// The state to write.
-    pub state: WorkflowState,
-    /// The store revision of the job's record, as last seen by this owner.
-    pub revision: u64,
-}
-
-/// The content of the next write.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Batch {
-    /// The number of the last started full write.
-    pub number: u64,
-    /// Jobs that have ended.
-    pub ended: Vec<StateRecord>,
-    /// Jobs whose first task has started.
-    pub started: Vec<StateRecord>,
-    /// The progress of jobs that have not ended.
-    pub progress: Vec<(WorkflowKey, WorkflowId, Progress)>,
-    /// The workers that this owner may use; `None` if unchanged.
-    pub roster: Option<Vec<RosterEntry>>,
-    /// The version of the roster in this batch.
-    pub roster_version: u64,
-    /// The number of jobs in each queue that have not started; `None` if
-    /// unchanged.
-    pub pending: Option<BTreeMap<String, u64>>,
-    /// The evidence for interference; `None` if it is not due to be written.
-    pub pairs: Option<Vec<PairRecord>>,
-}
-
-/// The evidence that a best-effort image interferes with a serving image.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PairRecord {
-    /// The name of the serving image.
-    pub serving: String,
-    /// The name of the best-effort image.
-    #[serde(rename = "filling")]
-    pub best_effort: String,
-    /// The log odds of interference.
-    #[serde(rename = "odds")]
-    pub log_odds: f64,
-    /// The log odds that the owners of the shard have observed in sum; see
-    /// [`Evidence::observed`].
-    #[serde(default)]
-    pub observed: f64,
-}
+use crate::workflow::{Progress, TaskName, WorkflowKey, WorkflowState};
 
 /// The limit on the pairs of images whose evidence is stored, so that the record stays below
 /// the store's limit on values, a megabyte.
@@ -212,18 +125,19 @@
             }
         }
         batch.number = self.writes.begun;
+        batch.full = full;
         batch
     }
 
     /// Marks the content of a batch as stored.
-    pub fn on_written(&mut self, batch: &Batch, full: bool) {
+    pub fn on_written(&mut self, batch: &Batch) {
         if let Some(roster) = &batch.roster {
             self.on_roster_written(roster, batch.roster_version);
         }
         if let Some(counts) = &batch.pending {
             self.writes.counts.clone_from(counts);
         }
-        if !full {
+        if !batch.full {
             return;
         }
         self.writes.written = batch.number;
