--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -235,6 +235,12 @@
         self.registration.capacity.minus(self.used)
     }
 
+    /// Returns the number of reported ends that no store write up to `written` covers.
+    pub fn unstored_ends(&self, written: u64) -> usize {
+        let ends = self.pending_ends.iter();
+        ends.filter(|(_, write)| *write > written).count()
+    }
+
     /// Lets the worker forget the ended runs that store writes up to `written` cover.
     pub fn acknowledge(&mut self, written: u64) {
         while let Some((number, write)) = self.pending_ends.front().copied() {
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -261,9 +261,32 @@
             return false;
         }
         self.record_end(key, task, end, now);
+        if end.outcome == RunOutcome::Done {
+            self.record_duplicate(key, task, end.run, true);
+        }
         self.apply_end(key, task, end, ours, now)
     }
 
+    /// Records that a worker reports a run of a task that was started again since, unless
+    /// a long-running task is done: it is started again after any outcome.
+    fn record_duplicate(&mut self, key: WorkerKey, task: TaskKey, earlier: u64, done: bool) {
+        let run = self.ledger.tasks[task].run;
+        let stage = self.ledger.tasks[task].stage;
+        let restarted = earlier < run && (done || stage.worker().is_some());
+        if !restarted || (done && self.step_of(task).long_running) {
+            return;
+        }
+        let name = self.ledger.tasks[task].name;
+        let worker = self.worker_name(key);
+        self.record(Event::DuplicateRun {
+            task: name.to_string(),
+            run,
+            earlier,
+            worker,
+            done,
+        });
+    }
+
     fn record_end(&mut self, key: WorkerKey, task: TaskKey, end: &EndedRun, now: Moment) {
         let since = self.ledger.tasks[task].since;
         let worker = self.worker_name(key);
@@ -466,6 +489,9 @@
             return;
         }
         unknown_runs.insert((run.task, run.run), UnknownRun::new(None, now));
+        if let Some(task) = self.ledger.find_task(run.task) {
+            self.record_duplicate(key, task, run.run, false);
+        }
         self.order_stop(key, (run.task, run.run), "the run is not wanted");
     }
 
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -120,6 +120,20 @@
         /// The time that the task had been in its stage when the end was reported.
         ran: u64,
     },
+    /// A task was started again although an earlier run of it was done or still running.
+    /// Recorded when a worker reports the earlier run.
+    DuplicateRun {
+        /// The name of the task.
+        task: String,
+        /// The number of the last run.
+        run: u64,
+        /// The number of the earlier run.
+        earlier: u64,
+        /// The id of the worker that reports the earlier run.
+        worker: String,
+        /// Whether the earlier run is done.
+        done: bool,
+    },
     /// A run no longer exists, although its worker reported no end.
     RunLost {
         /// The name of the task.
@@ -183,6 +197,8 @@
         change: &'static str,
         /// The number of tasks that the worker may be running.
         tasks: usize,
+        /// The number of ends that the worker reported and that are not stored yet.
+        unstored: usize,
         /// The labels of the worker, separated by spaces.
         labels: String,
     },
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -82,6 +82,7 @@
             worker: worker.registration.id.clone(),
             change,
             tasks: worker.tasks.len(),
+            unstored: worker.unstored_ends(self.writes.written()),
             labels: worker.registration.labels.join(" "),
         };
         self.record(event);
--- a/src/schedule/tests/ends.rs
+++ b/src/schedule/tests/ends.rs
@@ -230,3 +230,24 @@
         assert_eq!(shard.confirm().len(), 1);
     }
 }
+
+#[test]
+fn a_run_that_was_done_before_its_task_started_again_is_logged() {
+    let mut shard = Shard::later_owner(&["w0", "w1"]);
+    let task = name(1, 0, 0);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.report_all();
+    shard.plan();
+    let (worker, _, run) = shard.confirm()[0];
+    shard.scheduler.take_events();
+    let other = 1 - worker;
+    shard.report(other, &[], &[(1, task, 7, RunOutcome::Done)]);
+    let events = shard.scheduler.take_events();
+    let duplicates = events.iter().filter_map(|event| match event {
+        Event::DuplicateRun {
+            run, earlier, done, ..
+        } => Some((*run, *earlier, *done)),
+        _ => None,
+    });
+    assert_eq!(duplicates.collect::<Vec<_>>(), [(run, 7, true)]);
+}
