--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -14,6 +14,7 @@
 mod review_late_orders;
 mod slow;
 mod slow_share;
+mod stored_state;
 mod takeover;
 mod throttle;
 mod trials;
--- /dev/null
+++ b/src/schedule/tests/stored_state.rs
@@ -0,0 +1,179 @@
+//! Tests of what a new owner concludes from what the former owner stored.
+
+use super::*;
+use crate::schedule::Change;
+
+/// What an owner has stored of one job and of the workers.
+#[derive(Debug, Clone, Default)]
+struct Stored {
+    roster: Vec<RosterEntry>,
+    progress: Progress,
+    /// Whether the end of the job is stored.
+    ended: bool,
+}
+
+impl Stored {
+    fn apply(&mut self, change: &Change) {
+        match change {
+            Change::End(_) => self.ended = true,
+            Change::Progress(_, _, progress) => self.progress = progress.clone(),
+            Change::Roster(roster) => self.roster.clone_from(roster),
+            Change::Start(_) | Change::Pending(_) | Change::Pairs(_) => {}
+        }
+    }
+
+    /// Starts a new owner from this state. The workers of these indices answer it without
+    /// runs. Returns its orders.
+    fn takeover(&self, workers: &[&str], answering: &[usize], job: &ActiveWorkflow) -> String {
+        let term = Term {
+            fence: 2 * FENCE,
+            recovery_deadline: Some(at(10_000)),
+        };
+        let mut shard = Shard::new(term, workers);
+        shard.scheduler.on_roster(self.roster.clone(), at(0));
+        if !self.ended {
+            shard.restore(job.clone(), &self.progress.tasks);
+        }
+        for worker in answering {
+            shard.report(*worker, &[], &[]);
+        }
+        shard.plan();
+        shard.write();
+        for worker in answering {
+            shard.report(*worker, &[], &[]);
+        }
+        shard.plan();
+        shard.orders()
+    }
+}
+
+/// Writes a batch completely.
+fn write_all(shard: &mut Shard, stored: &mut Stored) {
+    let batch = shard.scheduler.collect(true, at(shard.now));
+    batch
+        .changes()
+        .iter()
+        .for_each(|change| stored.apply(change));
+    shard.scheduler.on_written(&batch);
+}
+
+/// The first owner of a shard with a job of this step that is starting on its only open worker,
+/// and what it has stored.
+fn starting_job(step: Step, workers: &[&str]) -> (Shard, Stored, ActiveWorkflow) {
+    let mut shard = Shard::first_owner(workers);
+    let mut stored = Stored::default();
+    let job = active_workflow(1, vec![step], 1, 0);
+    shard.submit(job.clone());
+    shard.plan();
+    shard.confirm();
+    shard.scheduler.writes.mark_roster_changed();
+    write_all(&mut shard, &mut stored);
+    (shard, stored, job)
+}
+
+/// Lets a worker become silent until it is closed.
+fn close_silent(shard: &mut Shard, others: &[usize]) {
+    for _ in 0..3 {
+        shard.now += 600;
+        for worker in others {
+            shard.report(*worker, &[], &[]);
+        }
+        shard.plan();
+    }
+}
+
+#[test]
+fn a_task_that_was_done_on_a_worker_that_was_closed_since_starts_again_after_a_takeover() {
+    for outcome in [RunOutcome::Done, RunOutcome::Failed] {
+        let workers = ["w0"];
+        let (mut shard, stored, job) = starting_job(step(2, 1), &workers);
+        let task = name(1, 0, 0);
+        let run = shard.scheduler.ledger.tasks[shard.task(task)].run;
+        let other = name(1, 0, 1);
+        let other_run = shard.scheduler.ledger.tasks[shard.task(other)].run;
+        shard.now = 500;
+        shard.report(0, &[(other, other_run)], &[(1, task, run, outcome)]);
+        close_silent(&mut shard, &[]);
+        let batch = shard.scheduler.collect(false, at(shard.now));
+        assert!(batch.roster.is_some(), "the worker is closed");
+        for written in 0..=batch.changes().len() {
+            let mut stored = stored.clone();
+            batch.changes()[..written]
+                .iter()
+                .for_each(|change| stored.apply(change));
+            let orders = stored.takeover(&["w0", "w1"], &[1], &job);
+            assert!(
+                !orders.contains(&format!("start {task}")),
+                "{outcome:?}, after {written} changes: {orders}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_task_of_a_job_that_has_ended_starts_again_after_a_takeover_during_the_write() {
+    let (mut shard, stored, job) = starting_job(step(1, 1), &["w0"]);
+    let task = name(1, 0, 0);
+    let run = shard.scheduler.ledger.tasks[shard.task(task)].run;
+    shard.now = 500;
+    shard.report(0, &[], &[(1, task, run, RunOutcome::Done)]);
+    close_silent(&mut shard, &[]);
+    let batch = shard.scheduler.collect(false, at(shard.now));
+    for written in 0..=batch.changes().len() {
+        let mut stored = stored.clone();
+        batch.changes()[..written]
+            .iter()
+            .for_each(|change| stored.apply(change));
+        let orders = stored.takeover(&["w0", "w1"], &[1], &job);
+        assert_eq!(orders, "", "after {written} changes");
+    }
+}
+
+#[test]
+fn a_task_that_a_closed_worker_may_still_begin_starts_elsewhere_after_a_takeover() {
+    let (mut shard, stored, job) = starting_job(step(1, 1), &["w0", "w1"]);
+    let task = name(1, 0, 0);
+    let worker = shard.stage(task).worker().expect("the task runs");
+    let index = usize::from(worker == shard.workers[1]);
+    let other = 1 - index;
+    let run = shard.scheduler.ledger.tasks[shard.task(task)].run;
+    // The other worker has an open copy of an earlier start order.
+    let earlier = (task, run - 1);
+    let key = shard.workers[other];
+    shard
+        .scheduler
+        .stop_unlisted(key, earlier, "the worker restarted", at(0));
+    close_silent(&mut shard, &[]);
+    let mut stored = stored;
+    write_all(&mut shard, &mut stored);
+    let entry = stored
+        .roster
+        .iter()
+        .find(|entry| entry.id == format!("w{other}"));
+    assert_eq!(
+        entry.unwrap().closed,
+        Some(vec![task]),
+        "{:?}",
+        stored.roster
+    );
+    let orders = stored.takeover(&["w0", "w1", "w2"], &[2], &job);
+    assert_eq!(orders, "");
+}
+
+#[test]
+fn a_task_whose_end_did_not_fit_into_the_first_report_starts_again_after_a_takeover() {
+    let mut shard = Shard::later_owner(&["w0", "w1"]);
+    let task = name(1, 0, 0);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.report(1, &[], &[]);
+    let others: Vec<_> = (1..=500)
+        .map(|number| (number, name(2, 0, number as u32), 7, RunOutcome::Done))
+        .collect();
+    shard.report(0, &[], &others);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    shard.now = 100;
+    shard.report(0, &[], &[(501, task, 7, RunOutcome::Done)]);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+}
