Store writes: the roster is written after the ends that it relies on

Cause: the roster names the tasks that a closed worker may still run; a task whose end has been processed is not named. The roster was collected without the progress (when it was due between two full writes) and was written before it, so the store could hold a roster without the task and a job without its end. A new owner then started the task at once. Ruled out: naming tasks with unstored ends in the closed worker's list, as a removed worker has no list, and other facts would need the same.

--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -113,6 +113,9 @@
 
 impl Batch {
     /// Returns the changes in the order in which they are to be written.
+    ///
+    /// The roster comes after all ends: it no longer names tasks whose ends were processed, and
+    /// an owner that finds neither the task nor its end in the store starts it again.
     pub fn changes(&self) -> Vec<Change> {
         let roster = self.roster.iter().cloned().map(Change::Roster);
         let ends = self.ended.iter().copied().map(Change::End);
@@ -121,10 +124,9 @@
         let progress = progress.map(|(key, id, progress)| Change::Progress(key, id, progress));
         let pending = self.pending.iter().cloned().map(Change::Pending);
         let pairs = self.pairs.iter().cloned().map(Change::Pairs);
-        roster
-            .chain(ends)
-            .chain(starts)
+        ends.chain(starts)
             .chain(progress)
+            .chain(roster)
             .chain(pending)
             .chain(pairs)
             .collect()
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -101,9 +101,10 @@
         !self.writes.ended.is_empty() || self.writes.roster == RosterState::Changed
     }
 
-    /// Collects the changes to write now. Only a `full` batch covers the ends
-    /// that were processed before.
+    /// Collects the changes to write now. Only a full batch covers the ends that were
+    /// processed before. A batch with a roster always does, as the roster relies on them.
     pub fn collect(&mut self, full: bool, now: Moment) -> Batch {
+        let full = full || self.writes.roster == RosterState::Changed;
         let ended: Vec<WorkflowKey> = self.writes.ended.iter().copied().collect();
         let mut batch = Batch {
             ended: ended
