Recovery: a report of 500 ends does not count as all that a worker has

What callers could see: a task that was done starts again after a takeover. Cause: a worker lists 500 ends at a time; a new owner took the first answer as complete and started tasks whose ends came with the next one. Test (failed before): a_task_whose_end_did_not_fit_into_the_first_report_starts_again_after_a_takeover.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -124,6 +124,8 @@
     pub replaced: bool,
     /// Whether the worker has answered this owner, so that it refuses former owners.
     pub synced: bool,
+    /// Whether the worker has listed to this owner all that ran on it before.
+    pub caught_up: bool,
     /// The resources that the worker's tasks declare. The processor time of
     /// best-effort tasks is not included; their memory and accelerators are.
     pub used: Capacity,
@@ -181,6 +183,7 @@
             poll_failed: false,
             replaced: false,
             synced: false,
+            caught_up: false,
             used: Capacity::default(),
             long_running_cpu: 0,
             best_effort_cpu: 0,
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -38,7 +38,7 @@
         worker.responsive = true;
         worker.replaced = false;
         worker.poll_failed = false;
-        let first = !std::mem::replace(&mut worker.synced, true);
+        worker.synced = true;
         if !worker.in_roster {
             // The next write of the roster marks the worker as open.
             self.writes.mark_roster_changed();
@@ -55,7 +55,7 @@
         }
         let written = self.writes.written();
         self.workers[key].acknowledge(written);
-        if first {
+        if complete && !std::mem::replace(&mut self.workers[key].caught_up, true) {
             self.former_workers.remove(&key);
             self.closed_workers.remove(&key);
             self.finish_recovery(now);
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -54,9 +54,9 @@
             };
             let worker = &mut self.workers[key];
             worker.in_roster = entry.closed.is_none();
-            // Polls begin before the roster is read; a worker that has answered one holds
+            // Polls begin before the roster is read; a worker that has answered them holds
             // no unknown run of the former owner.
-            if worker.synced {
+            if worker.caught_up {
                 continue;
             }
             match entry.closed {
