Recovery: a new owner waits for owners before its predecessor that may still give orders

Cause: recovery was shortened from 11 to 5 s once the former owner was known to have ended. An owner before it may be cut off from the store for up to 6 s and still start tasks and renew leases on workers that the new owner does not reach; its successor may have ended, been stopped or (with a claim that took effect without an answer) never have acted, within that time. Now an owner stores a mark once its own recovery has finished (recovered/SHARD, with the next group of changes and with its release), and a later owner shortens its recovery only if the mark is newer than the former owner's last claim or release. Ruled out: naming all earlier owners in each claim, as such a list would not end when an owner is gone for good. Tests: an_owner_cut_off_from_the_store_outlives_the_recovery_after_its_successor_has_ended (fails without the condition), a_recovery_is_stored_as_finished_while_a_closed_worker_may_run_tasks.

--- a/src/daemon/lines.rs
+++ b/src/daemon/lines.rs
@@ -54,6 +54,8 @@
         fence: u64,
         jobs: usize,
         workers: usize,
+        /// The revision of the mark that an owner's recovery has finished; 0 if there is none.
+        recovered: u64,
         took_ms: u64,
     },
     /// This host no longer owns a shard.
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::lines::DaemonLine;
 use super::node::wall_clock;
-use super::term::OwnedShard;
+use super::term::{OwnedShard, watch_former_owner};
 use super::writer;
 use crate::fleet::Registration;
 use crate::journal;
@@ -19,8 +20,8 @@
 };
 use crate::schedule::{PAIRS_INTERVAL, PairRecord};
 use crate::shards::{
-    AcceptedJob, JobKey, Layout, decode, is_later_claim, pairs_key, pairs_prefix, progress_prefix,
-    read_job_key, roster_key, work_prefix,
+    AcceptedJob, Incarnations, JobKey, Layout, decode, is_later_claim, pairs_key, pairs_prefix,
+    progress_prefix, read_job_key, recovered_key, roster_key, work_prefix,
 };
 use crate::workflow::{ActiveWorkflow, Progress, WorkflowId, WorkflowState, due_times};
 
@@ -33,19 +34,25 @@
 
 /// Restores the shard's state, starts the tasks that depend on it, and watches the
 /// shard's jobs.
-pub(super) async fn run(owned: Arc<OwnedShard>) {
+///
+/// `incarnations` holds the newest incarnation of each known host.
+pub(super) async fn run(owned: Arc<OwnedShard>, incarnations: watch::Receiver<Incarnations>) {
     let begun = Moment::now();
-    let mut revision = loop {
+    let Restored {
+        mut revision,
+        recovered,
+    } = loop {
         match read_state(&owned).await {
-            Ok(revision) => break revision,
+            Ok(restored) => break restored,
             Err(fault) => {
                 log::warn!("shard {:?} is not restored yet: {fault}", owned.claim.shard);
                 sleep(RETRY_DELAY).await;
             }
         }
     };
-    log_restored(&owned, begun);
+    log_restored(&owned, recovered, begun);
     owned.wake();
+    owned.spawn(watch_former_owner(owned.clone(), incarnations, recovered));
     owned.spawn(writer::run(owned.clone()));
     owned.spawn(follow_registry(owned.clone()));
     owned.spawn(follow_pairs(owned.clone()));
@@ -61,7 +68,7 @@
     }
 }
 
-fn log_restored(owned: &OwnedShard, begun: Moment) {
+fn log_restored(owned: &OwnedShard, recovered: u64, begun: Moment) {
     let (jobs, workers) =
         owned.decide(|scheduler, _| (scheduler.ledger.workflows.len(), scheduler.workers.len()));
     journal::line(&DaemonLine::ShardRestored {
@@ -69,21 +76,30 @@
         fence: owned.claim.fence,
         jobs,
         workers,
+        recovered,
         took_ms: (Moment::now() - begun).as_millis() as u64,
     });
 }
 
-/// Reads the state that the former owner stored. Returns the revision after which
-/// the jobs are watched.
-async fn read_state(owned: &Arc<OwnedShard>) -> Result<u64, StoreFault> {
+/// What a new owner has read from the store, beside the state of the scheduler.
+struct Restored {
+    /// The revision after which the jobs are watched.
+    revision: u64,
+    /// The revision of the mark that an owner's recovery has finished; 0 if there is none.
+    recovered: u64,
+}
+
+/// Reads the state that the former owner stored.
+async fn read_state(owned: &Arc<OwnedShard>) -> Result<Restored, StoreFault> {
     let shard = &owned.claim.shard;
     let store = &owned.node.store;
     let (progress_path, work_path) = (progress_prefix(shard), work_prefix(shard));
-    let roster_path = roster_key(shard);
-    let (progress, work, roster, pairs, registry) = tokio::try_join!(
+    let (roster_path, recovered_path) = (roster_key(shard), recovered_key(shard));
+    let (progress, work, roster, recovered, pairs, registry) = tokio::try_join!(
         store.range(&progress_path, false),
         store.range(&work_path, false),
         store.get(&roster_path),
+        store.get(&recovered_path),
         store.range(pairs_prefix(), false),
         store.range(REGISTRY_PREFIX, false),
     )?;
@@ -92,7 +108,10 @@
     apply_registry(owned, &registry.items);
     apply_roster(owned, roster);
     restore_pairs(owned, &pairs.items);
-    Ok(work.revision)
+    Ok(Restored {
+        revision: work.revision,
+        recovered: recovered.map_or(0, |mark| mark.revision),
+    })
 }
 
 /// Restores the evidence of interference that a former owner of the shard stored. It
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -23,7 +23,7 @@
 use crate::schedule::{Event, Order, Scheduler, Term};
 use crate::shards::{
     FormerOwner, Incarnations, OWNER_TIMEOUT, Owner, OwnerRecord, encode, epoch_key,
-    owner_lease_key, recovery_deadline,
+    owner_lease_key, recovered_key, recovery_deadline,
 };
 
 /// The longest interval between two passes over the waiting tasks.
@@ -100,9 +100,8 @@
 ) {
     let owned = Arc::new(OwnedShard::new(node, claim));
     owned.spawn(renew(owned.clone()));
-    owned.spawn(restore::run(owned.clone()));
+    owned.spawn(restore::run(owned.clone(), incarnations));
     owned.spawn(plan(owned.clone()));
-    owned.spawn(watch_former_owner(owned.clone(), incarnations));
     let reason = tokio::select! {
         reason = owned.wait_lost() => reason,
         () = owned.node.wait_stopping() => "planned stop",
@@ -262,10 +261,13 @@
         let resignation = self.give_up_token();
         let (shard, fence) = (&self.claim.shard, self.claim.fence);
         let record = encode(&self.node.owner_record(true));
-        let transaction = Transaction::default()
+        let mut transaction = Transaction::default()
             .require(&epoch_key(shard), fence)
             .set(&epoch_key(shard), record)
             .remove(&owner_lease_key(shard));
+        if self.decide(|scheduler, _| scheduler.has_recovered()) {
+            transaction = transaction.set(&recovered_key(shard), Vec::new());
+        }
         match self.node.store.commit(&transaction).await {
             Ok(Commit::Done(_)) => {}
             // Another host has claimed the shard. Tell it that this host gives no
@@ -328,9 +330,11 @@
 }
 
 /// Shortens the recovery of the shard once the former owner is known to have ended.
-async fn watch_former_owner(
+/// `recovered` is the revision of the mark that an owner's recovery has finished.
+pub(super) async fn watch_former_owner(
     owned: Arc<OwnedShard>,
     mut incarnations: watch::Receiver<Incarnations>,
+    recovered: u64,
 ) {
     let Some(owner) = owned.claim.former.clone() else {
         return;
@@ -338,7 +342,7 @@
     let candidate = owned.node.candidate(0);
     loop {
         let incarnation = incarnations.borrow_and_update().get(&owner.host).copied();
-        if candidate.former_owner(&owner, incarnation) == FormerOwner::Ended {
+        if candidate.former_owner(&owner, incarnation, recovered) == FormerOwner::Ended {
             let recovery_deadline = recovery_deadline(FormerOwner::Ended, Moment::now());
             return owned.decide(|scheduler, _| scheduler.shorten_recovery(recovery_deadline));
         }
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -131,6 +131,7 @@
         host: "another".to_owned(),
         ..node.candidate(0)
     };
+    let recovered = 3;
     // What the newest owner of each shard takes its former owner for, after one has ended.
     let states = |ended: &OwnedShard| {
         let record = ended.give_up_token();
@@ -146,7 +147,7 @@
                 fence,
                 released: false,
             };
-            candidate.former_owner(&owner, incarnation) == FormerOwner::Ended
+            candidate.former_owner(&owner, incarnation, recovered) == FormerOwner::Ended
         })
     };
     assert_eq!(states(&owned[1]), [false, false, false]);
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -10,8 +10,8 @@
 use crate::platform::fleet::{Commit, Item, StoreFault, Transaction};
 use crate::schedule::{Batch, Change, StateRecord};
 use crate::shards::{
-    JobRecord, cancel_key, decode, encode, epoch_key, job_key, pairs_key, progress_key, roster_key,
-    waiting_key, work_key, written_key,
+    JobRecord, cancel_key, decode, encode, epoch_key, job_key, pairs_key, progress_key,
+    recovered_key, roster_key, waiting_key, work_key, written_key,
 };
 use crate::workflow::WorkflowState;
 
@@ -31,7 +31,11 @@
     match change {
         Change::End(_) => 4,
         Change::Start(_) => 2,
-        Change::Progress(..) | Change::Roster(_) | Change::Pending(_) | Change::Pairs(_) => 1,
+        Change::Progress(..)
+        | Change::Roster(_)
+        | Change::Recovered
+        | Change::Pending(_)
+        | Change::Pairs(_) => 1,
     }
 }
 
@@ -95,6 +99,7 @@
             .set(&job_key(start.id), encode_record(owned, start)),
         Change::Progress(_, id, progress) => rows.set(&progress_key(shard, *id), encode(progress)),
         Change::Roster(roster) => rows.set(&roster_key(shard), encode(roster)),
+        Change::Recovered => rows.set(&recovered_key(shard), Vec::new()),
         Change::Pending(counts) => rows.set(&waiting_key(shard), encode(counts)),
         Change::Pairs(pairs) => rows.set(&pairs_key(shard), encode(pairs)),
     })
@@ -169,7 +174,7 @@
         Change::Progress(workflow, _, progress) => {
             scheduler.on_progress_written(*workflow, progress)
         }
-        Change::Roster(_) | Change::Pending(_) | Change::Pairs(_) => {}
+        Change::Roster(_) | Change::Recovered | Change::Pending(_) | Change::Pairs(_) => {}
     });
 }
 
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -70,6 +70,8 @@
     pub roster: Option<Vec<RosterEntry>>,
     /// The version of the roster in this batch.
     pub roster_version: u64,
+    /// Whether the recovery has finished and this is not written yet.
+    pub recovered: bool,
     /// The number of jobs in each queue that have not started; `None` if
     /// unchanged.
     pub pending: Option<BTreeMap<String, u64>>,
@@ -105,6 +107,8 @@
     Progress(WorkflowKey, WorkflowId, Progress),
     /// The workers that the owner may use have changed.
     Roster(Vec<RosterEntry>),
+    /// The recovery has finished.
+    Recovered,
     /// The numbers of jobs that have not started have changed.
     Pending(BTreeMap<String, u64>),
     /// There is new evidence for interference.
@@ -122,11 +126,13 @@
         let starts = self.started.iter().copied().map(Change::Start);
         let progress = self.progress.iter().cloned();
         let progress = progress.map(|(key, id, progress)| Change::Progress(key, id, progress));
+        let recovered = self.recovered.then_some(Change::Recovered);
         let pending = self.pending.iter().cloned().map(Change::Pending);
         let pairs = self.pairs.iter().cloned().map(Change::Pairs);
         ends.chain(starts)
             .chain(progress)
             .chain(roster)
+            .chain(recovered)
             .chain(pending)
             .chain(pairs)
             .collect()
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Whether no run of a former owner can exist that this owner does not know.
+    pub const fn has_recovered(&self) -> bool {
+        !self.tasks_recovering
+    }
+
     /// Brings the recovery deadline forward when the former owner is known to have
     /// ended: all leases that it gave end by `deadline`.
     pub fn shorten_recovery(&mut self, deadline: Moment) {
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -303,3 +303,27 @@
     assert_eq!(shard.orders(), stop);
     assert_eq!(shard.stage(task), Stage::Running(shard.workers[worker]));
 }
+
+#[test]
+fn a_recovery_is_stored_as_finished_while_a_closed_worker_may_run_tasks() {
+    let term = Term {
+        fence: FENCE,
+        recovery_deadline: Some(at(10_000)),
+    };
+    let mut shard = Shard::new(term, &["w0"]);
+    let roster = vec![
+        roster_entry("w0", None),
+        roster_entry("dead", Some(vec![name(1, 0, 0)])),
+    ];
+    shard.scheduler.on_roster(roster, at(0));
+    let mut stored = Vec::new();
+    for now in [0, 5_000, 10_001, 10_300] {
+        shard.now = now;
+        shard.report(0, &[], &[]);
+        shard.plan();
+        let batch = shard.scheduler.collect(true, at(now));
+        shard.scheduler.on_written(&batch);
+        stored.push(batch.recovered);
+    }
+    assert_eq!(stored, [false, false, true, false]);
+}
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -32,6 +32,8 @@
     roster: RosterState,
     /// The version of the roster; shows whether it changed during a write.
     roster_version: u64,
+    /// Whether the store knows that the recovery has finished.
+    recovery_written: bool,
     /// The number of pending jobs in each queue, as last written.
     counts: BTreeMap<String, u64>,
     /// When the evidence for interference was last collected for a write.
@@ -135,6 +137,7 @@
         if let Some(roster) = &batch.roster {
             self.on_roster_written(roster, batch.roster_version);
         }
+        self.writes.recovery_written |= batch.recovered;
         if let Some(counts) = &batch.pending {
             self.writes.counts.clone_from(counts);
         }
@@ -242,6 +245,7 @@
     }
 
     fn collect_rest(&mut self, batch: &mut Batch) {
+        batch.recovered = self.has_recovered() && !self.writes.recovery_written;
         let started = std::mem::take(&mut self.writes.started);
         batch.started = started
             .iter()
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -33,10 +33,10 @@
 /// What a new owner knows of the former owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FormerOwner {
-    /// The former owner has ended, or has released the shard.
+    /// The former owner has ended, or has released the shard, and so have those before it.
     Ended,
-    /// The former owner may be partitioned from the store and give orders until its
-    /// timeout.
+    /// The former owner, or one before it, may be partitioned from the store and give orders
+    /// until its timeout.
     Unknown,
 }
 
@@ -204,7 +204,9 @@
     }
 
     /// Returns what this host knows of the former owner, given the newest known
-    /// incarnation of that owner's host.
+    /// incarnation of that owner's host, and the revision of the mark that an owner's
+    /// recovery has finished (0 if there is none). Without the mark of the former owner, the
+    /// one before it may still give orders.
     ///
     /// ```
     /// use lycheelock::shards::{Candidate, FormerOwner, Incarnation, Layout, Owner};
@@ -222,15 +224,23 @@
     /// };
     /// let owner = Owner { host: "a2".into(), incarnation: 7, fence: 30, released: false };
     /// let incarnation = |id, resigned| Some(Incarnation { id, resigned });
-    /// assert_eq!(me.former_owner(&owner, incarnation(7, 0)), FormerOwner::Unknown);
-    /// assert_eq!(me.former_owner(&owner, incarnation(7, 30)), FormerOwner::Ended);
-    /// assert_eq!(me.former_owner(&owner, incarnation(8, 0)), FormerOwner::Ended);
+    /// let recovered = 31;
+    /// assert_eq!(me.former_owner(&owner, incarnation(7, 0), recovered), FormerOwner::Unknown);
+    /// assert_eq!(me.former_owner(&owner, incarnation(7, 30), recovered), FormerOwner::Ended);
+    /// assert_eq!(me.former_owner(&owner, incarnation(8, 0), recovered), FormerOwner::Ended);
+    /// assert_eq!(me.former_owner(&owner, incarnation(8, 0), 29), FormerOwner::Unknown);
     /// ```
-    pub fn former_owner(&self, owner: &Owner, incarnation: Option<Incarnation>) -> FormerOwner {
+    pub fn former_owner(
+        &self,
+        owner: &Owner,
+        incarnation: Option<Incarnation>,
+        recovered: u64,
+    ) -> FormerOwner {
         let own_former = owner.host == self.host && owner.incarnation != self.incarnation;
         let replaced = incarnation.is_some_and(|incarnation| incarnation.id != owner.incarnation);
         let resigned = incarnation.is_some_and(|incarnation| incarnation.resigned >= owner.fence);
-        if owner.released || own_former || replaced || resigned {
+        let ended = owner.released || own_former || replaced || resigned;
+        if ended && recovered >= owner.fence {
             FormerOwner::Ended
         } else {
             FormerOwner::Unknown
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -155,6 +155,12 @@
     format!("roster/{shard}")
 }
 
+/// Returns the key of the mark that the recovery of a shard's owner has finished: no run of
+/// an earlier owner exists. The mark holds for owners whose claim has a lower revision.
+pub fn recovered_key(shard: &str) -> String {
+    format!("recovered/{shard}")
+}
+
 /// Returns the prefix of the evidence of interference, for all shards.
 pub const fn pairs_prefix() -> &'static str {
     "pairs/"
--- a/src/shards/mod.rs
+++ b/src/shards/mod.rs
@@ -22,8 +22,8 @@
 pub use keys::{
     JobKey, LAYOUT_KEY, SHARD_PREFIX, ShardKey, cancel_key, claimed_key, epoch_key,
     incarnation_key, is_later_claim, job_key, owner_lease_key, pairs_key, pairs_prefix,
-    progress_key, progress_prefix, read_job_key, read_shard_key, roster_key, waiting_key,
-    waiting_prefix, work_key, work_prefix, written_key,
+    progress_key, progress_prefix, read_job_key, read_shard_key, recovered_key, roster_key,
+    waiting_key, waiting_prefix, work_key, work_prefix, written_key,
 };
 pub use layout::Layout;
 pub use record::{AcceptedJob, JobRecord, OwnerRecord, RecordError, decode, encode};
--- a/src/shards/tests.rs
+++ b/src/shards/tests.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::{
-    Candidate, ClaimDecision, FormerOwner, Layout, OWNER_TIMEOUT, OwnerLease, OwnerRecord,
+    Candidate, ClaimDecision, FormerOwner, Layout, OWNER_TIMEOUT, Owner, OwnerLease, OwnerRecord,
     OwnershipView, OwnershipViews, recovery_deadline,
 };
 use crate::fleet::{Clock, RUN_LEASE};
@@ -184,6 +184,29 @@
     }
 }
 
+#[test]
+fn an_owner_cut_off_from_the_store_outlives_the_recovery_after_its_successor_has_ended() {
+    let candidate = host("a3", "a");
+    // It claimed at revision 30, and released the shard at revision 34.
+    let released = Owner {
+        host: "a2".to_owned(),
+        incarnation: 7,
+        fence: 34,
+        released: true,
+    };
+    // Only the release itself shows that the recovery had finished by then.
+    let former = [0, 29, 33, 34].map(|recovered| {
+        let former = candidate.former_owner(&released, None, recovered);
+        format!("{recovered} {former:?}")
+    });
+    insta::assert_snapshot!(former.join("\n"), @r"
+    0 Unknown
+    29 Unknown
+    33 Unknown
+    34 Ended
+    ");
+}
+
 #[test]
 fn more_workers_get_more_shards_one_step_at_a_time() {
     let sizes = [500, 540, 1_000, 1_250, 1_700, 2_500, 3_000, 5_000];
