Roster: a worker that is being removed gets no task, also if it is listed again

Cause: the removal of an unlisted, empty worker is queued for the log, but the worker kept its mark of being in the roster until the next maintenance pass (200 ms). If the host list named it again in between, a task was placed on it. The log then said that the worker had left: a new owner did not wait for its report, counted itself as recovered and started the task again. Change: the mark goes with the decision to remove; the worker joins again, and gets tasks, once that is logged.

--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -53,6 +53,10 @@
                 let known = entry.address == address;
                 if !listed && empty && reported && (expired || !silent) {
                     self.remove_from_roster(&name);
+                    if let Some(worker) = placement.get_mut(key) {
+                        // It may be listed again while its removal is being logged.
+                        worker.in_roster = false;
+                    }
                 } else if !known && listed && !leaving {
                     self.add_to_roster(&name, address);
                 } else if let Some(worker) = placement.get_mut(key) {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -713,3 +713,28 @@
         Outcome::ALL.iter().map(|outcome| outcome.name()).collect();
     assert_eq!(names.len(), Outcome::ALL.len());
 }
+
+#[test]
+fn a_worker_listed_again_gets_no_task_while_its_removal_is_being_logged() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.placement.unlist("w0");
+    fixture.placement.unlist("w1");
+    let (placement, ledger) = (&mut fixture.placement, &mut fixture.ledger);
+    ledger.maintain(placement, at(10), WallClock(10));
+    for name in ["w0", "w1"] {
+        let host = listed(name, "127.0.0.1:1");
+        fixture.placement.upsert_listed(&host, SHARD);
+    }
+    fixture.accept(1, "plain", 1);
+    fixture.plan(20);
+    let during = [fixture.call(0), fixture.call(1)].concat();
+    let logged = fixture.log();
+    fixture.maintain(200);
+    fixture.plan(210);
+    let after = [fixture.call(0), fixture.call(1)].concat();
+    let left = |name: &str| Change::WorkerLeft {
+        name: name.to_owned(),
+    };
+    assert_eq!(logged, [left("w0"), left("w1")]);
+    assert_eq!((during.len(), after.len()), (0, 1), "{during:?} {after:?}");
+}
