Reports: a worker forgets a stopped attempt only after its checkpoint is logged

Cause: ends wait for the log before the worker may forget them, but the checkpoint of a stopped attempt did not: its report queued the command to forget at once. If the owner was replaced before the entry was stored, neither the log nor the worker had the checkpoint. Evidence: the new test failed before: the command was in the first call after the report, with nothing logged. Change: a task knows which part of its checkpoint is logged; while there is more, the worker keeps the attempt in its reports, and a new owner takes the checkpoint from there (on_unplaced, as before). Test: a_worker_forgets_a_stopped_attempt_only_after_its_checkpoint_is_logged.

--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -330,6 +330,8 @@
             Change::Saved { task, checkpoint } => {
                 if let Some(key) = self.task_key(*task) {
                     self.raise_checkpoint(key, *checkpoint);
+                    let task = &mut self.tasks[key];
+                    task.logged_checkpoint = task.logged_checkpoint.max(*checkpoint);
                 }
             }
             Change::Ended { task, outcome } => self.on_ended(*task, *outcome),
@@ -410,6 +412,7 @@
             let checkpoint = record.checkpoints.get(index as usize).copied().unwrap_or(0);
             let key = self.tasks.insert(Task {
                 checkpoint,
+                logged_checkpoint: checkpoint,
                 ..Task::new(id, job)
             });
             self.jobs[job].tasks.push(key);
--- a/src/jobs/report.rs
+++ b/src/jobs/report.rs
@@ -6,7 +6,7 @@
 use super::change::{Change, Outcome};
 use super::ledger::{DelayedTask, Ledger};
 use super::run::QueuedCommands;
-use super::task::{StopReason, TaskStage};
+use super::task::{StopReason, Task, TaskStage};
 use crate::ids::{TaskKey, WorkerKey};
 use crate::kind::RetryReason;
 use crate::moment::Moment;
@@ -332,13 +332,13 @@
     }
 
     /// Queues commands that stop attempts which the ledger does not count on the
-    /// worker, and that forget ended attempts once their end is logged.
+    /// worker, and that forget ended attempts once their end and their checkpoint are logged.
     fn queue_commands(&mut self, worker: WorkerKey, report: &Report) {
         let mut queued = QueuedCommands::default();
         for each in &report.tasks {
             let reported = reported_attempt(each);
-            let stage = self.task_key(each.task).map(|key| self.tasks[key].stage);
-            let placed_here = match stage {
+            let task = self.task_key(each.task).map(|key| &self.tasks[key]);
+            let placed_here = match task.map(|task| task.stage) {
                 Some(TaskStage::Placed {
                     worker: on,
                     attempt,
@@ -346,9 +346,9 @@
                 }) => on == worker && attempt == each.attempt,
                 _ => false,
             };
-            let ending = matches!(stage, Some(TaskStage::EndPending { .. }));
+            let unlogged = task.is_some_and(Task::is_unlogged);
             match each.state.is_ended() {
-                true if !ending => queued.forget.push(reported),
+                true if !unlogged => queued.forget.push(reported),
                 false if !placed_here => queued.stops.push(StopTask {
                     task: reported.task,
                     attempt: reported.attempt,
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -66,6 +66,8 @@
     pub stage: TaskStage,
     /// The run time covered by the last checkpoint, in milliseconds.
     pub checkpoint: u64,
+    /// The part of the checkpoint that the log contains, in milliseconds.
+    pub logged_checkpoint: u64,
     /// The number of failed attempts.
     pub failures: u32,
     /// The number of attempts that were lost with their worker since one ended otherwise.
@@ -88,6 +90,7 @@
             job,
             stage: TaskStage::Waiting,
             checkpoint: 0,
+            logged_checkpoint: 0,
             failures: 0,
             losses: 0,
             intent_logged: false,
@@ -115,6 +118,12 @@
         }
     }
 
+    /// Whether the log lacks what a report showed: the end of the task or its checkpoint.
+    pub const fn is_unlogged(&self) -> bool {
+        let ending = matches!(self.stage, TaskStage::EndPending { .. });
+        ending || self.checkpoint > self.logged_checkpoint
+    }
+
     /// Whether the outcome is decided, logged or not.
     pub const fn is_ending(&self) -> bool {
         matches!(
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -738,3 +738,22 @@
     assert_eq!(logged, [left("w0"), left("w1")]);
     assert_eq!((during.len(), after.len()), (0, 1), "{during:?} {after:?}");
 }
+
+#[test]
+fn a_worker_forgets_a_stopped_attempt_only_after_its_checkpoint_is_logged() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.accept(1, "plain", 1);
+    fixture.plan(10);
+    let first = usize::from(fixture.call(0).is_empty());
+    fixture.call(first);
+    let stopped = || vec![task(1, 2, 1, TaskState::Stopped, 300)];
+    fixture.report(first, stopped(), 20);
+    let before = fixture.call(first);
+    fixture.report(first, stopped(), 30);
+    let again = fixture.call(first);
+    fixture.log();
+    fixture.report(first, stopped(), 40);
+    let after = fixture.call(first);
+    let none = Vec::<String>::new();
+    assert_eq!((before, again, after.len()), (none.clone(), none, 1));
+}
