Moves: a job is kept until its moved tasks are accepted

Callers could see (own protocol; found by reading, not seen in a run): tasks of an accepted job that no shard holds. Cause: moved tasks count as ended in their old shard, so a job whose tasks had all moved was dropped after its retention time (24 h by default), also while the other shard had accepted nothing, for example without an owner. Its acceptance could not be logged either, as the job was gone. Change: retention counts once no move of the job is pending. Test: a_job_is_kept_until_the_shard_of_its_moved_tasks_has_accepted_them.

--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -121,12 +121,15 @@
         }
     }
 
-    /// Removes ended jobs, redirects and keys that are older than their retention time.
+    /// Removes ended jobs, redirects and keys that are older than their retention time. A job
+    /// stays while moved tasks of it are not accepted: its log entries are all that names them.
     fn expire(&mut self, wall: WallClock) {
         let job_retention = self.settings.job_retention;
         let mut dropped = Vec::new();
         for job in self.jobs.values_mut() {
-            if job.open > 0 {
+            let moves = &self.pending_moves;
+            let moving = job.moves.iter().any(|each| moves.contains_key(&each.to));
+            if job.open > 0 || moving {
                 continue;
             }
             let ended = *job.ended_at.get_or_insert(wall);
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -757,3 +757,32 @@
     let none = Vec::<String>::new();
     assert_eq!((before, again, after.len()), (none.clone(), none, 1));
 }
+
+#[test]
+fn a_job_is_kept_until_the_shard_of_its_moved_tasks_has_accepted_them() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.accept(1, "plain", 1);
+    for name in ["w0", "w1"] {
+        fixture.placement.unlist(name);
+    }
+    for ms in [0, 6000] {
+        let find_shard = |_: Size, _: u64| Some(ShardId(1));
+        fixture
+            .ledger
+            .move_unplaceable(&fixture.placement, find_shard, at(ms));
+        fixture.log();
+    }
+    let moves = fixture.ledger.pending_moves();
+    let settings = LedgerSettings::default();
+    let expired = 7000 + settings.job_retention;
+    fixture.maintain(7000);
+    fixture.maintain(expired);
+    let snapshot = fixture.ledger.snapshot();
+    let replayed = Ledger::replay(SHARD, Epoch(3), &snapshot, settings, at(expired));
+    assert_eq!((moves.len(), replayed.pending_moves()), (1, moves.clone()));
+    fixture.ledger.move_accepted(moves[0].to);
+    fixture.log();
+    fixture.maintain(expired + 1);
+    fixture.maintain(expired * 2);
+    assert!(fixture.ledger.snapshot().is_empty());
+}
