Moves: the tasks of a job stay while its cancellation is being logged

Cause: a cancellation takes effect in the ledger once it is logged. Until then a move of the waiting tasks could be queued behind it. The caller is told that the job is cancelled after the first entry, and only the moves known by then are cancelled with it; the second entry moved the tasks to a job that nobody had cancelled, and a new owner that replays both moved them as well. Evidence: the new test failed before: the changes were Cancelled, then Moved. Change: no move is decided while a cancellation is being logged. Test: the_tasks_of_a_job_do_not_move_while_its_cancellation_is_being_logged.

--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -60,6 +60,8 @@
     /// The tasks by index; empty once the job has ended and is closed.
     pub tasks: Vec<TaskKey>,
     pub cancelled: bool,
+    /// Whether the cancellation is being logged.
+    pub cancelling: bool,
     /// The number of tasks whose end is not logged yet.
     pub open: u32,
     /// The number of ended tasks by outcome.
@@ -397,6 +399,7 @@
             record: record.clone(),
             tasks: Vec::new(),
             cancelled: false,
+            cancelling: false,
             open: record.tasks,
             ended: BTreeMap::new(),
             ended_at: None,
@@ -425,6 +428,7 @@
             record: record.clone(),
             tasks: Vec::new(),
             cancelled,
+            cancelling: false,
             open: 0,
             ended: ended.clone(),
             ended_at: None,
@@ -636,11 +640,12 @@
 
     /// Cancels a job. Returns false if the ledger does not know it.
     pub fn cancel(&mut self, id: JobId) -> bool {
-        let known = self.index.contains_key(&id);
-        if known {
-            self.changes.push(Change::Cancelled { job: id });
-        }
-        known
+        let Some(key) = self.index.get(&id) else {
+            return false;
+        };
+        self.jobs[*key].cancelling = true;
+        self.changes.push(Change::Cancelled { job: id });
+        true
     }
 }
 
--- a/src/jobs/moves.rs
+++ b/src/jobs/moves.rs
@@ -22,7 +22,9 @@
 
 impl Ledger {
     /// Moves waiting tasks that are too large for every worker of this shard to
-    /// the shard that `find_shard` returns for their size and job number.
+    /// the shard that `find_shard` returns for their size and job number. A job whose
+    /// cancellation is being logged keeps its tasks, as the canceller asks for its moves once
+    /// that is logged.
     pub fn move_unplaceable(
         &mut self,
         placement: &Placement,
@@ -35,7 +37,7 @@
         let open: Vec<JobKey> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.open > 0 && !job.cancelled)
+            .filter(|(_, job)| job.open > 0 && !job.cancelled && !job.cancelling)
             .map(|(key, _)| key)
             .collect();
         for key in open {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -786,3 +786,24 @@
     fixture.maintain(expired * 2);
     assert!(fixture.ledger.snapshot().is_empty());
 }
+
+#[test]
+fn the_tasks_of_a_job_do_not_move_while_its_cancellation_is_being_logged() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.accept(1, "plain", 1);
+    for name in ["w0", "w1"] {
+        fixture.placement.unlist(name);
+    }
+    let find_shard = |_: Size, _: u64| Some(ShardId(1));
+    let (ledger, placement) = (&mut fixture.ledger, &fixture.placement);
+    ledger.move_unplaceable(placement, find_shard, at(0));
+    let job = JobId {
+        shard: SHARD,
+        number: 1,
+    };
+    assert!(ledger.cancel(job));
+    ledger.move_unplaceable(placement, find_shard, at(6000));
+    let changes = fixture.log();
+    assert_eq!(changes, [Change::Cancelled { job }]);
+    assert!(fixture.ledger.pending_moves().is_empty());
+}
