Takeover: cancelled tasks end only after every worker has reported

Cause: the log of a shard whose owner ended between the cancellation and the ends of its tasks has the one without the others. The rule that a waiting task of a cancelled job ends only when all workers have reported was applied during the replay, before the list of workers was made from the roster; the empty list read as all reported. So the tasks ended at once; a run of them on a worker was not counted there, and its stop was ordered once per report instead of with each call. Evidence: the new test failed before (millicores in use and stop orders of two calls: 0 and [1, 0] instead of 1000 and [1, 1]). Change: the replay only marks the job; the tasks end when the last worker has reported, at once if the roster is empty, or when they would be placed. Tests: a_new_owner_ends_no_cancelled_task_before_every_worker_has_reported; a_new_owner_ends_cancelled_tasks_at_once_if_no_worker_may_run_them (passed before as well, guards the other side).

--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -220,6 +220,9 @@
             ledger.apply(change, true);
         }
         ledger.unreported = ledger.roster.keys().cloned().collect();
+        if ledger.unreported.is_empty() {
+            ledger.end_cancelled();
+        }
         ledger
     }
 
@@ -355,7 +358,7 @@
                 cancelled,
                 ended,
             } => self.add_closed(record, *cancelled, ended),
-            Change::Cancelled { job } => self.on_cancelled(*job),
+            Change::Cancelled { job } => self.on_cancelled(*job, replayed),
             Change::Moved { job, to, tasks } => self.on_moved(*job, *to, tasks),
             Change::MoveDone { to, .. } => {
                 self.pending_moves.remove(to);
@@ -498,11 +501,16 @@
         }
     }
 
-    fn on_cancelled(&mut self, id: JobId) {
+    /// Marks a job as cancelled. Its tasks end now, or after a replay as soon as it is known
+    /// that no worker runs them.
+    fn on_cancelled(&mut self, id: JobId, replayed: bool) {
         let Some(key) = self.index.get(&id).copied() else {
             return;
         };
         self.jobs[key].cancelled = true;
+        if replayed {
+            return;
+        }
         for task in self.jobs[key].tasks.clone() {
             self.cancel_task(task);
         }
--- a/src/jobs/report.rs
+++ b/src/jobs/report.rs
@@ -72,7 +72,7 @@
 
     /// Ends the waiting tasks of cancelled jobs. Called when every worker has
     /// reported, so that none of these tasks can still run.
-    fn end_cancelled(&mut self) {
+    pub(super) fn end_cancelled(&mut self) {
         let cancelled = self.jobs.values().filter(|job| job.cancelled);
         let keys: Vec<TaskKey> = cancelled.flat_map(|job| job.tasks.clone()).collect();
         for key in keys {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -807,3 +807,44 @@
     assert_eq!(changes, [Change::Cancelled { job }]);
     assert!(fixture.ledger.pending_moves().is_empty());
 }
+
+#[test]
+fn a_new_owner_ends_no_cancelled_task_before_every_worker_has_reported() {
+    let record = Fixture::new(&[]).record(7, "plain", 1);
+    let job = record.id;
+    let log = [
+        joined("w0"),
+        joined("w1"),
+        Change::Accepted(Box::new(record)),
+        Change::Cancelled { job },
+    ];
+    let mut fixture = Fixture::new(&log);
+    let before = fixture.ended(7);
+    fixture.call(0);
+    fixture.report(0, Vec::new(), 20);
+    fixture.call(1);
+    fixture.report(1, vec![task(7, 1, 4, TaskState::Running, 0)], 30);
+    let used = fixture.placement.get(fixture.workers[1]).unwrap().used;
+    let stops = [fixture.call(1), fixture.call(1)];
+    fixture.report(1, vec![task(7, 1, 4, TaskState::Finished, 0)], 40);
+    fixture.log();
+    assert_eq!(before, "{}");
+    assert_eq!(
+        (used.millicores, stops.map(|each| each.len())),
+        (1000, [1, 1])
+    );
+    assert_eq!(fixture.ended(7), r#"{"finished": 1}"#);
+}
+
+#[test]
+fn a_new_owner_ends_cancelled_tasks_at_once_if_no_worker_may_run_them() {
+    let record = Fixture::new(&[]).record(7, "plain", 1);
+    let job = record.id;
+    let log = [
+        Change::Accepted(Box::new(record)),
+        Change::Cancelled { job },
+    ];
+    let mut fixture = Fixture::new(&log);
+    fixture.log();
+    assert_eq!(fixture.ended(7), r#"{"cancelled": 1}"#);
+}
