--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -848,3 +848,22 @@
     fixture.log();
     assert_eq!(fixture.ended(7), r#"{"cancelled": 1}"#);
 }
+
+#[test]
+fn a_later_owner_waits_the_whole_recovery_delay_although_an_owner_between_has_ended() {
+    let record = Fixture::new(&[]).record(7, "plain", 1);
+    let log = [
+        joined("w0"),
+        joined("w1"),
+        Change::Accepted(Box::new(record)),
+    ];
+    let delay = LedgerSettings::default().recovery_delay().as_millis() as u64;
+    let claim = |epoch, ms| {
+        let settings = LedgerSettings::default();
+        Ledger::replay(SHARD, Epoch(epoch), &log, settings, at(ms))
+    };
+    let between = claim(3, 0);
+    let later = claim(4, 1000);
+    assert!(!between.is_recovered(at(delay - 1)) && between.is_recovered(at(delay)));
+    assert!(!later.is_recovered(at(delay + 999)) && later.is_recovered(at(delay + 1000)));
+}
