--- a/src/jobs/ledger.rs
+++ b/src/jobs/ledger.rs
@@ -60,6 +60,8 @@
     /// The tasks by index; empty once the job has ended and is closed.
     pub tasks: Vec<TaskKey>,
     pub cancelled: bool,
+    /// Whether the cancellation is being logged.
+    pub cancelling: bool,
     /// The number of tasks whose end is not logged yet.
     pub open: u32,
     /// The number of ended tasks by outcome.
@@ -218,6 +220,9 @@
             ledger.apply(change, true);
         }
         ledger.unreported = ledger.roster.keys().cloned().collect();
+        if ledger.unreported.is_empty() {
+            ledger.end_cancelled();
+        }
         ledger
     }
 
@@ -330,6 +335,8 @@
             Change::Saved { task, checkpoint } => {
                 if let Some(key) = self.task_key(*task) {
                     self.raise_checkpoint(key, *checkpoint);
+                    let task = &mut self.tasks[key];
+                    task.logged_checkpoint = task.logged_checkpoint.max(*checkpoint);
                 }
             }
             Change::Ended { task, outcome } => self.on_ended(*task, *outcome),
@@ -351,7 +358,7 @@
                 cancelled,
                 ended,
             } => self.add_closed(record, *cancelled, ended),
-            Change::Cancelled { job } => self.on_cancelled(*job),
+            Change::Cancelled { job } => self.on_cancelled(*job, replayed),
             Change::Moved { job, to, tasks } => self.on_moved(*job, *to, tasks),
             Change::MoveDone { to, .. } => {
                 self.pending_moves.remove(to);
@@ -395,6 +402,7 @@
             record: record.clone(),
             tasks: Vec::new(),
             cancelled: false,
+            cancelling: false,
             open: record.tasks,
             ended: BTreeMap::new(),
             ended_at: None,
@@ -410,6 +418,7 @@
             let checkpoint = record.checkpoints.get(index as usize).copied().unwrap_or(0);
             let key = self.tasks.insert(Task {
                 checkpoint,
+                logged_checkpoint: checkpoint,
                 ..Task::new(id, job)
             });
             self.jobs[job].tasks.push(key);
@@ -422,6 +431,7 @@
             record: record.clone(),
             tasks: Vec::new(),
             cancelled,
+            cancelling: false,
             open: 0,
             ended: ended.clone(),
             ended_at: None,
@@ -491,11 +501,16 @@
         }
     }
 
-    fn on_cancelled(&mut self, id: JobId) {
+    /// Marks a job as cancelled. Its tasks end now, or after a replay as soon as it is known
+    /// that no worker runs them.
+    fn on_cancelled(&mut self, id: JobId, replayed: bool) {
         let Some(key) = self.index.get(&id).copied() else {
             return;
         };
         self.jobs[key].cancelled = true;
+        if replayed {
+            return;
+        }
         for task in self.jobs[key].tasks.clone() {
             self.cancel_task(task);
         }
@@ -633,11 +648,12 @@
 
     /// Cancels a job. Returns false if the ledger does not know it.
     pub fn cancel(&mut self, id: JobId) -> bool {
-        let known = self.index.contains_key(&id);
-        if known {
-            self.changes.push(Change::Cancelled { job: id });
-        }
-        known
+        let Some(key) = self.index.get(&id) else {
+            return false;
+        };
+        self.jobs[*key].cancelling = true;
+        self.changes.push(Change::Cancelled { job: id });
+        true
     }
 }
 
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -713,3 +713,157 @@
         Outcome::ALL.iter().map(|outcome| outcome.name()).collect();
     assert_eq!(names.len(), Outcome::ALL.len());
 }
+
+#[test]
+fn a_worker_listed_again_gets_no_task_while_its_removal_is_being_logged() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.placement.unlist("w0");
+    fixture.placement.unlist("w1");
+    let (placement, ledger) = (&mut fixture.placement, &mut fixture.ledger);
+    ledger.maintain(placement, at(10), WallClock(10));
+    for name in ["w0", "w1"] {
+        let host = listed(name, "127.0.0.1:1");
+        fixture.placement.upsert_listed(&host, SHARD);
+    }
+    fixture.accept(1, "plain", 1);
+    fixture.plan(20);
+    let during = [fixture.call(0), fixture.call(1)].concat();
+    let logged = fixture.log();
+    fixture.maintain(200);
+    fixture.plan(210);
+    let after = [fixture.call(0), fixture.call(1)].concat();
+    let left = |name: &str| Change::WorkerLeft {
+        name: name.to_owned(),
+    };
+    assert_eq!(logged, [left("w0"), left("w1")]);
+    assert_eq!((during.len(), after.len()), (0, 1), "{during:?} {after:?}");
+}
+
+#[test]
+fn a_worker_forgets_a_stopped_attempt_only_after_its_checkpoint_is_logged() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.accept(1, "plain", 1);
+    fixture.plan(10);
+    let first = usize::from(fixture.call(0).is_empty());
+    fixture.call(first);
+    let stopped = || vec![task(1, 2, 1, TaskState::Stopped, 300)];
+    fixture.report(first, stopped(), 20);
+    let before = fixture.call(first);
+    fixture.report(first, stopped(), 30);
+    let again = fixture.call(first);
+    fixture.log();
+    fixture.report(first, stopped(), 40);
+    let after = fixture.call(first);
+    let none = Vec::<String>::new();
+    assert_eq!((before, again, after.len()), (none.clone(), none, 1));
+}
+
+#[test]
+fn a_job_is_kept_until_the_shard_of_its_moved_tasks_has_accepted_them() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.accept(1, "plain", 1);
+    for name in ["w0", "w1"] {
+        fixture.placement.unlist(name);
+    }
+    for ms in [0, 6000] {
+        let find_shard = |_: Size, _: u64| Some(ShardId(1));
+        fixture
+            .ledger
+            .move_unplaceable(&fixture.placement, find_shard, at(ms));
+        fixture.log();
+    }
+    let moves = fixture.ledger.pending_moves();
+    let settings = LedgerSettings::default();
+    let expired = 7000 + settings.job_retention;
+    fixture.maintain(7000);
+    fixture.maintain(expired);
+    let snapshot = fixture.ledger.snapshot();
+    let replayed = Ledger::replay(SHARD, Epoch(3), &snapshot, settings, at(expired));
+    assert_eq!((moves.len(), replayed.pending_moves()), (1, moves.clone()));
+    fixture.ledger.move_accepted(moves[0].to);
+    fixture.log();
+    fixture.maintain(expired + 1);
+    fixture.maintain(expired * 2);
+    assert!(fixture.ledger.snapshot().is_empty());
+}
+
+#[test]
+fn the_tasks_of_a_job_do_not_move_while_its_cancellation_is_being_logged() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.accept(1, "plain", 1);
+    for name in ["w0", "w1"] {
+        fixture.placement.unlist(name);
+    }
+    let find_shard = |_: Size, _: u64| Some(ShardId(1));
+    let (ledger, placement) = (&mut fixture.ledger, &fixture.placement);
+    ledger.move_unplaceable(placement, find_shard, at(0));
+    let job = JobId {
+        shard: SHARD,
+        number: 1,
+    };
+    assert!(ledger.cancel(job));
+    ledger.move_unplaceable(placement, find_shard, at(6000));
+    let changes = fixture.log();
+    assert_eq!(changes, [Change::Cancelled { job }]);
+    assert!(fixture.ledger.pending_moves().is_empty());
+}
+
+#[test]
+fn a_new_owner_ends_no_cancelled_task_before_every_worker_has_reported() {
+    let record = Fixture::new(&[]).record(7, "plain", 1);
+    let job = record.id;
+    let log = [
+        joined("w0"),
+        joined("w1"),
+        Change::Accepted(Box::new(record)),
+        Change::Cancelled { job },
+    ];
+    let mut fixture = Fixture::new(&log);
+    let before = fixture.ended(7);
+    fixture.call(0);
+    fixture.report(0, Vec::new(), 20);
+    fixture.call(1);
+    fixture.report(1, vec![task(7, 1, 4, TaskState::Running, 0)], 30);
+    let used = fixture.placement.get(fixture.workers[1]).unwrap().used;
+    let stops = [fixture.call(1), fixture.call(1)];
+    fixture.report(1, vec![task(7, 1, 4, TaskState::Finished, 0)], 40);
+    fixture.log();
+    assert_eq!(before, "{}");
+    assert_eq!(
+        (used.millicores, stops.map(|each| each.len())),
+        (1000, [1, 1])
+    );
+    assert_eq!(fixture.ended(7), r#"{"finished": 1}"#);
+}
+
+#[test]
+fn a_new_owner_ends_cancelled_tasks_at_once_if_no_worker_may_run_them() {
+    let record = Fixture::new(&[]).record(7, "plain", 1);
+    let job = record.id;
+    let log = [
+        Change::Accepted(Box::new(record)),
+        Change::Cancelled { job },
+    ];
+    let mut fixture = Fixture::new(&log);
+    fixture.log();
+    assert_eq!(fixture.ended(7), r#"{"cancelled": 1}"#);
+}
+
+#[test]
+fn a_later_owner_waits_the_whole_recovery_delay_although_an_owner_between_has_ended() {
+    let record = Fixture::new(&[]).record(7, "plain", 1);
+    let log = [
+        joined("w0"),
+        joined("w1"),
+        Change::Accepted(Box::new(record)),
+    ];
+    let delay = LedgerSettings::default().recovery_delay().as_millis() as u64;
+    let claim = |epoch, ms| {
+        let settings = LedgerSettings::default();
+        Ledger::replay(SHARD, Epoch(epoch), &log, settings, at(ms))
+    };
+    let between = claim(3, 0);
+    let later = claim(4, 1000);
+    assert!(!between.is_recovered(at(delay - 1)) && between.is_recovered(at(delay)));
+    assert!(!later.is_recovered(at(delay + 999)) && later.is_recovered(at(delay + 1000)));
+}
