Ownership: renewals of the owner lease do not wait for one another

Cause: a renewal without an answer held up the next one for 700 ms and a delay; two in a row let the lease of 1.5 s expire. Now a renewal is sent every quarter of the time to live, whatever became of the one before; each is given up after 700 ms, so at most two are open.

--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -6,10 +6,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use futures_util::FutureExt;
+use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use super::Node;
 use super::lines::{DaemonLine, ShardLine};
@@ -38,11 +39,10 @@
 const MAX_PASS_DELAY: Duration = Duration::from_millis(60);
 /// The number of renewals of the owner lease within its time to live.
 const RENEWALS_PER_TTL: u32 = 4;
-/// The time after which an unanswered renewal is repeated.
+/// The time after which a renewal counts as unanswered.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
-/// The delay before a failed call to the store is repeated, and the interval at
-/// which a wait for confirmation checks again.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// The interval at which a wait for confirmation checks again.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(150);
 /// The reason for the end of an ownership of which a task panicked.
 const TASK_PANICKED: &str = "a task panicked";
 /// The delay after such an end before this host may claim the shard again, so that
@@ -231,7 +231,7 @@
     /// Waits until this host may give orders to the workers.
     pub async fn wait_confirmed(&self) {
         while !self.is_confirmed() {
-            sleep(RETRY_DELAY).await;
+            sleep(CONFIRMATION_INTERVAL).await;
         }
     }
 
@@ -352,26 +352,39 @@
     }
 }
 
-/// Renews the owner lease periodically.
-async fn renew(owned: Arc<OwnedShard>) {
-    let interval = owned.node.settings.session_ttl / RENEWALS_PER_TTL;
+/// Renews the owner lease periodically. A renewal does not wait for the answer to the one
+/// before: a store that answers only some calls would let the lease expire.
+pub(super) async fn renew(owned: Arc<OwnedShard>) {
+    let mut due = interval(owned.node.settings.session_ttl / RENEWALS_PER_TTL);
+    due.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut renewals = FuturesUnordered::new();
     loop {
         tokio::select! {
-            () = sleep(interval) => {}
-            () = owned.node.health.wait_regained() => {}
-        }
-        let sent = Moment::now();
-        let lease = owned.lease.load(Ordering::Relaxed);
-        let renewal = timeout(RENEWAL_TIMEOUT, owned.node.store.renew(lease));
-        let renewal = async { renewal.await.unwrap_or_else(|_| Err(renewal_timeout())) };
-        match owned.node.call(renewal).await {
-            Ok(true) => owned.confirm(sent),
-            Ok(false) => recreate_owner_lease(&owned).await,
-            Err(_) => sleep(RETRY_DELAY).await,
+            _ = due.tick() => renewals.push(renew_once(&owned)),
+            () = owned.node.health.wait_regained() => renewals.push(renew_once(&owned)),
+            Some(renewed) = renewals.next() => {
+                if renewed == Ok(false) {
+                    recreate_owner_lease(&owned).await;
+                    renewals.clear();
+                }
+            }
         }
     }
 }
 
+/// Renews the owner lease once. Returns false if it has expired.
+async fn renew_once(owned: &OwnedShard) -> Result<bool, StoreFault> {
+    let sent = Moment::now();
+    let lease = owned.lease.load(Ordering::Relaxed);
+    let renewal = timeout(RENEWAL_TIMEOUT, owned.node.store.renew(lease));
+    let renewal = async { renewal.await.unwrap_or_else(|_| Err(renewal_timeout())) };
+    let renewed = owned.node.call(renewal).await?;
+    if renewed {
+        owned.confirm(sent);
+    }
+    Ok(renewed)
+}
+
 fn renewal_timeout() -> StoreFault {
     StoreFault::Unanswered("a renewal took too long".to_owned())
 }
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use serde_json::Value;
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use super::Node;
 use super::lifecycle::wait_for_panic;
 use super::ownership::incarnation_transaction;
-use super::term::{Claim, OwnedShard, pass_delay};
+use super::term::{Claim, OwnedShard, pass_delay, renew};
 use super::writer::transaction;
 use crate::moment::Moment;
 use crate::platform::fleet::Transaction;
@@ -170,6 +171,28 @@
     assert_eq!(Some(store.items[&key].0), revision);
 }
 
+#[tokio::test]
+async fn an_unanswered_renewal_of_the_owner_lease_holds_up_the_next_one() {
+    let silent_store = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let settings = FleetSettings {
+        platform: silent_store.local_addr().unwrap(),
+        ..FleetSettings::default()
+    };
+    let observed = settings.session_ttl * 2;
+    let owned = Arc::new(OwnedShard::new(Node::new(settings), claim(1)));
+    owned.spawn(renew(owned.clone()));
+    let mut calls = Vec::new();
+    // Each renewal needs a connection of its own, as no answer frees the one before.
+    let count = async {
+        loop {
+            calls.push(silent_store.accept().await);
+        }
+    };
+    let ended = timeout(observed, count).await;
+    assert!(ended.is_err(), "the store is silent until the end");
+    assert!(calls.len() >= 6, "{} renewals in {observed:?}", calls.len());
+}
+
 #[test]
 fn a_process_that_was_paused_during_a_pass_places_tasks_again_soon() {
     let millis = Duration::from_millis;
--- a/src/daemon/tests/review_late_orders.rs
+++ b/src/daemon/tests/review_late_orders.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 use super::*;
