Tests with daemons as processes: takeovers among unanswered store writes, and two in a row

The stand-in store has an address for each daemon, so that one can be cut off from it, and leaves a seeded share of the transactions (90 of 256) without an answer: half of them are applied at once, half 1 to 6 s later if their preconditions hold then. The stand-in workers can be cut off from all daemons, from all but the present owner, or from that one. The oracle counts runs of a task at the same time, and runs that begin after an end as done that was acknowledged then or later, unless the worker's lease lapsed between the two.

tasks_run_twice_when_the_owner_is_replaced_among_unanswered_store_writes: a third of the workers is cut off for 2.8 to 3 s; the owner is stopped or killed when it has written the roster in which it closes them. Jobs are submitted again now, as callers do after a 503.

An owner is cut off from the store and alone reaches a third of the workers; its successor is stopped within 2 s.

--- a/tests/fleet/deployment.rs
+++ b/tests/fleet/deployment.rs
@@ -3,6 +3,7 @@
 
 use std::fs::{self, File};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 use crate::faults::Faults;
 use crate::ports::free_address;
 use crate::store::Store;
-use crate::workers::{Journal, Worker};
+use crate::workers::{Journal, Reach, Worker};
 
 /// Run time of a task that is not endless.
 const TASK_DURATION: Duration = Duration::from_millis(300);
@@ -81,7 +82,8 @@
     client: reqwest::Client,
     folder: PathBuf,
     workers: Vec<(Arc<Worker>, RunningServer)>,
-    _store_server: RunningServer,
+    /// One for each entry daemon.
+    _store_servers: Vec<RunningServer>,
 }
 
 impl Deployment {
@@ -93,8 +95,13 @@
         let folder = std::env::temp_dir().join(unique);
         fs::create_dir_all(&folder).expect("the settings folder can be created");
         let store = Arc::new(Store::default());
-        let platform = free_address();
-        let store_server = store.serve(platform).await;
+        let mut platforms = Vec::new();
+        let mut store_servers = Vec::new();
+        for number in 0..entries {
+            let platform = free_address();
+            store_servers.push(store.serve(number, platform).await);
+            platforms.push(platform);
+        }
         let mut running = Vec::new();
         let journal = Arc::new(Journal::default());
         let faults = Arc::new(Faults::default());
@@ -117,9 +124,9 @@
             client: reqwest::Client::new(),
             folder,
             workers: running,
-            _store_server: store_server,
+            _store_servers: store_servers,
         };
-        for number in 0..entries {
+        for (number, platform) in platforms.into_iter().enumerate() {
             deployment.add_entry(number, platform);
         }
         for number in 0..entries {
@@ -212,13 +219,13 @@
         }
     }
 
-    /// Waits until a different entry daemon owns the shard.
-    pub async fn wait_for_owner_other_than(&self, entry: usize) {
+    /// Waits until a different entry daemon owns the shard. Returns its number.
+    pub async fn wait_for_owner_other_than(&self, entry: usize) -> usize {
         let deadline = Instant::now() + WAIT_TIMEOUT;
         loop {
             for other in (0..self.entries.len()).filter(|other| *other != entry) {
                 if self.owns_shard(other).await {
-                    return;
+                    return other;
                 }
             }
             assert!(
@@ -234,6 +241,13 @@
         self.workers.remove(worker).1.abort();
     }
 
+    /// Sets whose calls reach some of the workers.
+    pub fn set_reach(&self, workers: Range<usize>, reach: Reach) {
+        for (worker, _) in &self.workers[workers] {
+            worker.set_reach(reach);
+        }
+    }
+
     /// Restarts a worker under its id.
     pub fn restart_worker(&self, worker: usize) {
         let worker = &self.workers[worker].0;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -10,8 +10,10 @@
 mod ports;
 mod restarts;
 mod store;
+mod takeovers;
 mod unanswered;
 mod workers;
+mod writes;
 
 use std::time::{Duration, Instant};
 
--- a/tests/fleet/store.rs
+++ b/tests/fleet/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's store: leases, watches, conditional writes and
 //! faults that tests inject.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,6 +17,8 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use crate::writes::{self, WriteFate};
+
 /// Limit on the size of a request body.
 const MAX_BODY_BYTES: u64 = 4 << 20;
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -35,6 +37,8 @@
     Busy,
     /// Transactions are applied but not answered; other calls are served.
     LosesAnswers,
+    /// A seed decides which transactions are answered; other calls are served.
+    LateWrites(u64),
     /// Calls are neither applied nor answered.
     Silent,
 }
@@ -56,6 +60,12 @@
     /// Time to live and expiry of each lease.
     leases: BTreeMap<u64, (Duration, Instant)>,
     fault: Fault,
+    /// Transactions that the seed has decided on.
+    drawn: u64,
+    /// Late transactions that are not applied yet.
+    pending: usize,
+    /// Entry daemons whose calls are neither applied nor answered.
+    isolated: BTreeSet<usize>,
 }
 
 /// A key-value store that tests and daemons use at the same time.
@@ -65,6 +75,13 @@
     changed: Notify,
 }
 
+/// The store as one entry daemon reaches it.
+#[derive(Debug)]
+struct Access {
+    store: Arc<Store>,
+    entry: usize,
+}
+
 /// Status and JSON body of an answer.
 pub type Reply = (Status, Json<Value>);
 
@@ -76,11 +93,14 @@
 }
 
 impl Store {
-    /// Serves the store on an address.
-    pub async fn serve(self: &Arc<Self>, address: SocketAddr) -> RunningServer {
+    /// Serves the store to an entry daemon on an address.
+    pub async fn serve(self: &Arc<Self>, entry: usize, address: SocketAddr) -> RunningServer {
         let routes = routes![get_key, get_range, watch, commit, grant, renew, revoke];
         let rocket = server::build(address, SHUTDOWN_TIMEOUT, MAX_BODY_BYTES)
-            .manage(self.clone())
+            .manage(Access {
+                store: self.clone(),
+                entry,
+            })
             .mount("/", routes);
         RunningServer::start(rocket)
             .await
@@ -92,6 +112,21 @@
         self.inner.lock().unwrap().fault = fault;
     }
 
+    /// Cuts an entry daemon off from the store, or connects it again.
+    pub fn isolate(&self, entry: usize, isolated: bool) {
+        let mut inner = self.inner.lock().unwrap();
+        if isolated {
+            inner.isolated.insert(entry);
+        } else {
+            inner.isolated.remove(&entry);
+        }
+    }
+
+    /// Returns the number of late transactions that are not applied yet.
+    pub fn pending(&self) -> usize {
+        self.inner.lock().unwrap().pending
+    }
+
     /// Drops the history of changes, so that watches from earlier revisions fail.
     pub fn compact(&self) {
         let mut inner = self.inner.lock().unwrap();
@@ -128,18 +163,23 @@
             .count()
     }
 
-    /// Applies the current fault to a call. Returns whether the call is answered once applied.
-    async fn apply_fault(&self, writes: bool) -> Result<bool, Status> {
-        let fault = self.inner.lock().unwrap().fault;
-        match fault {
-            Fault::None => Ok(true),
-            Fault::Busy => Err(Status::ServiceUnavailable),
-            Fault::LosesAnswers => Ok(!writes),
-            Fault::Silent => {
-                sleep(SILENT_DELAY).await;
-                Err(Status::ServiceUnavailable)
-            }
-        }
+    /// Returns the revision of a key's last change, or 0 if the key does not exist.
+    pub fn revision(&self, key: &str) -> u64 {
+        let inner = self.inner.lock().unwrap();
+        inner.items.get(key).map_or(0, |item| item.revision)
+    }
+
+    /// Applies a transaction after a delay if its preconditions hold then.
+    fn commit_later(self: &Arc<Self>, body: Transaction, delay: Duration) {
+        let store = self.clone();
+        store.inner.lock().unwrap().pending += 1;
+        tokio::spawn(async move {
+            sleep(delay).await;
+            store.update(|inner| {
+                apply(inner, &body);
+                inner.pending -= 1;
+            });
+        });
     }
 
     /// Expires leases, applies a change and wakes all watches.
@@ -153,6 +193,39 @@
     }
 }
 
+impl Access {
+    /// Applies the current fault to a call that is no transaction.
+    async fn apply_fault(&self) -> Result<(), Status> {
+        self.decide(false).await.map(|_| ())
+    }
+
+    /// Applies the current fault to a call. Returns the fate of a transaction.
+    async fn decide(&self, is_write: bool) -> Result<WriteFate, Status> {
+        let (fault, isolated) = {
+            let inner = self.store.inner.lock().unwrap();
+            (inner.fault, inner.isolated.contains(&self.entry))
+        };
+        match fault {
+            _ if isolated => {
+                sleep(SILENT_DELAY).await;
+                Err(Status::ServiceUnavailable)
+            }
+            Fault::Busy => Err(Status::ServiceUnavailable),
+            Fault::Silent => {
+                sleep(SILENT_DELAY).await;
+                Err(Status::ServiceUnavailable)
+            }
+            Fault::LosesAnswers if is_write => Ok(WriteFate::Unanswered),
+            Fault::LateWrites(seed) if is_write => {
+                let mut inner = self.store.inner.lock().unwrap();
+                inner.drawn += 1;
+                Ok(writes::draw(seed, inner.drawn))
+            }
+            _ => Ok(WriteFate::Answered),
+        }
+    }
+}
+
 impl Inner {
     fn write(&mut self, key: &str, value: String, lease: u64) {
         let revision = self.revision;
@@ -201,18 +274,18 @@
 }
 
 #[get("/kv-key?<key>")]
-async fn get_key(key: &str, store: &State<Arc<Store>>) -> RouteResult {
-    store.apply_fault(false).await?;
-    let found = store.update(|inner| inner.item_json(key));
+async fn get_key(key: &str, access: &State<Access>) -> RouteResult {
+    access.apply_fault().await?;
+    let found = access.store.update(|inner| inner.item_json(key));
     found
         .map(|item| json_answer(200, &item))
         .ok_or(Status::NotFound)
 }
 
 #[get("/kv-range?<prefix>")]
-async fn get_range(prefix: &str, store: &State<Arc<Store>>) -> RouteResult {
-    store.apply_fault(false).await?;
-    Ok(store.update(|inner| {
+async fn get_range(prefix: &str, access: &State<Access>) -> RouteResult {
+    access.apply_fault().await?;
+    Ok(access.store.update(|inner| {
         let keys = inner.items.keys().filter(|key| key.starts_with(prefix));
         let items: Vec<Value> = keys.filter_map(|key| inner.item_json(key)).collect();
         let body = json!({"items": items, "has_more": false, "current_rev": inner.revision});
@@ -221,13 +294,13 @@
 }
 
 #[get("/kv-watch?<prefix>&<after>&<wait_ms>")]
-async fn watch(prefix: &str, after: u64, wait_ms: u64, store: &State<Arc<Store>>) -> RouteResult {
-    store.apply_fault(false).await?;
+async fn watch(prefix: &str, after: u64, wait_ms: u64, access: &State<Access>) -> RouteResult {
+    access.apply_fault().await?;
     let deadline = Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        let changed = store.changed.notified();
+        let changed = access.store.changed.notified();
         let found = {
-            let mut inner = store.inner.lock().unwrap();
+            let mut inner = access.store.inner.lock().unwrap();
             inner.expire();
             if after < inner.compacted {
                 return Err(Status::Gone);
@@ -240,7 +313,7 @@
         };
         let timed_out = Instant::now() >= deadline;
         if timed_out || !found["events"].as_array().unwrap().is_empty() {
-            store.apply_fault(false).await?;
+            access.apply_fault().await?;
             return Ok(json_answer(200, &found));
         }
         let _ = timeout(WATCH_POLL_INTERVAL, changed).await;
@@ -272,12 +345,18 @@
 }
 
 #[post("/kv-txn", data = "<body>")]
-async fn commit(body: Json<Transaction>, store: &State<Arc<Store>>) -> RouteResult {
-    let answered = store.apply_fault(true).await?;
+async fn commit(body: Json<Transaction>, access: &State<Access>) -> RouteResult {
+    let body = body.into_inner();
+    let fate = access.decide(true).await?;
     let rows = body.precondition.len() + body.set_keys.len() + body.remove.len();
     assert!(rows <= 32, "{rows} rows in one transaction");
-    let response = store.update(|inner| apply(inner, &body));
-    if !answered {
+    if let WriteFate::Late(delay) = fate {
+        access.store.commit_later(body, delay);
+        sleep(SILENT_DELAY).await;
+        return Err(Status::ServiceUnavailable);
+    }
+    let response = access.store.update(|inner| apply(inner, &body));
+    if fate == WriteFate::Unanswered {
         sleep(SILENT_DELAY).await;
     }
     Ok(response)
@@ -317,10 +396,10 @@
 }
 
 #[post("/kv-lease", data = "<body>")]
-async fn grant(body: Json<Grant>, store: &State<Arc<Store>>) -> RouteResult {
-    store.apply_fault(false).await?;
+async fn grant(body: Json<Grant>, access: &State<Access>) -> RouteResult {
+    access.apply_fault().await?;
     let ttl = Duration::from_millis(body.ttl_ms);
-    let lease = store.update(|inner| {
+    let lease = access.store.update(|inner| {
         inner.revision += 1;
         let lease = inner.revision;
         inner.leases.insert(lease, (ttl, Instant::now() + ttl));
@@ -333,9 +412,9 @@
 }
 
 #[post("/kv-keep/<lease>")]
-async fn renew(lease: u64, store: &State<Arc<Store>>) -> RouteResult {
-    store.apply_fault(false).await?;
-    let ttl = store.update(|inner| {
+async fn renew(lease: u64, access: &State<Access>) -> RouteResult {
+    access.apply_fault().await?;
+    let ttl = access.store.update(|inner| {
         let granted = inner.leases.get_mut(&lease)?;
         granted.1 = Instant::now() + granted.0;
         Some(granted.0.as_millis() as u64)
@@ -345,8 +424,8 @@
 }
 
 #[delete("/kv-lease-end/<lease>")]
-async fn revoke(lease: u64, store: &State<Arc<Store>>) -> RouteResult {
-    store.apply_fault(false).await?;
-    store.update(|inner| inner.revoke(lease));
+async fn revoke(lease: u64, access: &State<Access>) -> RouteResult {
+    access.apply_fault().await?;
+    access.store.update(|inner| inner.revoke(lease));
     Ok(json_answer(200, &json!({})))
 }
--- a/tests/fleet/unanswered.rs
+++ b/tests/fleet/unanswered.rs
@@ -100,7 +100,7 @@
 }
 
 /// Submits a job until an entry daemon accepts it.
-async fn submit(
+pub async fn submit(
     deployment: &Deployment,
     alive: &[usize],
     number: u32,
--- a/tests/fleet/workers.rs
+++ b/tests/fleet/workers.rs
@@ -39,6 +39,22 @@
     pub started: Instant,
     /// Time and outcome of its end, absent while it runs.
     pub ended: Option<(Instant, &'static str)>,
+    /// Whether an owner has acknowledged the end before the worker's lease lapsed.
+    pub acknowledged: bool,
+}
+
+/// Whose calls reach a worker. Others are neither carried out nor answered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Reach {
+    /// All daemons reach it.
+    #[default]
+    Everyone,
+    /// The owner whose calls it has got last, but no later owner.
+    PresentOwner,
+    /// Later owners only.
+    LaterOwners,
+    /// No daemon reaches it.
+    Nobody,
 }
 
 /// Runs of all workers, in the order of their starts.
@@ -85,6 +101,41 @@
         lines.collect()
     }
 
+    /// Describes the runs of a task at the same time, and the runs that began after an end as
+    /// done that was acknowledged then or later.
+    pub fn forbidden_repeats(&self) -> Vec<String> {
+        let runs = self.0.lock().unwrap();
+        let mut by_task: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+        runs.iter()
+            .for_each(|run| by_task.entry(&run.task).or_default().push(run));
+        let first = runs.first().map(|run| run.started);
+        let since = |at: Instant| at.duration_since(first.unwrap_or(at)).as_millis();
+        let describe = |run: &Run| {
+            let ended = run.ended.map(|(at, outcome)| (since(at), outcome));
+            let acknowledged = run.acknowledged;
+            let (number, worker, started) = (run.run, &run.worker, since(run.started));
+            format!("{number} on {worker} from {started} to {ended:?} ({acknowledged})")
+        };
+        let mut lines = Vec::new();
+        for (task, runs) in by_task {
+            for (index, earlier) in runs.iter().enumerate() {
+                for later in &runs[index + 1..] {
+                    let kind = match earlier.ended {
+                        None => "at the same time",
+                        Some((at, _)) if later.started + OVERLAP_TOLERANCE < at => {
+                            "at the same time"
+                        }
+                        Some((_, "done")) if earlier.acknowledged => "after its end",
+                        Some(_) => continue,
+                    };
+                    let (earlier, later) = (describe(earlier), describe(later));
+                    lines.push(format!("{task} {kind}: {earlier}, {later}"));
+                }
+            }
+        }
+        lines
+    }
+
     /// Describes the starts with which more than `limit` runs were on a worker.
     pub fn starts_beyond(&self, limit: usize) -> Vec<String> {
         let runs = self.0.lock().unwrap();
@@ -115,6 +166,11 @@
         }
     }
 
+    /// Records that an owner has acknowledged the end of a run.
+    fn acknowledge(&self, index: usize) {
+        self.0.lock().unwrap()[index].acknowledged = true;
+    }
+
     /// Records the end of a run.
     fn end(&self, index: usize, at: Instant, outcome: &'static str) {
         self.0.lock().unwrap()[index].ended = Some((at, outcome));
@@ -140,6 +196,8 @@
     index: usize,
     run: RunKey,
     outcome: &'static str,
+    /// Whether the worker's lease has lapsed since.
+    lapsed: bool,
 }
 
 /// What one incarnation of a worker knows.
@@ -159,6 +217,9 @@
     ends: Vec<End>,
     /// Number of the last end.
     last_end: u64,
+    reach: Reach,
+    /// Highest fencing token seen when `reach` was set.
+    reached_fence: u64,
 }
 
 impl Inner {
@@ -172,6 +233,18 @@
             closed_runs: BTreeMap::new(),
             ends: Vec::new(),
             last_end: 0,
+            reach: Reach::Everyone,
+            reached_fence: 0,
+        }
+    }
+
+    /// Whether a call with this fencing token reaches the worker.
+    fn is_reached(&self, fence: u64) -> bool {
+        match self.reach {
+            Reach::Everyone => true,
+            Reach::PresentOwner => fence <= self.reached_fence,
+            Reach::LaterOwners => fence > self.reached_fence,
+            Reach::Nobody => false,
         }
     }
 
@@ -240,6 +313,14 @@
         })
     }
 
+    /// Sets whose calls reach the worker.
+    pub fn set_reach(&self, reach: Reach) {
+        self.update(|inner| {
+            inner.reach = reach;
+            inner.reached_fence = inner.fence;
+        });
+    }
+
     /// Ends all runs and begins a new incarnation that knows nothing of the former one.
     pub fn restart(&self) {
         self.update(|inner| {
@@ -251,7 +332,11 @@
             for end in &inner.ends {
                 self.journal.mark_unreported(end.index);
             }
-            *inner = Inner::new(inner.born + 1);
+            *inner = Inner {
+                reach: inner.reach,
+                reached_fence: inner.reached_fence,
+                ..Inner::new(inner.born + 1)
+            };
         });
     }
 
@@ -277,6 +362,9 @@
         for (run, at, outcome) in due {
             self.end(inner, run, at, outcome);
         }
+        if lease_end <= now {
+            inner.ends.iter_mut().for_each(|end| end.lapsed = true);
+        }
     }
 
     fn end(&self, inner: &mut Inner, run: RunKey, at: Instant, outcome: &'static str) {
@@ -291,12 +379,16 @@
             index,
             run,
             outcome,
+            lapsed: false,
         });
         self.journal.end(index, at, outcome);
     }
 
     /// Applies the current faults to an order.
     async fn receive(self: &Arc<Self>, kind: OrderKind, order: Order) -> Reply {
+        if !self.update(|inner| inner.is_reached(order.fence)) {
+            return future::pending().await;
+        }
         match self.faults.decide(kind, &order.task, order.run) {
             Fate::Served => self.update(|inner| self.execute(inner, kind, &order)),
             Fate::Late(delay) => {
@@ -364,6 +456,7 @@
             worker: self.id.clone(),
             started,
             ended: None,
+            acknowledged: false,
         });
         let finish_at = match order.spec.as_str() {
             "endless" => None,
@@ -413,11 +506,18 @@
 
 #[post("/hold", data = "<body>")]
 async fn hold(body: Json<HoldBody>, worker: &State<Arc<Worker>>) -> Reply {
+    if !worker.update(|inner| inner.is_reached(body.fence)) {
+        return future::pending().await;
+    }
     let applied = worker.update(|inner| {
         if body.fence < inner.fence {
             return Err(inner.refuse("fence"));
         }
         inner.fence = body.fence;
+        let acknowledged = inner.ends.iter().filter(|end| end.number <= body.last_seen);
+        for end in acknowledged.filter(|end| !end.lapsed) {
+            worker.journal.acknowledge(end.index);
+        }
         inner.ends.retain(|end| end.number > body.last_seen);
         inner.lease_end = inner.lease_end.max(body.until_ms.unwrap_or_default());
         Ok(inner.born)
@@ -432,6 +532,10 @@
     {
         sleep(POLL_INTERVAL).await;
     }
+    // The answer of a call that waited while the worker was cut off is lost.
+    if !worker.update(|inner| inner.is_reached(body.fence)) {
+        return future::pending().await;
+    }
     let report = worker.update(|inner| (inner.born == born).then(|| report(inner)));
     match report {
         Some(report) => report,
