--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -5,6 +5,7 @@
 mod delays;
 mod ends;
 mod exposure;
+mod fuzz;
 mod idle_jobs;
 mod interference;
 mod late_orders;
