--- a/src/schedule/tests/fuzz/calls.rs
+++ b/src/schedule/tests/fuzz/calls.rs
@@ -63,6 +63,8 @@
     pub worker: String,
     pub request: Request,
     answered: bool,
+    /// The incarnation of the worker when the call was sent; 0 if it was down.
+    incarnation: u64,
 }
 
 impl World {
@@ -85,6 +87,8 @@
         };
         let fate = self.fate(self.owners[owner].host, slot);
         let latency = 1 + self.rng.below(8);
+        let process = self.slots[slot].process.as_ref();
+        let incarnation = process.map_or(0, |process| process.incarnation);
         let mut call = Call {
             id,
             owner,
@@ -92,6 +96,7 @@
             worker,
             request,
             answered: true,
+            incarnation,
         };
         match fate {
             Fate::Answered => self.after(latency, Action::Arrive(call)),
@@ -152,6 +157,9 @@
             }
             return;
         };
+        if !call.answered && call.incarnation != process.incarnation && !self.late_after_restart {
+            return;
+        }
         if process.id != call.worker {
             return self.answer(&call, Outcome::Answer(Answer::Replaced));
         }
--- /dev/null
+++ b/src/schedule/tests/fuzz/found.rs
@@ -0,0 +1,74 @@
+//! Regression tests: minimal cases of failures that the fuzz test found.
+
+use super::step::{Direction, Side, Step};
+use super::world::World;
+use super::{run_steps, run_world};
+
+/// The owner before the former one is cut off from the store and renews leases for 6 s.
+#[test]
+fn a_takeover_of_a_takeover_waits_for_the_owner_before_the_former_one() {
+    run_steps(
+        0,
+        &[
+            Step::Advance(109),
+            Step::Submit(5),
+            Step::Advance(65),
+            Step::Partition(8, 7_029),
+            Step::Advance(1_626),
+            Step::Stop,
+            Step::Advance(4_602),
+        ],
+    );
+}
+
+#[test]
+fn a_first_report_of_500_ends_is_not_taken_as_complete() {
+    run_steps(
+        415,
+        &[
+            Step::CutLink(Side::All, Direction::Both, 0, 686),
+            Step::Submit(7),
+            Step::CallFaults(10, 713),
+            Step::CallFaults(38, 710),
+            Step::Advance(501),
+            Step::Backlog(1),
+            Step::Kill(100),
+        ],
+    );
+}
+
+/// A copy of the start reaches the restarted worker just before the leases of the former
+/// incarnation end.
+#[test]
+fn a_start_that_a_restarted_worker_accepts_is_not_repeated_elsewhere() {
+    run_steps(
+        281,
+        &[
+            Step::Submit(6),
+            Step::Advance(1_347),
+            Step::Kill(100),
+            Step::Advance(320),
+            Step::Advance(1_977),
+            Step::Advance(2_168),
+            Step::StoreFaults(10, 200),
+            Step::Advance(30),
+            Step::Submit(2),
+            Step::Submit(0),
+            Step::Crash(1, true, 4_815),
+        ],
+    );
+}
+
+/// A late copy of the start reaches the restarted worker after the run was done.
+#[test]
+fn a_run_that_is_done_does_not_begin_again_on_the_restarted_worker() {
+    let mut world = World::new(631);
+    world.late_after_restart = true;
+    let steps = [
+        Step::Submit(0),
+        Step::CallFaults(15, 200),
+        Step::Advance(620),
+        Step::Crash(3, true, 50),
+    ];
+    run_world(world, &steps);
+}
--- a/src/schedule/tests/fuzz/world.rs
+++ b/src/schedule/tests/fuzz/world.rs
@@ -134,6 +134,8 @@
     pub group_size: usize,
     /// Whether workers refuse what does not fit.
     pub guards: bool,
+    /// Whether a restarted worker carries out late calls to its former incarnation.
+    pub late_after_restart: bool,
     vacant_since: Option<u64>,
     traced: bool,
 }
@@ -217,6 +219,7 @@
             oracle: Oracle::default(),
             group_size,
             guards,
+            late_after_restart: false,
             vacant_since: Some(0),
             traced: std::env::var_os("LYCHEELOCK_FUZZ_TRACE").is_some(),
         };
