Recovery: workers that were heard only in part, and state that is read late

Closing a worker now asks for caught_up instead of synced. - A worker known only from the roster looked restarted with its first report and lost its closed list (a_task_of_an_unregistered_closed_worker_...). - A state that was read after the recovery deadline was restored without any recovery (state_that_is_read_after_the_recovery_deadline_...). The deadline now counts only once the roster was read, and leaves 1 s for the first reports. - The mark of a finished recovery is written as soon as the former owners are known to have ended, so that planned stops one after the other do not wait longer than before for a silent worker.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -124,7 +124,9 @@
     pub replaced: bool,
     /// Whether the worker has answered this owner, so that it refuses former owners.
     pub synced: bool,
-    /// Whether the worker has listed to this owner all that ran on it before.
+    /// Whether the worker has listed to this owner all that ran on it before. Only then does
+    /// this owner know which tasks it may run; `synced` alone says that it takes no orders of
+    /// former owners.
     pub caught_up: bool,
     /// The resources that the worker's tasks declare. The processor time of
     /// best-effort tasks is not included; their memory and accelerators are.
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -148,10 +148,8 @@
             return;
         }
         let answered = self.former_workers.is_empty() && self.has_roster();
-        let expired = self
-            .term
-            .recovery_deadline
-            .is_some_and(|deadline| self.confirmed >= deadline);
+        let deadline = self.term.recovery_deadline;
+        let expired = self.has_roster() && deadline.is_some_and(|at| self.confirmed >= at);
         if self.recovering && !answered && !expired {
             return;
         }
@@ -192,14 +190,15 @@
         }
     }
 
-    /// Whether no run of a former owner can exist that this owner does not know.
+    /// Whether no former owner gives orders any more that a worker carries out.
     pub const fn has_recovered(&self) -> bool {
-        !self.tasks_recovering
+        self.former_ended || !self.tasks_recovering
     }
 
-    /// Brings the recovery deadline forward when the former owner is known to have
-    /// ended: all leases that it gave end by `deadline`.
+    /// Brings the recovery deadline forward when the former owner, and those before it, are
+    /// known to have ended: all leases that they gave end by `deadline`.
     pub fn shorten_recovery(&mut self, deadline: Moment) {
+        self.former_ended = true;
         if let Some(known) = &mut self.term.recovery_deadline {
             *known = deadline.min(*known);
         }
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -11,6 +11,9 @@
 /// How long a worker may be silent before the roster marks it as closed.
 const MAX_SILENCE: Duration = Duration::from_millis(1100);
 
+/// The time after the stored state was read in which all workers can report their ended runs.
+const MIN_RECOVERY: Duration = Duration::from_secs(1);
+
 impl Scheduler {
     /// Applies the registry's entries for this shard. Returns the new workers.
     pub fn on_registry(&mut self, entries: Vec<Registration>, now: Moment) -> Vec<WorkerKey> {
@@ -69,6 +72,9 @@
             }
         }
         self.writes.mark_roster_read();
+        if let Some(deadline) = &mut self.term.recovery_deadline {
+            *deadline = (*deadline).max(now + MIN_RECOVERY);
+        }
         added
     }
 
@@ -146,7 +152,7 @@
     /// tasks that they may still be running.
     pub(super) fn close_silent(&mut self, now: Moment) {
         let silent = self.workers.iter().filter(|(_, worker)| {
-            worker.in_roster && worker.synced && now > worker.last_contact + MAX_SILENCE
+            worker.in_roster && worker.caught_up && now > worker.last_contact + MAX_SILENCE
         });
         let keys: Vec<WorkerKey> = silent.map(|(key, _)| key).collect();
         for key in keys {
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -45,7 +45,6 @@
         for run in lost_open {
             self.stop_unlisted(key, run, "the worker restarted", now);
         }
-        self.closed_workers.remove(&key);
         self.record_worker_change(key, "restarted");
     }
 
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -90,6 +90,8 @@
     pub(super) recovering: bool,
     /// Whether some tasks still wait for runs of a former owner to end.
     pub(super) tasks_recovering: bool,
+    /// Whether all former owners are known to have ended.
+    pub(super) former_ended: bool,
     /// The workers of a former owner that have not answered this owner.
     pub(super) former_workers: HashSet<WorkerKey>,
     pub(super) waiting: WaitList,
@@ -137,6 +139,7 @@
             queue_settings: QueueSettings::default(),
             recovering: term.recovery_deadline.is_some(),
             tasks_recovering: term.recovery_deadline.is_some(),
+            former_ended: term.recovery_deadline.is_none(),
             former_workers: HashSet::new(),
             waiting: WaitList::default(),
             delays: Delays::default(),
--- a/src/schedule/tests/stored_state.rs
+++ b/src/schedule/tests/stored_state.rs
@@ -38,12 +38,13 @@
             shard.report(*worker, &[], &[]);
         }
         shard.plan();
+        let first = shard.orders();
         shard.write();
         for worker in answering {
             shard.report(*worker, &[], &[]);
         }
         shard.plan();
-        shard.orders()
+        first + &shard.orders()
     }
 }
 
@@ -177,3 +178,100 @@
     shard.plan();
     assert_eq!(shard.orders(), "");
 }
+
+#[test]
+fn a_task_of_an_unregistered_closed_worker_starts_again_after_the_first_part_of_its_ends() {
+    let task = name(1, 0, 0);
+    let stored = |closed| RosterEntry {
+        id: "w9".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        zone: String::new(),
+        closed,
+    };
+    for closed in [None, Some(vec![task])] {
+        let term = Term {
+            fence: 2 * FENCE,
+            recovery_deadline: Some(at(10_000)),
+        };
+        let mut shard = Shard::new(term, &["w1"]);
+        let roster = vec![stored(closed.clone())];
+        let added = shard.scheduler.on_roster(roster, at(0));
+        shard.restore(
+            active_workflow(1, vec![step(1, 1)], 1, 0),
+            &Progress::default().tasks,
+        );
+        shard.report(0, &[], &[]);
+        shard.write();
+        shard.plan();
+        let ended = (1..=500)
+            .map(|number| EndedRun {
+                number,
+                task: name(2, 0, number as u32),
+                run: 7,
+                outcome: RunOutcome::Done,
+                checkpoint: String::new(),
+            })
+            .collect();
+        let report = WorkerReport {
+            clock: 1,
+            incarnation: 77,
+            running: Vec::new(),
+            ended,
+        };
+        shard.scheduler.on_report(added[0], at(0), &report, at(1));
+        shard.report(0, &[], &[]);
+        shard.write();
+        shard.plan();
+        let orders = shard.orders();
+        assert_eq!(orders, "", "closed: {closed:?}");
+    }
+}
+
+#[test]
+fn a_worker_that_fell_silent_between_two_parts_of_its_ends_is_closed_without_the_rest() {
+    let mut shard = Shard::later_owner(&["w0", "w1"]);
+    let task = name(1, 0, 0);
+    let job = active_workflow(1, vec![step(1, 1)], 1, 0);
+    shard.submit(job.clone());
+    shard.report(1, &[], &[]);
+    let others: Vec<_> = (1..=500)
+        .map(|number| (number, name(2, 0, number as u32), 7, RunOutcome::Done))
+        .collect();
+    shard.report(0, &[], &others);
+    let mut stored = Stored::default();
+    write_all(&mut shard, &mut stored);
+    close_silent(&mut shard, &[1]);
+    assert_eq!(shard.orders(), "");
+    write_all(&mut shard, &mut stored);
+    let orders = stored.takeover(&["w0", "w1"], &[1], &job);
+    assert_eq!(orders, "", "{task} {:?}", stored.roster);
+}
+
+#[test]
+fn state_that_is_read_after_the_recovery_deadline_is_restored_without_recovery() {
+    let term = Term {
+        fence: FENCE,
+        recovery_deadline: Some(at(10_000)),
+    };
+    let mut shard = Shard::new(term, &[]);
+    for now in [100, 10_001] {
+        shard.now = now;
+        shard.plan();
+    }
+    // The state is read now: workers that answer, one of them with the end of the task.
+    let entries = ["w0", "w1"].iter().map(|id| registration(id)).collect();
+    let job = active_workflow(1, vec![step(1, 1)], 1, 0);
+    shard.submit(job);
+    shard.workers = shard.scheduler.on_registry(entries, at(shard.now));
+    let roster = ["w0", "w1"]
+        .iter()
+        .map(|id| roster_entry(id, None))
+        .collect();
+    shard.scheduler.on_roster(roster, at(shard.now));
+    shard.now += 10;
+    shard.report(1, &[], &[]);
+    shard.plan();
+    let orders = shard.orders();
+    // 10 ms later the other worker would say that the task is done.
+    assert_eq!(orders, "");
+}
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -222,7 +222,7 @@
             return Some(tasks.clone());
         }
         let worker = &self.workers[key];
-        let silent = worker.synced && !worker.in_roster && !worker.responsive;
+        let silent = worker.caught_up && !worker.in_roster && !worker.responsive;
         silent.then(|| worker.possible_tasks().into_iter().collect())
     }
 
@@ -233,7 +233,7 @@
             }
         }
         let is_recorded = |(key, worker): (WorkerKey, &Worker)| {
-            let closed = worker.synced && !worker.responsive;
+            let closed = worker.caught_up && !worker.responsive;
             worker.in_roster || closed || self.closed_workers.contains_key(&key)
         };
         let all = self.workers.iter().all(is_recorded);
