--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -251,7 +251,7 @@
         reason.ok().and_then(|reason| *reason).unwrap_or("ended")
     }
 
-    async fn end(&self, reason: &str) {
+    pub(super) async fn end(&self, reason: &str) {
         self.tasks.lock().expect("no holder panics").abort_all();
         journal::line(&DaemonLine::ShardLost {
             shard: &self.claim.shard,
@@ -265,7 +265,7 @@
             .require(&epoch_key(shard), fence)
             .set(&epoch_key(shard), record)
             .remove(&owner_lease_key(shard));
-        if self.decide(|scheduler, _| scheduler.has_recovered()) {
+        if self.has_recovered() {
             transaction = transaction.set(&recovered_key(shard), Vec::new());
         }
         match self.node.store.commit(&transaction).await {
@@ -282,6 +282,12 @@
         }
     }
 
+    /// Whether no former owner gives orders any more. Unknown, thus false, after a panic.
+    fn has_recovered(&self) -> bool {
+        let scheduler = self.scheduler.lock();
+        scheduler.is_ok_and(|scheduler| scheduler.has_recovered())
+    }
+
     /// Gives up the fencing token. Returns the record that tells a newer owner so; `None`
     /// while this host owns another shard under a lower token, which the record would cover.
     pub fn give_up_token(&self) -> Option<OwnerRecord> {
@@ -390,23 +396,35 @@
 }
 
 /// Writes an expired owner lease again, unless another host has claimed the shard
-/// in the meantime.
+/// in the meantime. An earlier attempt without an answer may take effect late, so each requires
+/// the revision of the key that it replaces.
 async fn recreate_owner_lease(owned: &OwnedShard) {
-    let sent = Moment::now();
     let (node, claim) = (&owned.node, &owned.claim);
-    let Ok(lease) = node.store.grant(node.settings.session_ttl).await else {
-        return;
-    };
-    let owner = node.owner_record(false);
-    let transaction = Transaction::default()
-        .require(&epoch_key(&claim.shard), claim.fence)
-        .set_leased(&owner_lease_key(&claim.shard), encode(&owner), lease);
-    match node.call(node.store.commit(&transaction)).await {
-        Ok(Commit::Done(_)) => {
-            owned.lease.store(lease, Ordering::Relaxed);
-            owned.confirm(sent);
+    let (epoch, key) = (epoch_key(&claim.shard), owner_lease_key(&claim.shard));
+    let owner = encode(&node.owner_record(false));
+    let mut revision = 0;
+    loop {
+        let sent = Moment::now();
+        let Ok(lease) = node.store.grant(node.settings.session_ttl).await else {
+            return;
+        };
+        let transaction = Transaction::default()
+            .require(&epoch, claim.fence)
+            .require(&key, revision)
+            .set_leased(&key, owner.clone(), lease);
+        match node.call(node.store.commit(&transaction)).await {
+            Ok(Commit::Done(_)) => {
+                owned.lease.store(lease, Ordering::Relaxed);
+                return owned.confirm(sent);
+            }
+            Ok(Commit::Conflict(items)) => {
+                let found = |key: &str| items.iter().find(|item| item.key == key);
+                if found(&epoch).is_none_or(|item| item.revision != claim.fence) {
+                    return owned.mark_lost("another host claimed the shard");
+                }
+                revision = found(&key).map_or(0, |item| item.revision);
+            }
+            Ok(Commit::LeaseGone) | Err(_) => return,
         }
-        Ok(Commit::Conflict(_)) => owned.mark_lost("another host claimed the shard"),
-        Ok(Commit::LeaseGone) | Err(_) => {}
     }
 }
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -53,6 +53,17 @@
     assert_eq!(reason, Ok("a task panicked"));
 }
 
+#[tokio::test]
+async fn a_panic_in_a_decision_prevents_the_release_of_the_shard() {
+    let owned = owned_shard();
+    let deciding = owned.clone();
+    owned.spawn(async move { deciding.decide(|_, _| panic!("in a decision")) });
+    let reason = timeout(WAIT_TIMEOUT, owned.wait_lost()).await.unwrap();
+    let ending = owned.clone();
+    let ended = tokio::spawn(async move { ending.end(reason).await }).await;
+    assert!(ended.is_ok(), "{ended:?}");
+}
+
 #[tokio::test]
 async fn task_that_ends_does_not_end_ownership() {
     let owned = owned_shard();
