Store writes: the end of a job that was cancelled meanwhile removes its stored state

The write of the end lost to the cancellation and was dropped as written; the job and its progress stayed in the store until the next takeover.

--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -224,10 +224,16 @@
     if item.revision == workflow.revision {
         return Some(change);
     }
-    let ended = decode::<JobRecord>(&item.value.0).is_ok_and(|record| record.state.is_final());
-    if ended {
-        // The job was cancelled first, or an earlier attempt of this write took
-        // effect although its answer was lost.
+    let stored = decode::<JobRecord>(&item.value.0).map(|record| record.state);
+    if stored == Ok(WorkflowState::Cancelled) && matches!(change, Change::End(_)) {
+        // The job was cancelled first; its other keys are still to be removed.
+        return Some(Change::End(StateRecord {
+            state: WorkflowState::Cancelled,
+            ..*workflow
+        }));
+    }
+    if stored.is_ok_and(WorkflowState::is_final) {
+        // An earlier attempt of this write took effect although its answer was lost.
         on_change_written(owned, &change, item.revision);
         return None;
     }
