--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -336,7 +336,7 @@
 }
 
 /// Shortens the recovery of the shard once the former owner is known to have ended.
-/// `recovered` is the revision of the mark that an owner's recovery has finished.
+/// `recovered` is the revision of the mark that no earlier owner gives orders.
 pub(super) async fn watch_former_owner(
     owned: Arc<OwnedShard>,
     mut incarnations: watch::Receiver<Incarnations>,
@@ -369,6 +369,7 @@
             _ = due.tick() => renewals.push(renew_once(&owned)),
             () = owned.node.health.wait_regained() => renewals.push(renew_once(&owned)),
             Some(renewed) = renewals.next() => {
+                // `Node::call` has recorded a fault; the next renewal is under way.
                 if renewed == Ok(false) {
                     recreate_owner_lease(&owned).await;
                     renewals.clear();
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -70,7 +70,7 @@
     pub roster: Option<Vec<RosterEntry>>,
     /// The version of the roster in this batch.
     pub roster_version: u64,
-    /// Whether the recovery has finished and this is not written yet.
+    /// Whether no former owner gives orders any more and this is not written yet.
     pub recovered: bool,
     /// The number of jobs in each queue that have not started; `None` if
     /// unchanged.
@@ -107,7 +107,7 @@
     Progress(WorkflowKey, WorkflowId, Progress),
     /// The workers that the owner may use have changed.
     Roster(Vec<RosterEntry>),
-    /// The recovery has finished.
+    /// No former owner gives orders any more.
     Recovered,
     /// The numbers of jobs that have not started have changed.
     Pending(BTreeMap<String, u64>),
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod place;
 mod rank;
+mod recovery;
 mod registry;
 mod restart;
 mod scheduler;
--- a/src/schedule/tests/fuzz/owner.rs
+++ b/src/schedule/tests/fuzz/owner.rs
@@ -54,7 +54,7 @@
     pub ended: bool,
     scheduler: Scheduler,
     former: Option<Owner>,
-    /// The revision of the mark that an owner's recovery has finished, as read at the start.
+    /// The revision of the mark that no earlier owner gives orders, as read at the start.
     recovered: u64,
     /// When the last call that confirmed the ownership was sent.
     confirmed: u64,
--- a/src/schedule/tests/fuzz/store.rs
+++ b/src/schedule/tests/fuzz/store.rs
@@ -60,7 +60,7 @@
     pub jobs: BTreeMap<WorkflowId, StoredJob>,
     pub progress: BTreeMap<WorkflowId, Progress>,
     pub roster: Vec<RosterEntry>,
-    /// The revision of the mark that an owner's recovery has finished.
+    /// The revision of the mark that no earlier owner gives orders.
     pub recovered: u64,
     pub incarnations: Incarnations,
 }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -32,7 +32,7 @@
     roster: RosterState,
     /// The version of the roster; shows whether it changed during a write.
     roster_version: u64,
-    /// Whether the store knows that the recovery has finished.
+    /// Whether the store has the mark that no former owner gives orders any more.
     recovery_written: bool,
     /// The number of pending jobs in each queue, as last written.
     counts: BTreeMap<String, u64>,
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -204,9 +204,9 @@
     }
 
     /// Returns what this host knows of the former owner, given the newest known
-    /// incarnation of that owner's host, and the revision of the mark that an owner's
-    /// recovery has finished (0 if there is none). Without the mark of the former owner, the
-    /// one before it may still give orders.
+    /// incarnation of that owner's host, and the revision of the mark that no earlier owner
+    /// gives orders any more (0 if there is none). Without a mark since the former owner's claim
+    /// or release, the owner before it may still give orders.
     ///
     /// ```
     /// use lycheelock::shards::{Candidate, FormerOwner, Incarnation, Layout, Owner};
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -155,8 +155,8 @@
     format!("roster/{shard}")
 }
 
-/// Returns the key of the mark that the recovery of a shard's owner has finished: no run of
-/// an earlier owner exists. The mark holds for owners whose claim has a lower revision.
+/// Returns the key of the mark that no owner before the one that wrote it gives orders any
+/// more. It holds for owners whose last claim or release has a revision below the mark's.
 pub fn recovered_key(shard: &str) -> String {
     format!("recovered/{shard}")
 }
