--- a/src/daemon/lines.rs
+++ b/src/daemon/lines.rs
@@ -54,7 +54,7 @@
         fence: u64,
         jobs: usize,
         workers: usize,
-        /// The revision of the mark that no earlier owner gives orders; 0 if there is none.
+        /// The revision of the mark that no earlier owner gives orders any more; 0 if there is none.
         recovered: u64,
         took_ms: u64,
     },
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -85,7 +85,7 @@
 struct Restored {
     /// The revision after which the jobs are watched.
     revision: u64,
-    /// The revision of the mark that no earlier owner gives orders; 0 if there is none.
+    /// The revision of the mark that no earlier owner gives orders any more; 0 if there is none.
     recovered: u64,
 }
 
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -336,7 +336,7 @@
 }
 
 /// Shortens the recovery of the shard once the former owner is known to have ended.
-/// `recovered` is the revision of the mark that no earlier owner gives orders.
+/// `recovered` is the revision of the mark that no earlier owner gives orders any more.
 pub(super) async fn watch_former_owner(
     owned: Arc<OwnedShard>,
     mut incarnations: watch::Receiver<Incarnations>,
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -4,7 +4,7 @@
 
 use super::Scheduler;
 use crate::fleet::{
-    Availability, PollOrder, RUN_LEASE, StartOrder, StartReply, StopOrder, Worker, WorkerKey,
+    Availability, PollOrder, RUN_LEASE, StartOrder, StartReply, StopOrder, WorkerKey,
 };
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey, WorkflowKey};
@@ -57,13 +57,14 @@
         })
     }
 
-    /// Whether a start order is not to be repeated now, as the last poll of the worker got no
-    /// answer: it may have restarted, and would begin the run while it counts as lost here.
+    /// Whether a start order must not be repeated before the worker answers a poll again. The
+    /// worker may have restarted, and would begin a run that this owner is about to count as
+    /// lost.
     pub fn holds_repeat(&self, worker: WorkerKey, key: TaskKey, run: u64) -> bool {
         let starting = self.starting_workflow(worker, key, run).is_some();
-        let unanswered = |known: &Worker| known.poll_failed;
-        let repeated = starting && self.ledger.tasks[key].lease_end.is_some();
-        repeated && self.workers.get(worker).is_some_and(unanswered)
+        let is_repeat = starting && self.ledger.tasks[key].lease_end.is_some();
+        let known = self.workers.get(worker);
+        is_repeat && known.is_some_and(|known| known.poll_failed)
     }
 
     fn is_leaving(&self, worker: WorkerKey) -> bool {
--- a/src/schedule/tests/stored_state.rs
+++ b/src/schedule/tests/stored_state.rs
@@ -22,6 +22,15 @@
         }
     }
 
+    /// Returns the state after these changes were written.
+    fn after(&self, changes: &[Change]) -> Self {
+        let mut stored = self.clone();
+        for change in changes {
+            stored.apply(change);
+        }
+        stored
+    }
+
     /// Starts a new owner from this state. The workers of these indices answer it without
     /// runs. Returns its orders.
     fn takeover(&self, workers: &[&str], answering: &[usize], job: &ActiveWorkflow) -> String {
@@ -51,10 +60,7 @@
 /// Writes a batch completely.
 fn write_all(shard: &mut Shard, stored: &mut Stored) {
     let batch = shard.scheduler.collect(true, at(shard.now));
-    batch
-        .changes()
-        .iter()
-        .for_each(|change| stored.apply(change));
+    *stored = stored.after(&batch.changes());
     shard.scheduler.on_written(&batch);
 }
 
@@ -98,10 +104,7 @@
         let batch = shard.scheduler.collect(false, at(shard.now));
         assert!(batch.roster.is_some(), "the worker is closed");
         for written in 0..=batch.changes().len() {
-            let mut stored = stored.clone();
-            batch.changes()[..written]
-                .iter()
-                .for_each(|change| stored.apply(change));
+            let stored = stored.after(&batch.changes()[..written]);
             let orders = stored.takeover(&["w0", "w1"], &[1], &job);
             assert!(
                 !orders.contains(&format!("start {task}")),
@@ -121,10 +124,7 @@
     close_silent(&mut shard, &[]);
     let batch = shard.scheduler.collect(false, at(shard.now));
     for written in 0..=batch.changes().len() {
-        let mut stored = stored.clone();
-        batch.changes()[..written]
-            .iter()
-            .for_each(|change| stored.apply(change));
+        let stored = stored.after(&batch.changes()[..written]);
         let orders = stored.takeover(&["w0", "w1"], &[1], &job);
         assert_eq!(orders, "", "after {written} changes");
     }
