--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -137,6 +137,8 @@
         self.items = {}
         self.keys = []
         self.events = []
+        # The newest revision of which the history is gone.
+        self.forgotten = self.revision
         self.leases = {}
         self.next_lease = 70000
         self.changed = asyncio.Event()
@@ -187,7 +189,7 @@
                 if ends < now:
                     self.end_lease(lease)
             while self.events and self.events[0][0] < now - HISTORY_S:
-                self.events.pop(0)
+                self.forgotten = self.events.pop(0)[1]
 
     def end_lease(self, lease):
         self.leases.pop(lease, None)
@@ -244,7 +246,7 @@
         prefix, after = query["prefix"], int(query["after"])
         ends = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if self.events and self.events[0][1] > after + 1 and after < self.revision:
+            if after < self.forgotten:
                 return 410, {}
             events = [
                 event
@@ -308,7 +310,7 @@
         self.port = free_port()
         self.state = "ready"
         self.server = None
-        self.beat = None
+        self.tasks = []
         self.reset()
 
     def reset(self):
@@ -353,7 +355,10 @@
         self.register()
         self.server = HttpServer(self.handle)
         await self.server.start(self.port)
-        self.beat = asyncio.ensure_future(self.send_beats())
+        self.tasks = [
+            asyncio.ensure_future(self.send_beats()),
+            asyncio.ensure_future(self.end_expired()),
+        ]
         self.deployment.record.line(
             f"worker {self.id} starts at port {self.port}, born {self.born}, "
             f"kind {self.kind}, capacity {self.capacity['cpu']} cpu"
@@ -363,13 +368,19 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             self.register()
-            for run in list(self.running.values()):
-                if self.clock() > self.until:
+
+    async def end_expired(self):
+        """Ends all runs when the lease expires."""
+        while True:
+            await asyncio.sleep(0.01)
+            if self.clock() > self.until:
+                for run in list(self.running.values()):
                     self.end(run, "lapsed")
 
     def crash(self):
         """Ends the worker's process: nothing that it ran goes on."""
-        self.beat.cancel()
+        for task in self.tasks:
+            task.cancel()
         self.server.abort()
         for run in self.running.values():
             run.timer.cancel()
