--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -144,6 +144,7 @@
             released,
             resigned: 0,
             millicores: self.settings.millicores,
+            former_age: 0,
         }
     }
 
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -17,9 +17,10 @@
     Change, Commit, Item, REGISTRY_PREFIX, StoreFault, Transaction, Watched,
 };
 use crate::shards::{
-    Candidate, ClaimDecision, Incarnation, Incarnations, LAYOUT_KEY, Layout, OwnerLease,
-    OwnerRecord, OwnershipViews, SHARD_PREFIX, ShardKey, claimed_key, decode, encode, epoch_key,
-    incarnation_key, owner_lease_key, read_shard_key,
+    Candidate, ClaimDecision, Heard, Incarnation, Incarnations, LAYOUT_KEY, Layout,
+    NO_FORMER_OWNER, Owner, OwnerLease, OwnerRecord, OwnershipView, OwnershipViews, SHARD_PREFIX,
+    ShardKey, claimed_key, decode, encode, epoch_key, heartbeat_key, incarnation_key,
+    owner_lease_key, read_shard_key,
 };
 
 /// The time after which a watch without a change returns.
@@ -142,6 +143,31 @@
     }
 }
 
+/// Builds the claim of a shard by the host in `record`. It requires that nothing has happened that
+/// the view does not show, above all no later heartbeat of the former owner.
+pub(super) fn claim_transaction(
+    shard: &str,
+    view: &OwnershipView,
+    owner_lease: u64,
+    record: &OwnerRecord,
+    lease: u64,
+) -> Transaction {
+    let owner = encode(record);
+    Transaction::default()
+        .require(&owner_lease_key(shard), owner_lease)
+        .require(&epoch_key(shard), view.epoch)
+        .require(&heartbeat_key(shard), view.heartbeat)
+        .set_leased(&owner_lease_key(shard), owner.clone(), lease)
+        .set(&heartbeat_key(shard), owner.clone())
+        .set(&claimed_key(shard), owner.clone())
+        .set(&epoch_key(shard), owner)
+}
+
+/// Returns for how long no former owner of a shard has sent a heartbeat, in milliseconds.
+pub(super) fn former_age(former: Option<&Owner>, heard: Heard, now: Moment) -> u64 {
+    former.map_or(NO_FORMER_OWNER, |_| (now - heard.last).as_millis() as u64)
+}
+
 /// An update of the shards' keys.
 enum Update {
     /// All keys, and the revision to watch from.
@@ -199,9 +225,7 @@
                 ClaimDecision::Claim { epoch, .. } if epoch > 0 && now < self.earliest_takeover => {
                     wait = wait.min(now.until(self.earliest_takeover));
                 }
-                ClaimDecision::Claim { owner_lease, epoch } => {
-                    self.claim(&shard, owner_lease, epoch).await
-                }
+                ClaimDecision::Claim { owner_lease, .. } => self.claim(&shard, owner_lease).await,
             }
         }
         wait
@@ -211,29 +235,29 @@
         self.node.candidate(self.owned.len() as u32)
     }
 
-    async fn claim(&mut self, shard: &str, owner_lease: u64, epoch: u64) {
+    async fn claim(&mut self, shard: &str, owner_lease: u64) {
         let begun = Moment::now();
         let Ok(lease) = self.node.store.grant(self.node.settings.session_ttl).await else {
             return sleep(RETRY_DELAY).await;
         };
-        let owner = encode(&self.node.owner_record(false));
-        let transaction = Transaction::default()
-            .require(&owner_lease_key(shard), owner_lease)
-            .require(&epoch_key(shard), epoch)
-            .set_leased(&owner_lease_key(shard), owner.clone(), lease)
-            .set(&claimed_key(shard), owner.clone())
-            .set(&epoch_key(shard), owner);
+        let view = self.views.get(shard);
+        let record = OwnerRecord {
+            former_age: former_age(view.owner.as_ref(), view.heard, begun),
+            ..self.node.owner_record(false)
+        };
+        let transaction = claim_transaction(shard, &view, owner_lease, &record, lease);
         match self.node.call(self.node.store.commit(&transaction)).await {
             Ok(Commit::Done(fence)) => {
                 journal::line(&DaemonLine::ShardClaimed {
                     shard,
                     fence,
-                    former: epoch,
+                    former: view.epoch,
                 });
                 let claim = Claim {
                     shard: shard.to_owned(),
                     fence,
-                    former: self.views.get(shard).owner,
+                    former: view.owner,
+                    heard: view.heard,
                     lease,
                     begun,
                 };
@@ -326,6 +350,9 @@
             (Some(ShardKey::Epoch(shard)), Some((owner, revision))) => {
                 self.views.on_epoch(shard, owner, revision, now);
             }
+            (Some(ShardKey::Heartbeat(shard)), Some((owner, revision))) => {
+                self.views.on_heartbeat(shard, &owner, revision, now);
+            }
             (Some(ShardKey::OwnerLease(shard)), record) => {
                 let owner_lease = record.map(|(owner, revision)| OwnerLease {
                     host: owner.host,
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -6,24 +6,23 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use futures_util::stream::FuturesUnordered;
-use futures_util::{FutureExt, StreamExt};
+use futures_util::FutureExt;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use super::Node;
 use super::lines::{DaemonLine, ShardLine};
-use super::ownership::write_incarnation;
-use super::{restore, worker};
+use super::ownership::{former_age, write_incarnation};
+use super::{heartbeat, restore, worker};
 use crate::fleet::WorkerKey;
 use crate::journal;
 use crate::latency::Span;
 use crate::moment::Moment;
-use crate::platform::fleet::{Commit, StoreFault, Transaction};
+use crate::platform::fleet::{Commit, Transaction};
 use crate::schedule::{Event, Order, Scheduler, Term};
 use crate::shards::{
-    FormerOwner, Incarnations, OWNER_TIMEOUT, Owner, OwnerRecord, encode, epoch_key,
+    FormerOwner, Heard, Incarnations, OWNER_TIMEOUT, Owner, OwnerRecord, encode, epoch_key,
     owner_lease_key, recovered_key, recovery_deadline,
 };
 
@@ -37,10 +36,6 @@
 const PASS_REST: u32 = 3;
 /// The limit on that delay: a pass during which the process was paused took long as well.
 const MAX_PASS_DELAY: Duration = Duration::from_millis(60);
-/// The number of renewals of the owner lease within its time to live.
-const RENEWALS_PER_TTL: u32 = 4;
-/// The time after which a renewal counts as unanswered.
-const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
 /// The interval at which a wait for confirmation checks again.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(150);
 /// The reason for the end of an ownership of which a task panicked.
@@ -58,10 +53,13 @@
     pub fence: u64,
     /// The former owner; absent for the first claim of the shard.
     pub former: Option<Owner>,
+    /// When this host knew of the last heartbeats of the former owners. The claim required that
+    /// there was none after them.
+    pub heard: Heard,
     /// The id of the store lease that the claim attached the owner lease to.
     pub lease: u64,
-    /// When the claim began, before its store lease was granted. The first
-    /// confirmation of the ownership counts from then.
+    /// When the claim began, before its store lease was granted. The first heartbeat counts as
+    /// sent then.
     pub begun: Moment,
 }
 
@@ -77,10 +75,13 @@
     plan: Notify,
     /// The id of the store lease that the owner lease is attached to now; it
     /// changes when an expired owner lease is written again.
-    lease: AtomicU64,
+    pub(super) lease: AtomicU64,
     /// When the last call that confirmed the ownership was sent, in microseconds
     /// since the process started.
     confirmed: AtomicU64,
+    /// When the last heartbeat that the store accepted was sent, in microseconds since the
+    /// process started.
+    heartbeat: AtomicU64,
     /// Why the ownership ends; absent while it lasts.
     lost: watch::Sender<Option<&'static str>>,
     /// The order queue of each attached worker.
@@ -99,7 +100,8 @@
     incarnations: watch::Receiver<Incarnations>,
 ) {
     let owned = Arc::new(OwnedShard::new(node, claim));
-    owned.spawn(renew(owned.clone()));
+    owned.spawn(heartbeat::renew(owned.clone()));
+    owned.spawn(heartbeat::beat(owned.clone()));
     owned.spawn(restore::run(owned.clone(), incarnations));
     owned.spawn(plan(owned.clone()));
     let reason = tokio::select! {
@@ -118,7 +120,7 @@
         let recovery_deadline = claim
             .former
             .as_ref()
-            .map(|_| recovery_deadline(FormerOwner::Unknown, Moment::now()));
+            .map(|_| recovery_deadline(FormerOwner::Unknown, claim.heard, Moment::now()));
         let term = Term {
             fence: claim.fence,
             recovery_deadline,
@@ -126,12 +128,15 @@
         let mut tokens = node.tokens.lock().expect("no holder panics");
         tokens.hold(claim.fence);
         drop(tokens);
+        let mut scheduler = Scheduler::new(term);
+        scheduler.on_heartbeat(claim.begun);
         Self {
             write: Notify::new(),
-            scheduler: Mutex::new(Scheduler::new(term)),
+            scheduler: Mutex::new(scheduler),
             plan: Notify::new(),
             lease: AtomicU64::new(claim.lease),
             confirmed: AtomicU64::new(claim.begun.as_micros()),
+            heartbeat: AtomicU64::new(claim.begun.as_micros()),
             lost: watch::channel(None).0,
             orders: Mutex::default(),
             tasks: Mutex::default(),
@@ -164,6 +169,15 @@
         result
     }
 
+    /// Returns the record of this ownership that is written to the store.
+    pub fn record(&self) -> OwnerRecord {
+        let claim = &self.claim;
+        OwnerRecord {
+            former_age: former_age(claim.former.as_ref(), claim.heard, Moment::now()),
+            ..self.node.owner_record(false)
+        }
+    }
+
     /// Requests a pass over the waiting tasks.
     pub fn wake(&self) {
         self.plan.notify_one();
@@ -228,6 +242,15 @@
             .fetch_max(sent.as_micros(), Ordering::Relaxed);
     }
 
+    /// Records that the store accepted a heartbeat sent at that moment. Leases may last longer
+    /// from then on.
+    pub fn on_heartbeat(&self, sent: Moment) {
+        self.confirm(sent);
+        self.heartbeat
+            .fetch_max(sent.as_micros(), Ordering::Relaxed);
+        self.decide(|scheduler, _| scheduler.on_heartbeat(sent));
+    }
+
     /// Waits until this host may give orders to the workers.
     pub async fn wait_confirmed(&self) {
         while !self.is_confirmed() {
@@ -242,7 +265,8 @@
 
     /// Returns true while this host may give orders to the workers.
     pub fn is_confirmed(&self) -> bool {
-        Moment::now() - self.confirmed() < OWNER_TIMEOUT
+        let heartbeat = Moment::from_micros(self.heartbeat.load(Ordering::Relaxed));
+        Moment::now() - heartbeat < OWNER_TIMEOUT
     }
 
     pub async fn wait_lost(&self) -> &'static str {
@@ -348,84 +372,19 @@
     let candidate = owned.node.candidate(0);
     loop {
         let incarnation = incarnations.borrow_and_update().get(&owner.host).copied();
-        if candidate.former_owner(&owner, incarnation, recovered) == FormerOwner::Ended {
-            let recovery_deadline = recovery_deadline(FormerOwner::Ended, Moment::now());
-            return owned.decide(|scheduler, _| scheduler.shorten_recovery(recovery_deadline));
-        }
-        if incarnations.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Renews the owner lease periodically. A renewal does not wait for the answer to the one
-/// before: a store that answers only some calls would let the lease expire.
-pub(super) async fn renew(owned: Arc<OwnedShard>) {
-    let mut due = interval(owned.node.settings.session_ttl / RENEWALS_PER_TTL);
-    due.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut renewals = FuturesUnordered::new();
-    loop {
-        tokio::select! {
-            _ = due.tick() => renewals.push(renew_once(&owned)),
-            () = owned.node.health.wait_regained() => renewals.push(renew_once(&owned)),
-            Some(renewed) = renewals.next() => {
-                // `Node::call` has recorded a fault; the next renewal is under way.
-                if renewed == Ok(false) {
-                    recreate_owner_lease(&owned).await;
-                    renewals.clear();
+        let former = candidate.former_owner(&owner, incarnation, recovered);
+        if former != FormerOwner::Unknown {
+            let deadline = recovery_deadline(former, owned.claim.heard, Moment::now());
+            let all_ended = former == FormerOwner::Ended;
+            return owned.decide(|scheduler, _| {
+                scheduler.shorten_recovery(deadline);
+                if all_ended {
+                    scheduler.on_former_ended();
                 }
-            }
+            });
         }
-    }
-}
-
-/// Renews the owner lease once. Returns false if it has expired.
-async fn renew_once(owned: &OwnedShard) -> Result<bool, StoreFault> {
-    let sent = Moment::now();
-    let lease = owned.lease.load(Ordering::Relaxed);
-    let renewal = timeout(RENEWAL_TIMEOUT, owned.node.store.renew(lease));
-    let renewal = async { renewal.await.unwrap_or_else(|_| Err(renewal_timeout())) };
-    let renewed = owned.node.call(renewal).await?;
-    if renewed {
-        owned.confirm(sent);
-    }
-    Ok(renewed)
-}
-
-fn renewal_timeout() -> StoreFault {
-    StoreFault::Unanswered("a renewal took too long".to_owned())
-}
-
-/// Writes an expired owner lease again, unless another host has claimed the shard
-/// in the meantime. An earlier attempt without an answer may take effect late, so each requires
-/// the revision of the key that it replaces.
-async fn recreate_owner_lease(owned: &OwnedShard) {
-    let (node, claim) = (&owned.node, &owned.claim);
-    let (epoch, key) = (epoch_key(&claim.shard), owner_lease_key(&claim.shard));
-    let owner = encode(&node.owner_record(false));
-    let mut revision = 0;
-    loop {
-        let sent = Moment::now();
-        let Ok(lease) = node.store.grant(node.settings.session_ttl).await else {
+        if incarnations.changed().await.is_err() {
             return;
-        };
-        let transaction = Transaction::default()
-            .require(&epoch, claim.fence)
-            .require(&key, revision)
-            .set_leased(&key, owner.clone(), lease);
-        match node.call(node.store.commit(&transaction)).await {
-            Ok(Commit::Done(_)) => {
-                owned.lease.store(lease, Ordering::Relaxed);
-                return owned.confirm(sent);
-            }
-            Ok(Commit::Conflict(items)) => {
-                let found = |key: &str| items.iter().find(|item| item.key == key);
-                if found(&epoch).is_none_or(|item| item.revision != claim.fence) {
-                    return owned.mark_lost("another host claimed the shard");
-                }
-                revision = found(&key).map_or(0, |item| item.revision);
-            }
-            Ok(Commit::LeaseGone) | Err(_) => return,
         }
     }
 }
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -10,16 +10,18 @@
 use tokio::time::timeout;
 
 use super::Node;
+use super::heartbeat::{heartbeat_transaction, renew};
 use super::lifecycle::wait_for_panic;
-use super::ownership::incarnation_transaction;
-use super::term::{Claim, OwnedShard, pass_delay, renew};
+use super::ownership::{claim_transaction, incarnation_transaction};
+use super::term::{Claim, OwnedShard, pass_delay};
 use super::writer::transaction;
 use crate::moment::Moment;
 use crate::platform::fleet::Transaction;
 use crate::schedule::{Change, RosterEntry};
 use crate::settings::FleetSettings;
 use crate::shards::{
-    FormerOwner, Incarnation, Owner, OwnerRecord, epoch_key, incarnation_key, roster_key,
+    FormerOwner, Heard, Incarnation, Owner, OwnerRecord, OwnershipView, epoch_key, heartbeat_key,
+    incarnation_key, roster_key,
 };
 
 /// The time limit of a wait for something that happens at once.
@@ -32,6 +34,7 @@
         shard: "all".to_owned(),
         fence,
         former: None,
+        heard: Heard::default(),
         lease: 1,
         begun: Moment::now(),
     }
@@ -134,6 +137,33 @@
     assert_eq!(store.items[&roster_key("all")], written);
 }
 
+/// The recovery would begin from an earlier heartbeat, and end before the owner's leases.
+#[tokio::test]
+async fn a_claim_takes_effect_after_a_heartbeat_that_the_host_does_not_know() {
+    let mut store = Store::default();
+    let claimed = Transaction::default().set(&epoch_key("all"), Vec::new());
+    let fence = store.apply(&claimed).unwrap();
+    let former = Arc::new(OwnedShard::new(
+        Node::new(FleetSettings::default()),
+        claim(fence),
+    ));
+    let heartbeat = store.apply(&heartbeat_transaction(&former)).unwrap();
+    let view = OwnershipView {
+        epoch: fence,
+        heartbeat,
+        ..OwnershipView::default()
+    };
+    let record = former.record();
+    let claimed = claim_transaction("all", &view, 0, &record, 1);
+    store.apply(&heartbeat_transaction(&former)).unwrap();
+    assert_eq!(store.apply(&claimed), None, "there was a later heartbeat");
+    let heartbeat = store.items[&heartbeat_key("all")].0;
+    let view = OwnershipView { heartbeat, ..view };
+    let claimed = claim_transaction("all", &view, 0, &record, 1);
+    assert!(store.apply(&claimed).is_some());
+    assert_eq!(store.apply(&heartbeat_transaction(&former)), None);
+}
+
 #[tokio::test]
 async fn a_host_that_resigns_one_shard_resigns_others_that_it_owns() {
     let node = Node::new(FleetSettings::default());
--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -8,6 +8,11 @@
 /// The lease of the runs on a worker: without a renewal they end after this time.
 pub const RUN_LEASE: Duration = Duration::from_millis(4500);
 
+/// The longest time by which a lease may outlast the last heartbeat that the store has accepted
+/// from the shard's owner. An owner that is cut off from the store thus loses its runs by then,
+/// and a new owner may start their tasks again.
+pub const HEARTBEAT_LEASE: Duration = Duration::from_millis(6500);
+
 /// The longest lease that a worker grants; it shortens longer ones to its own limit.
 pub const MAX_WORKER_LEASE: Duration = Duration::from_secs(10);
 
@@ -45,6 +50,22 @@
         self.reading + (now - self.received + lease).as_millis() as u64
     }
 
+    /// Returns the latest end of a lease that has certainly ended by `limit`, in milliseconds of
+    /// the worker's clock, even if that clock is as slow as allowed.
+    ///
+    /// ```
+    /// use lycheelock::fleet::Clock;
+    /// use lycheelock::moment::Moment;
+    ///
+    /// let clock = Clock::new(10_000, Moment::from_micros(0));
+    /// let limit = Moment::from_micros(1_020_000);
+    /// assert_eq!(clock.latest_lease_end(limit), 11_000);
+    /// ```
+    pub fn latest_lease_end(self, limit: Moment) -> u64 {
+        let left = (limit - self.received).div_f64(MAX_CLOCK_SLOWDOWN);
+        self.reading + left.as_millis() as u64
+    }
+
     /// Returns the moment by which the worker's clock has passed `lease_end`, even if
     /// it is as slow as allowed.
     ///
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 mod worker;
 
 pub use capacity::Capacity;
-pub use lease::{Clock, MAX_CLOCK_SLOWDOWN, MAX_WORKER_LEASE, RUN_LEASE};
+pub use lease::{Clock, HEARTBEAT_LEASE, MAX_CLOCK_SLOWDOWN, MAX_WORKER_LEASE, RUN_LEASE};
 pub use messages::{
     Availability, EndedRun, LiveRun, PollOrder, Registration, RunOutcome, StartOrder, StartReply,
     StopOrder, WorkerReport,
--- a/src/schedule/recovery.rs
+++ b/src/schedule/recovery.rs
@@ -65,10 +65,14 @@
         self.former_ended || !self.tasks_recovering
     }
 
-    /// Brings the recovery deadline forward when the former owner, and those before it, are
-    /// known to have ended: all leases that they gave end by `deadline`.
-    pub fn shorten_recovery(&mut self, deadline: Moment) {
+    /// Records that the former owner, and those before it, are known to have ended.
+    pub const fn on_former_ended(&mut self) {
         self.former_ended = true;
+    }
+
+    /// Brings the recovery deadline forward when all leases that former owners gave are known
+    /// to end by `deadline`.
+    pub fn shorten_recovery(&mut self, deadline: Moment) {
         if let Some(known) = &mut self.term.recovery_deadline {
             *known = deadline.min(*known);
         }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -18,7 +18,7 @@
 use super::waiting::WaitList;
 use super::write::Writes;
 use super::{Event, Order};
-use crate::fleet::{StopOrder, Worker, WorkerKey};
+use crate::fleet::{Clock, HEARTBEAT_LEASE, RUN_LEASE, StopOrder, Worker, WorkerKey};
 use crate::interference::{Baseline, ImageKey, ImagePairs, Images};
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
@@ -121,6 +121,8 @@
     /// The send time of the newest call by which the store confirmed this
     /// ownership.
     pub(super) confirmed: Moment,
+    /// When the last heartbeat that the store accepted was sent.
+    heartbeat: Moment,
     last_ranked: Moment,
     /// The number of run numbers that were assigned in this term.
     run_count: u64,
@@ -160,6 +162,7 @@
             peers: HashMap::new(),
             baselines: HashMap::new(),
             confirmed: Moment::default(),
+            heartbeat: Moment::default(),
             last_ranked: Moment::default(),
             run_count: 0,
             orders: Vec::new(),
@@ -269,6 +272,23 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Records that the store accepted a heartbeat of this owner, sent at that moment.
+    pub fn on_heartbeat(&mut self, sent: Moment) {
+        self.heartbeat = sent.max(self.heartbeat);
+    }
+
+    /// Whether the last heartbeat allows leases of full length.
+    pub(super) fn has_full_leases(&self, now: Moment) -> bool {
+        now + RUN_LEASE <= self.heartbeat + HEARTBEAT_LEASE
+    }
+
+    /// The end of a lease that is given now, in milliseconds of a worker's clock. It ends in
+    /// time for a new owner, if there is one: it cannot tell whether this owner goes on.
+    pub(super) fn lease_end(&self, clock: Clock, now: Moment) -> u64 {
+        let limit = clock.latest_lease_end(self.heartbeat + HEARTBEAT_LEASE);
+        clock.lease_end(now, RUN_LEASE).min(limit)
+    }
+
     /// Removes and returns the events recorded since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use super::Scheduler;
-use crate::fleet::{
-    Availability, PollOrder, RUN_LEASE, StartOrder, StartReply, StopOrder, WorkerKey,
-};
+use crate::fleet::{Availability, PollOrder, StartOrder, StartReply, StopOrder, WorkerKey};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey, WorkflowKey};
 
 /// How long a worker may wait for a run to end before it answers a poll.
 const POLL_WAIT: Duration = Duration::from_millis(800);
+/// The same while the store accepts no heartbeats, so that leases are renewed soon once it does.
+const SHORT_POLL_WAIT: Duration = Duration::from_millis(200);
 /// The longest silence after which the leases on a worker are still renewed.
 const MAX_RENEWAL_SILENCE: Duration = Duration::from_millis(1500);
 
@@ -38,12 +38,10 @@
         }
         let task = &self.ledger.tasks[key];
         let workflow = &self.ledger.workflows[task.workflow];
-        let target = self.workers.get_mut(worker)?;
-        let clock = target.clock?;
+        let clock = self.workers.get(worker)?.clock?;
         // A repeated start keeps its lease, so that the lease of a silent worker ends.
-        let until = task
-            .lease_end
-            .unwrap_or_else(|| clock.lease_end(now, RUN_LEASE));
+        let until = task.lease_end.unwrap_or_else(|| self.lease_end(clock, now));
+        let target = self.workers.get_mut(worker)?;
         target.lease_deadline = target.lease_deadline.max(clock.latest_expiry(until));
         self.ledger.tasks[key].lease_end = Some(until);
         let task = &self.ledger.tasks[key];
@@ -213,11 +211,19 @@
     /// renewed.
     pub fn poll_order(&mut self, key: WorkerKey, renew: bool, now: Moment) -> Option<PollOrder> {
         let settles = self.awaits_report(key);
-        let worker = self.workers.get_mut(key)?;
+        let worker = self.workers.get(key)?;
         let renews = renew && worker.synced && now - worker.last_contact < MAX_RENEWAL_SILENCE;
-        let until = match worker.clock {
-            Some(clock) if renews => {
-                let until = clock.lease_end(now, RUN_LEASE);
+        let wait = if !renews || settles {
+            Duration::ZERO
+        } else if self.has_full_leases(now) {
+            POLL_WAIT
+        } else {
+            SHORT_POLL_WAIT
+        };
+        let lease_end = worker.clock.map(|clock| self.lease_end(clock, now));
+        let worker = self.workers.get_mut(key)?;
+        let until = match worker.clock.zip(lease_end) {
+            Some((clock, until)) if renews => {
                 worker.lease_deadline = worker.lease_deadline.max(clock.latest_expiry(until));
                 Some(until)
             }
@@ -232,11 +238,7 @@
             } else {
                 worker.acknowledged
             },
-            wait: if renews && !settles {
-                POLL_WAIT
-            } else {
-                Duration::ZERO
-            },
+            wait,
         })
     }
 
--- a/src/schedule/tests/fuzz/calls.rs
+++ b/src/schedule/tests/fuzz/calls.rs
@@ -21,6 +21,8 @@
 const MAX_STOP_TIME: u64 = 80;
 /// The silence after which the registry drops a worker.
 const REGISTRY_SILENCE: u64 = 1_500;
+/// The number of workers that are never lost for good.
+const MIN_WORKERS: usize = 3;
 /// The number of ends in a backlog.
 const BACKLOG: u32 = 500;
 
@@ -292,7 +294,7 @@
         process.list_end(task, run, outcome);
         let waiting = std::mem::take(&mut process.waiting);
         self.trace(|| format!("w{slot}: {task} run {run} ends: {outcome:?}"));
-        self.oracle.on_end(task, run, outcome);
+        self.oracle.on_end(task, run, outcome, self.now);
         for id in waiting {
             if let Some(call) = self.polls.remove(&id) {
                 self.report(&call);
@@ -332,17 +334,35 @@
         }
     }
 
+    /// Ends a worker's process. Returns the worker's id, unless it was down.
+    fn end_process(&mut self, slot: usize) -> Option<String> {
+        let process = self.slots[slot].process.take()?;
+        self.oracle.on_worker_lost(slot, self.now);
+        let state = &mut self.slots[slot];
+        state.silent_since = self.now;
+        state.lease_watched = false;
+        Some(process.id)
+    }
+
+    /// Ends a worker that never returns, if at least [`MIN_WORKERS`] others are left.
+    pub(super) fn lose_worker(&mut self, slot: usize) {
+        let gone = self.slots.iter().filter(|slot| slot.gone).count();
+        if gone + MIN_WORKERS < WORKER_COUNT && self.end_process(slot).is_some() {
+            self.trace(|| format!("w{slot} is gone"));
+            self.slots[slot].gone = true;
+        }
+    }
+
     pub(super) fn crash(&mut self, slot: usize, same: bool, span: u64) {
-        let Some(process) = self.slots[slot].process.take() else {
+        let Some(id) = self.end_process(slot) else {
             return;
         };
         self.trace(|| format!("w{slot} crashes"));
-        self.oracle.on_crash(slot);
+        self.oracle.crashed = true;
+        self.disturbed_until = self.disturbed_until.max(self.now + span);
         let state = &mut self.slots[slot];
-        state.silent_since = self.now;
-        state.lease_watched = false;
         let id = if same {
-            process.id
+            id
         } else {
             state.names += 1;
             format!("w{slot}-{}", state.names)
--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -72,3 +72,34 @@
     ];
     run_world(world, &steps);
 }
+
+/// Both are lost for good, the worker before its owner could record that it is silent.
+#[test]
+fn tasks_start_again_in_time_after_an_owner_and_a_worker_are_lost_together() {
+    let steps = [
+        Step::Submit(5),
+        Step::Submit(5),
+        Step::Advance(1_500),
+        Step::Gone(0),
+        Step::Advance(100),
+        Step::Replace(100),
+    ];
+    run_steps(0, &steps);
+}
+
+/// A worker is gone, and each owner ends before its recovery does.
+#[test]
+fn owners_in_a_row_do_not_each_wait_for_the_same_leases() {
+    let mut steps = vec![
+        Step::Submit(5),
+        Step::Submit(5),
+        Step::Advance(1_500),
+        Step::Gone(0),
+        Step::Advance(100),
+    ];
+    for _ in 0..3 {
+        steps.extend([Step::Replace(100), Step::Advance(2_000)]);
+        steps.extend([Step::Stop, Step::Advance(400)]);
+    }
+    run_steps(0, &steps);
+}
--- a/src/schedule/tests/fuzz/oracle.rs
+++ b/src/schedule/tests/fuzz/oracle.rs
@@ -33,6 +33,8 @@
     pub live: Vec<(TaskName, u64, usize)>,
     ends: Vec<End>,
     starts: Vec<Start>,
+    /// When each task last had a run that has ended since.
+    last_runs: BTreeMap<TaskName, u64>,
     /// Whether a worker has crashed: a job may then be given up.
     pub crashed: bool,
 }
@@ -82,7 +84,8 @@
         self.check_starts(task);
     }
 
-    pub fn on_end(&mut self, task: TaskName, run: u64, outcome: RunOutcome) {
+    pub fn on_end(&mut self, task: TaskName, run: u64, outcome: RunOutcome, now: u64) {
+        self.last_runs.insert(task, now);
         self.live.retain(|live| (live.0, live.1) != (task, run));
         self.ends.push(End {
             task,
@@ -93,8 +96,9 @@
         });
     }
 
-    pub fn on_crash(&mut self, worker: usize) {
-        self.crashed = true;
+    pub fn on_worker_lost(&mut self, worker: usize, now: u64) {
+        let lost = self.live.iter().filter(|live| live.2 == worker);
+        self.last_runs.extend(lost.map(|live| (live.0, now)));
         self.live.retain(|live| live.2 != worker);
     }
 
@@ -142,6 +146,24 @@
         self.live.iter().map(|live| live.0.workflow)
     }
 
+    /// Checks that no long-running task of a job has been without a run for too long.
+    pub fn check_restarts(&self, id: WorkflowId, calm_since: u64, now: u64) {
+        let steps = self.specs[&id].steps.iter().enumerate();
+        let long_running = steps.filter(|(_, spec)| spec.long_running);
+        for (step, spec) in long_running {
+            for index in 0..spec.count {
+                let task = name(id.0, step as u32, index);
+                let live = self.live.iter().any(|live| live.0 == task);
+                let ended = self.last_runs.get(&task).copied().unwrap_or_default();
+                let due = (ended + RESTART_TIME).max(calm_since + SETTLING_TIME) + MAX_IDLE;
+                assert!(
+                    live || now < due,
+                    "LOST: {task} has had no run since {ended} at {now}"
+                );
+            }
+        }
+    }
+
     /// Checks a job at the end of a calm stretch. `ran` says whether a task of it was running
     /// in the last [`MAX_IDLE`] milliseconds.
     pub fn check_job(&self, id: WorkflowId, state: WorkflowState, open: bool, ran: bool) {
@@ -182,5 +204,11 @@
 /// For how long nothing of an accepted job may run while it could, in milliseconds.
 pub(super) const MAX_IDLE: u64 = 3_000;
 
+/// The time after the last run of a long-running task from which that counts, in milliseconds.
+const RESTART_TIME: u64 = 6_000;
+
+/// The time after the last fault from which that counts, in milliseconds.
+const SETTLING_TIME: u64 = 4_000;
+
 /// The number of failed runs after which a job fails.
 pub(super) const ATTEMPTS: usize = 2;
--- a/src/schedule/tests/fuzz/owner.rs
+++ b/src/schedule/tests/fuzz/owner.rs
@@ -8,7 +8,7 @@
 use super::worker::{Answer, Request};
 use super::world::{Action, OwnerAction, World};
 use crate::schedule::Change;
-use crate::shards::{FormerOwner, OWNER_TIMEOUT, Owner, recovery_deadline};
+use crate::shards::{FormerOwner, Heard, OWNER_TIMEOUT, Owner, recovery_deadline};
 
 /// The intervals and delays of the daemon, in milliseconds.
 const MAX_PLAN_INTERVAL: u64 = 250;
@@ -22,6 +22,7 @@
 const WRITE_DELAY: u64 = 12;
 const REGISTRY_INTERVAL: u64 = 900;
 const RENEWAL_INTERVAL: u64 = 375;
+const HEARTBEAT_INTERVAL: u64 = 500;
 const FOLLOW_INTERVAL: u64 = 40;
 const FORMER_INTERVAL: u64 = 60;
 /// How long an owner lease lasts.
@@ -54,10 +55,14 @@
     pub ended: bool,
     scheduler: Scheduler,
     former: Option<Owner>,
+    /// When the host knew of the last heartbeats of the former owners.
+    heard: Heard,
     /// The revision of the mark that no earlier owner gives orders, as read at the start.
     recovered: u64,
     /// When the last call that confirmed the ownership was sent.
     confirmed: u64,
+    /// When the last heartbeat that the store accepted was sent.
+    heartbeat: u64,
     restored: bool,
     /// The revision up to which the jobs are known.
     seen: u64,
@@ -72,22 +77,28 @@
 }
 
 impl OwnerProcess {
-    pub fn new(host: usize, fence: u64, former: Option<Owner>, begun: u64, now: u64) -> Self {
+    /// Starts an ownership that was claimed by a call sent at `begun`, by a host that knew of
+    /// the last heartbeat of the former owner at `heard`.
+    pub fn new(host: usize, fence: u64, former: Option<Owner>, begun: u64, heard: Heard) -> Self {
         let recovery_deadline = former
             .as_ref()
-            .map(|_| recovery_deadline(FormerOwner::Unknown, at(now)));
+            .map(|_| recovery_deadline(FormerOwner::Unknown, heard, at(begun)));
         let term = Term {
             fence,
             recovery_deadline,
         };
+        let mut scheduler = Scheduler::new(term);
+        scheduler.on_heartbeat(at(begun));
         Self {
             host,
             fence,
             ended: false,
-            scheduler: Scheduler::new(term),
+            scheduler,
             former,
+            heard,
             recovered: 0,
             confirmed: begun,
+            heartbeat: begun,
             restored: false,
             seen: 0,
             senders: BTreeMap::new(),
@@ -104,14 +115,19 @@
     }
 
     fn is_confirmed(&self, now: u64) -> bool {
-        at(now) - at(self.confirmed) < OWNER_TIMEOUT
+        at(now) - at(self.heartbeat) < OWNER_TIMEOUT
     }
 }
 
 impl World {
     /// Starts the tasks of a new owner.
     pub(super) fn start_owner(&mut self, owner: usize) {
-        for action in [OwnerAction::Restore, OwnerAction::Renew, OwnerAction::Plan] {
+        for action in [
+            OwnerAction::Restore,
+            OwnerAction::Renew,
+            OwnerAction::Beat,
+            OwnerAction::Plan,
+        ] {
             self.after(1, Action::Owner(owner, action));
         }
     }
@@ -120,6 +136,7 @@
         match action {
             OwnerAction::Restore => self.restore(owner),
             OwnerAction::Renew => self.renew(owner),
+            OwnerAction::Beat => self.beat(owner),
             OwnerAction::Plan => self.plan(owner),
             OwnerAction::FollowFormer => self.follow_former(owner),
             OwnerAction::FollowJobs => self.follow_jobs(owner),
@@ -188,30 +205,60 @@
         self.confirm(owner, sent);
     }
 
+    /// Sends a heartbeat. If the store fails, the heartbeat may still take effect.
+    fn beat(&mut self, owner: usize) {
+        let sent = self.now.saturating_sub(self.rng.below(10));
+        self.after(HEARTBEAT_INTERVAL, Action::Owner(owner, OwnerAction::Beat));
+        if !self.reaches_store(self.owners[owner].host) {
+            return;
+        }
+        let answered = !self.store_fails();
+        if !answered && self.rng.below(2) == 0 {
+            return;
+        }
+        let fence = self.owners[owner].fence;
+        let former = at(sent) - self.owners[owner].heard.last;
+        let accepted = self.store.beat(fence, former);
+        if !answered {
+            return;
+        }
+        if !accepted {
+            return self.end_owner(owner, "another host claimed the shard");
+        }
+        self.confirm(owner, sent);
+        let known = &mut self.owners[owner];
+        known.heartbeat = sent.max(known.heartbeat);
+        known.scheduler.on_heartbeat(at(sent));
+    }
+
     fn confirm(&mut self, owner: usize, sent: u64) {
         let known = &mut self.owners[owner].confirmed;
         *known = sent.max(*known);
     }
 
-    /// Whether the store shows that the former owner of an owner has ended.
-    fn former_ended(&self, owner: usize) -> bool {
+    /// What the store shows of the former owner of an owner.
+    fn former_owner(&self, owner: usize) -> FormerOwner {
         let known = &self.owners[owner];
         let Some(former) = &known.former else {
-            return false;
+            return FormerOwner::Unknown;
         };
         let incarnation = self.store.incarnations.get(&former.host).copied();
         let candidate = self.candidate(known.host);
-        candidate.former_owner(former, incarnation, known.recovered) == FormerOwner::Ended
+        candidate.former_owner(former, incarnation, known.recovered)
     }
 
     fn follow_former(&mut self, owner: usize) {
         let reaches = self.reaches_store(self.owners[owner].host);
-        if reaches && self.former_ended(owner) {
-            let deadline = recovery_deadline(FormerOwner::Ended, at(self.now));
-            self.owners[owner].scheduler.shorten_recovery(deadline);
-        } else {
+        let former = self.former_owner(owner);
+        if !reaches || former == FormerOwner::Unknown {
             let action = Action::Owner(owner, OwnerAction::FollowFormer);
-            self.after(FORMER_INTERVAL, action);
+            return self.after(FORMER_INTERVAL, action);
+        }
+        let known = &mut self.owners[owner];
+        let deadline = recovery_deadline(former, known.heard, at(self.now));
+        known.scheduler.shorten_recovery(deadline);
+        if former == FormerOwner::Ended {
+            known.scheduler.on_former_ended();
         }
     }
 
--- a/src/schedule/tests/fuzz/step.rs
+++ b/src/schedule/tests/fuzz/step.rs
@@ -40,6 +40,8 @@
     Stop,
     /// The present owner is killed; its host returns after this time.
     Kill(u64),
+    /// The present owner's host is lost for good; another one comes after this time.
+    Replace(u64),
     /// The present owner is paused.
     Pause(u64),
     /// The present owner is cut off from the store.
@@ -51,6 +53,8 @@
     Partition(u8, u64),
     /// A worker crashes and returns after a time, under its id or a new one.
     Crash(usize, bool, u64),
+    /// A worker is lost for good, if enough others are left.
+    Gone(usize),
     /// Of the calls to workers, this percentage fails.
     CallFaults(u64, u64),
     /// Of the calls to the store, this percentage fails.
@@ -74,6 +78,7 @@
         1 => (0..8_usize).prop_map(Step::Cancel),
         3 => Just(Step::Stop),
         2 => (100..6_000_u64).prop_map(Step::Kill),
+        1 => (100..6_000_u64).prop_map(Step::Replace),
         2 => (300..7_000_u64).prop_map(Step::Pause),
         2 => (300..8_000_u64).prop_map(Step::CutStore),
         5 => (side, direction, worker.clone(), cut)
@@ -83,6 +88,7 @@
         3 => (1..16_u8, 1_000..10_000_u64).prop_map(|(set, span)| Step::Partition(set, span)),
         2 => (worker.clone(), any::<bool>(), 50..6_000_u64)
             .prop_map(|(worker, same, span)| Step::Crash(worker, same, span)),
+        1 => worker.clone().prop_map(Step::Gone),
         2 => (10..70_u64, 200..6_000_u64).prop_map(|(share, span)| Step::CallFaults(share, span)),
         3 => (10..90_u64, 200..6_000_u64).prop_map(|(share, span)| Step::StoreFaults(share, span)),
         1 => worker.prop_map(Step::Backlog),
--- a/src/schedule/tests/fuzz/store.rs
+++ b/src/schedule/tests/fuzz/store.rs
@@ -55,6 +55,10 @@
     /// The index of the owner with the owner lease, and when it expires.
     pub lease: Option<(usize, u64)>,
     pub written: u64,
+    /// The revision of the last heartbeat or claim.
+    pub heartbeat: u64,
+    /// For how long the owners before had sent none by then.
+    pub former_age: Duration,
     /// The revisions of all claims.
     pub claims: Vec<u64>,
     pub jobs: BTreeMap<WorkflowId, StoredJob>,
@@ -71,6 +75,16 @@
         self.revision
     }
 
+    /// Writes a heartbeat of the owner with this fencing token. Returns whether it is the owner.
+    pub fn beat(&mut self, fence: u64, former_age: Duration) -> bool {
+        let accepted = self.epoch == fence;
+        if accepted {
+            self.heartbeat = self.next();
+            self.former_age = former_age;
+        }
+        accepted
+    }
+
     pub fn accept(&mut self, id: WorkflowId, spec: Arc<Workflow>, now: u64) {
         let revision = self.next();
         let job = StoredJob {
--- a/src/schedule/tests/fuzz/world.rs
+++ b/src/schedule/tests/fuzz/world.rs
@@ -10,7 +10,7 @@
 use super::step::{Direction, HOST_COUNT, JOB_KINDS, Side, Step as FuzzStep, WORKER_COUNT};
 use super::store::{Commit, Store, Write};
 use super::worker::Process;
-use crate::shards::{Candidate, Incarnation, Layout, Owner};
+use crate::shards::{Candidate, Heard, Incarnation, Layout, Owner};
 
 /// The interval at which hosts look for a shard without an owner, in milliseconds.
 const CLAIM_INTERVAL: u64 = 50;
@@ -24,6 +24,8 @@
 const CALM: u64 = 20_000;
 /// The interval at which it is checked there what runs.
 const IDLE_CHECK_INTERVAL: u64 = 100;
+/// The kind of job whose tasks are long-running.
+const LONG_RUNNING_KIND: usize = 5;
 const SLOT_PORT: u16 = 1000;
 
 /// A generator of random numbers that all depend on one seed.
@@ -64,12 +66,17 @@
 /// A host that may own the shard.
 #[derive(Debug, Default)]
 struct Host {
+    name: String,
     incarnation: u64,
     down_until: u64,
     paused_until: u64,
     store_cut: u64,
     announced: bool,
     owner: Option<usize>,
+    /// The last heartbeat that the host knows, by its revision.
+    heartbeat: u64,
+    /// When the host knew of the last heartbeats.
+    heard: Heard,
 }
 
 /// A place for a worker, with a fixed address.
@@ -81,6 +88,8 @@
     pub store_cut: u64,
     pub lease_watched: bool,
     pub names: u32,
+    /// Whether the worker is lost for good.
+    pub gone: bool,
 }
 
 /// What an owner does next.
@@ -88,6 +97,7 @@
 pub(super) enum OwnerAction {
     Restore,
     Renew,
+    Beat,
     Plan,
     FollowFormer,
     FollowJobs,
@@ -138,6 +148,8 @@
     pub guards: bool,
     /// Whether a restarted worker carries out late calls to its former incarnation.
     pub late_after_restart: bool,
+    /// When the last crashed worker returns.
+    pub disturbed_until: u64,
     vacant_since: Option<u64>,
     traced: bool,
 }
@@ -150,10 +162,6 @@
     usize::from(address.port() - SLOT_PORT)
 }
 
-fn host_name(host: usize) -> String {
-    format!("h{host}")
-}
-
 /// The steps of a job of this kind.
 fn job_steps(kind: usize) -> Vec<Step> {
     let lasting = |millis, step| Step {
@@ -176,7 +184,7 @@
         ],
         3 => vec![failing("1")],
         4 => vec![failing("9")],
-        5 => vec![Step {
+        LONG_RUNNING_KIND => vec![Step {
             long_running: true,
             ..step(2, 1)
         }],
@@ -195,12 +203,14 @@
             store_cut: 0,
             lease_watched: false,
             names: 0,
+            gone: false,
         };
         let slots = (0..WORKER_COUNT).map(|index| slot(index, &mut rng));
         let slots = slots.collect();
         let group_size = [1, 1, 3, 100][rng.below(4) as usize];
         let guards = rng.below(2) == 0;
         let host = |host: usize| Host {
+            name: format!("h{host}"),
             incarnation: host as u64 + 1,
             ..Host::default()
         };
@@ -222,6 +232,7 @@
             group_size,
             guards,
             late_after_restart: false,
+            disturbed_until: 0,
             vacant_since: Some(0),
             traced: std::env::var_os("LYCHEELOCK_FUZZ_TRACE").is_some(),
         };
@@ -315,7 +326,7 @@
 
     pub fn candidate(&self, host: usize) -> Candidate {
         Candidate {
-            host: host_name(host),
+            host: self.hosts[host].name.clone(),
             incarnation: self.hosts[host].incarnation,
             zone: "a".to_owned(),
             zones: vec!["a".to_owned()],
@@ -338,9 +349,12 @@
                     id: known.incarnation,
                     resigned: 0,
                 };
-                self.store.incarnations.insert(host_name(host), incarnation);
+                self.store
+                    .incarnations
+                    .insert(known.name.clone(), incarnation);
             }
         }
+        self.follow_heartbeats();
         if self.store.lease.is_some_and(|(_, expires)| expires > now) {
             self.vacant_since = None;
             return;
@@ -352,7 +366,8 @@
         let able = |host: &usize| {
             let known = &self.hosts[*host];
             let until = known.down_until.max(known.paused_until);
-            now >= until.max(known.store_cut) && known.owner.is_none()
+            let knows_last = known.heartbeat == self.store.heartbeat;
+            now >= until.max(known.store_cut) && known.owner.is_none() && knows_last
         };
         let able: Vec<usize> = (0..HOST_COUNT).filter(able).collect();
         if able.is_empty() {
@@ -364,9 +379,11 @@
         let former = self.store.owner.take();
         self.trace(|| format!("h{host} claims with {fence}, former {former:?}"));
         self.store.epoch = fence;
+        self.store.heartbeat = fence;
+        self.store.former_age = at(begun) - self.hosts[host].heard.last;
         self.store.claims.push(fence);
         self.store.owner = Some(Owner {
-            host: host_name(host),
+            host: self.hosts[host].name.clone(),
             incarnation: self.hosts[host].incarnation,
             fence,
             released: false,
@@ -374,11 +391,28 @@
         let owner = self.owners.len();
         self.store.lease = Some((owner, now + OWNER_LEASE));
         self.hosts[host].owner = Some(owner);
-        let process = OwnerProcess::new(host, fence, former, begun, now);
+        let process = OwnerProcess::new(host, fence, former, begun, self.hosts[host].heard);
         self.owners.push(process);
         self.start_owner(owner);
     }
 
+    /// Lets the hosts that reach the store read the last heartbeat.
+    fn follow_heartbeats(&mut self) {
+        let (now, heartbeat) = (self.now, self.store.heartbeat);
+        let age = self.store.former_age;
+        for host in &mut self.hosts {
+            let until = host.down_until.max(host.paused_until);
+            if now >= until.max(host.store_cut) && host.heartbeat != heartbeat {
+                host.heartbeat = heartbeat;
+                let before = (at(now) - Moment::default()).saturating_sub(age);
+                host.heard = Heard {
+                    last: at(now),
+                    before: Moment::default() + before,
+                };
+            }
+        }
+    }
+
     /// Ends an ownership; the store learns of it, if the host reaches it.
     pub fn end_owner(&mut self, owner: usize, reason: &str) {
         let known = &mut self.owners[owner];
@@ -401,7 +435,7 @@
                 record.fence = self.store.epoch;
                 record.released = true;
             }
-        } else if let Some(known) = self.store.incarnations.get_mut(&host_name(host))
+        } else if let Some(known) = self.store.incarnations.get_mut(&self.hosts[host].name)
             && known.id == self.hosts[host].incarnation
         {
             known.resigned = fence.max(known.resigned);
@@ -425,6 +459,7 @@
         known.incarnation += HOST_COUNT as u64;
         known.announced = false;
         known.owner = None;
+        known.heartbeat = 0;
     }
 
     pub fn apply(&mut self, step: &FuzzStep) {
@@ -453,6 +488,14 @@
                     self.restart_host(host, span);
                 }
             }
+            FuzzStep::Replace(span) => {
+                if let Some(owner) = self.present_owner() {
+                    self.owners[owner].ended = true;
+                    let host = self.owners[owner].host;
+                    self.restart_host(host, span);
+                    self.hosts[host].name = format!("h{host}-{}", self.now);
+                }
+            }
             FuzzStep::Pause(span) => {
                 if let Some(host) = self.present_host() {
                     self.hosts[host].paused_until = now + span;
@@ -468,6 +511,7 @@
             }
             FuzzStep::Partition(set, span) => self.partition(set, now + span),
             FuzzStep::Crash(worker, same, span) => self.crash(worker, same, span),
+            FuzzStep::Gone(worker) => self.lose_worker(worker),
             FuzzStep::CallFaults(share, span) => {
                 let until = now + span;
                 self.call_faults = Faults { until, share };
@@ -532,6 +576,35 @@
         }
     }
 
+    /// Checks that the long-running tasks of all jobs started again in time, if there is room
+    /// for any of them twice over.
+    fn check_restarts(&self, calm_since: u64) {
+        if !self.has_room() {
+            return;
+        }
+        let open = self.store.jobs.iter();
+        let open = open.filter(|(_, job)| job.open && !job.state.is_final());
+        for (id, _) in open {
+            self.oracle.check_restarts(*id, calm_since, self.now);
+        }
+    }
+
+    /// Whether two long-running tasks fit on the workers that are up.
+    fn has_room(&self) -> bool {
+        let need = job_steps(LONG_RUNNING_KIND)[0].need;
+        let up = self.slots.iter().filter_map(|slot| slot.process.as_ref());
+        let room = up.map(|process| {
+            let mut used = process.used();
+            let mut copies = 0;
+            while copies < 2 && registration("w").capacity.minus(used).holds(need) {
+                used += need;
+                copies += 1;
+            }
+            copies
+        });
+        room.sum::<u32>() >= 2
+    }
+
     /// Ends all faults, waits for a calm stretch, and checks all jobs.
     pub fn finish(&mut self) {
         self.links = Default::default();
@@ -546,7 +619,11 @@
             slot.store_cut = 0;
         }
         self.trace(|| "calm".to_owned());
-        self.advance(CALM);
+        let calm_since = self.now.max(self.disturbed_until);
+        for _ in (0..CALM).step_by(IDLE_CHECK_INTERVAL as usize) {
+            self.advance(IDLE_CHECK_INTERVAL);
+            self.check_restarts(calm_since);
+        }
         let mut ran = BTreeSet::new();
         for _ in (0..MAX_IDLE).step_by(IDLE_CHECK_INTERVAL as usize) {
             ran.extend(self.oracle.running_jobs());
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -205,6 +205,7 @@
     }
 
     fn plan_confirmed(&mut self, confirmed: Moment) {
+        self.scheduler.on_heartbeat(confirmed);
         self.orders = self.scheduler.plan(confirmed, at(self.now));
     }
 
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -1,6 +1,7 @@
 //! Tests of the recovery of a shard by a new owner.
 
 use super::*;
+use crate::fleet::HEARTBEAT_LEASE;
 use crate::workflow::Recurrence;
 
 #[test]
@@ -327,3 +328,25 @@
     }
     assert_eq!(stored, [false, false, true, false]);
 }
+
+/// A new owner starts tasks again once leases have ended that count from that heartbeat.
+#[test]
+fn a_lease_outlasts_the_last_heartbeat_of_its_owner_by_too_much() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.scheduler.on_heartbeat(at(1_000));
+    let limit = at(1_000) + HEARTBEAT_LEASE;
+    for now in [1_000, 3_000, 6_900] {
+        shard.now = now;
+        shard.report(0, &[], &[]);
+        let worker = shard.workers[0];
+        let poll = shard.scheduler.poll_order(worker, true, at(now)).unwrap();
+        let clock = shard.scheduler.workers[worker].clock.unwrap();
+        let lease_end = clock.latest_expiry(poll.lease_end.unwrap());
+        assert!(lease_end <= limit, "{lease_end} for a poll at {now}");
+    }
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.orders = shard.scheduler.plan(at(1_000), at(6_900));
+    shard.confirm();
+    let lease_end = shard.scheduler.workers[shard.workers[0]].lease_deadline;
+    assert!(lease_end <= limit, "{lease_end} for a start");
+}
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use super::Layout;
-use crate::fleet::MAX_CLOCK_SLOWDOWN;
+use crate::fleet::{HEARTBEAT_LEASE, MAX_CLOCK_SLOWDOWN};
 use crate::ids::stable_hash;
 use crate::moment::Moment;
 
-/// An owner gives no more orders once the store has not confirmed its ownership for
+/// An owner gives no more orders once the store has not accepted a heartbeat of it for
 /// this long.
 pub const OWNER_TIMEOUT: Duration = Duration::from_secs(6);
 /// The limit on the lease that an owner gives to a run.
 pub const MAX_LEASE: Duration = Duration::from_secs(5);
+/// By how much the clocks of two hosts may differ over the time of a recovery.
+const CLOCK_MARGIN: Duration = Duration::from_millis(100);
 /// Hosts of the shard's own zone claim within this time, each after its own delay.
 const HOME_ZONE_JITTER: Duration = Duration::from_millis(120);
 /// The additional delay of hosts of other zones.
@@ -35,30 +37,55 @@
 pub enum FormerOwner {
     /// The former owner has ended, or has released the shard, and so have those before it.
     Ended,
+    /// The former owner has ended, or has released the shard; one before it may give orders.
+    LastEnded,
     /// The former owner, or one before it, may be partitioned from the store and give orders
-    /// until its timeout.
+    /// until its last heartbeat is too old.
     Unknown,
 }
 
 /// Returns the time by which every run that a former owner started has ended, even
 /// if the new owner cannot reach the workers.
 ///
+/// The former owner is known at `now` to have ended, if it has.
+///
 /// ```
+/// use std::time::Duration;
 /// use lycheelock::moment::Moment;
-/// use lycheelock::shards::{FormerOwner, OWNER_TIMEOUT, recovery_deadline};
+/// use lycheelock::shards::{FormerOwner, Heard, recovery_deadline};
 ///
-/// let claimed = Moment::default();
-/// let ended = recovery_deadline(FormerOwner::Ended, claimed);
-/// assert_eq!(recovery_deadline(FormerOwner::Unknown, claimed), ended + OWNER_TIMEOUT);
+/// let second = |second: u64| Moment::from_micros(second * 1_000_000);
+/// let heard = Heard { last: second(30), before: second(28) };
+/// let deadline = |former, now| recovery_deadline(former, heard, second(now));
+/// assert!(deadline(FormerOwner::Ended, 30) < deadline(FormerOwner::Unknown, 30));
+/// // A host that learns late that the owner has ended does not wait longer for that.
+/// assert_eq!(deadline(FormerOwner::Ended, 40), deadline(FormerOwner::Unknown, 40));
 /// ```
-pub fn recovery_deadline(former: FormerOwner, claimed: Moment) -> Moment {
-    let leases_ended = claimed + MAX_LEASE.mul_f64(MAX_CLOCK_SLOWDOWN);
+pub fn recovery_deadline(former: FormerOwner, heard: Heard, now: Moment) -> Moment {
+    let ended = now + MAX_LEASE.mul_f64(MAX_CLOCK_SLOWDOWN);
+    let unknown = leases_end(heard.last);
     match former {
-        FormerOwner::Ended => leases_ended,
-        FormerOwner::Unknown => leases_ended + OWNER_TIMEOUT,
+        FormerOwner::Ended => ended.min(unknown),
+        FormerOwner::LastEnded => ended.max(leases_end(heard.before)).min(unknown),
+        FormerOwner::Unknown => unknown,
     }
 }
 
+/// Returns the time by which the leases that an owner gave have ended, if this host knew of the
+/// owner's last heartbeat at `heard`.
+fn leases_end(heard: Moment) -> Moment {
+    heard + HEARTBEAT_LEASE + CLOCK_MARGIN
+}
+
+/// When a host knew of the last heartbeats of a shard's owners, which sent them before.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// Of the last owner.
+    pub last: Moment,
+    /// Of the owners before it.
+    pub before: Moment,
+}
+
 /// The newest incarnation of each host's process, by the name of the host.
 pub type Incarnations = HashMap<String, Incarnation>;
 
@@ -109,6 +136,10 @@
     pub owner_lease: Option<OwnerLease>,
     /// Since when this host has seen this owner lease, or its absence.
     pub since: Moment,
+    /// The revision of the last heartbeat of an owner; 0 before the first claim.
+    pub heartbeat: u64,
+    /// When this host knew of the last heartbeats.
+    pub heard: Heard,
 }
 
 /// A host that may claim a shard.
@@ -228,7 +259,7 @@
     /// assert_eq!(me.former_owner(&owner, incarnation(7, 0), recovered), FormerOwner::Unknown);
     /// assert_eq!(me.former_owner(&owner, incarnation(7, 30), recovered), FormerOwner::Ended);
     /// assert_eq!(me.former_owner(&owner, incarnation(8, 0), recovered), FormerOwner::Ended);
-    /// assert_eq!(me.former_owner(&owner, incarnation(8, 0), 29), FormerOwner::Unknown);
+    /// assert_eq!(me.former_owner(&owner, incarnation(8, 0), 29), FormerOwner::LastEnded);
     /// ```
     pub fn former_owner(
         &self,
@@ -240,10 +271,10 @@
         let replaced = incarnation.is_some_and(|incarnation| incarnation.id != owner.incarnation);
         let resigned = incarnation.is_some_and(|incarnation| incarnation.resigned >= owner.fence);
         let ended = owner.released || own_former || replaced || resigned;
-        if ended && recovered >= owner.fence {
-            FormerOwner::Ended
-        } else {
-            FormerOwner::Unknown
+        match (ended, recovered >= owner.fence) {
+            (true, true) => FormerOwner::Ended,
+            (true, false) => FormerOwner::LastEnded,
+            (false, _) => FormerOwner::Unknown,
         }
     }
 
--- a/src/shards/keys.rs
+++ b/src/shards/keys.rs
@@ -15,6 +15,8 @@
     Epoch(&'a str),
     /// The owner lease of the named shard.
     OwnerLease(&'a str),
+    /// The last heartbeat of the named shard's owner.
+    Heartbeat(&'a str),
     /// The newest incarnation of the named host's process.
     Incarnation(&'a str),
     /// The layout of the shards.
@@ -43,6 +45,13 @@
     format!("{SHARD_PREFIX}{shard}/hint")
 }
 
+/// Returns the key that a shard's owner writes with each heartbeat and each claim. Unlike the
+/// owner lease it stays when the owner ends, so that a claim can require that this host knows
+/// the last heartbeat.
+pub fn heartbeat_key(shard: &str) -> String {
+    format!("{SHARD_PREFIX}{shard}/heartbeat")
+}
+
 /// Returns the key of the newest incarnation of a host's process.
 pub fn incarnation_key(host: &str) -> String {
     format!("{SHARD_PREFIX}{host}/life")
@@ -64,6 +73,7 @@
     match kind {
         "epoch" => Some(ShardKey::Epoch(name)),
         "hint" => Some(ShardKey::OwnerLease(name)),
+        "heartbeat" => Some(ShardKey::Heartbeat(name)),
         "life" => Some(ShardKey::Incarnation(name)),
         _ => None,
     }
--- a/src/shards/mod.rs
+++ b/src/shards/mod.rs
@@ -16,16 +16,18 @@
 mod views;
 
 pub use claim::{
-    Candidate, ClaimDecision, FormerOwner, Incarnation, Incarnations, MAX_LEASE, OWNER_TIMEOUT,
-    Owner, OwnerLease, OwnershipView, recovery_deadline,
+    Candidate, ClaimDecision, FormerOwner, Heard, Incarnation, Incarnations, MAX_LEASE,
+    OWNER_TIMEOUT, Owner, OwnerLease, OwnershipView, recovery_deadline,
 };
 pub use keys::{
-    JobKey, LAYOUT_KEY, SHARD_PREFIX, ShardKey, cancel_key, claimed_key, epoch_key,
+    JobKey, LAYOUT_KEY, SHARD_PREFIX, ShardKey, cancel_key, claimed_key, epoch_key, heartbeat_key,
     incarnation_key, is_later_claim, job_key, owner_lease_key, pairs_key, pairs_prefix,
     progress_key, progress_prefix, read_job_key, read_shard_key, recovered_key, roster_key,
     waiting_key, waiting_prefix, work_key, work_prefix, written_key,
 };
 pub use layout::Layout;
-pub use record::{AcceptedJob, JobRecord, OwnerRecord, RecordError, decode, encode};
+pub use record::{
+    AcceptedJob, JobRecord, NO_FORMER_OWNER, OwnerRecord, RecordError, decode, encode,
+};
 pub use tokens::Tokens;
 pub use views::OwnershipViews;
--- a/src/shards/record.rs
+++ b/src/shards/record.rs
@@ -27,8 +27,15 @@
     pub resigned: u64,
     /// The processor time that the host may use, in thousandths of a core.
     pub millicores: u32,
+    /// How long before this record was written the host knew of the last heartbeat of the owners
+    /// before it, in milliseconds; 0 if that is unknown, [`NO_FORMER_OWNER`] if there was none.
+    #[serde(default)]
+    pub former_age: u64,
 }
 
+/// Stands for the age of the last heartbeat of a former owner, in milliseconds, if there was none.
+pub const NO_FORMER_OWNER: u64 = u64::MAX;
+
 /// The record of a job from which callers are answered.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -96,6 +103,7 @@
 ///     released: false,
 ///     resigned: 0,
 ///     millicores: 100,
+///     former_age: 0,
 /// };
 /// assert_eq!(decode::<OwnerRecord>(&encode(&owner)).unwrap(), owner);
 /// assert!(decode::<OwnerRecord>(b"?").is_err());
--- a/src/shards/tests.rs
+++ b/src/shards/tests.rs
@@ -1,10 +1,10 @@
 use std::time::Duration;
 
 use super::{
-    Candidate, ClaimDecision, FormerOwner, Layout, OWNER_TIMEOUT, Owner, OwnerLease, OwnerRecord,
-    OwnershipView, OwnershipViews, recovery_deadline,
+    Candidate, ClaimDecision, FormerOwner, Heard, Layout, NO_FORMER_OWNER, OWNER_TIMEOUT, Owner,
+    OwnerLease, OwnerRecord, OwnershipView, OwnershipViews, recovery_deadline,
 };
-use crate::fleet::{Clock, RUN_LEASE};
+use crate::fleet::{Clock, HEARTBEAT_LEASE, RUN_LEASE};
 use crate::moment::Moment;
 
 fn host(name: &str, zone: &str) -> Candidate {
@@ -106,6 +106,7 @@
         released: false,
         resigned: 0,
         millicores: 69,
+        former_age: 0,
     }
 }
 
@@ -170,16 +171,25 @@
 
 #[test]
 fn a_former_owner_gives_leases_beyond_the_recovery_deadline() {
-    let claimed = at(60_000);
-    for former in [FormerOwner::Ended, FormerOwner::Unknown] {
-        let last_order = match former {
-            FormerOwner::Ended => claimed,
-            FormerOwner::Unknown => claimed + OWNER_TIMEOUT,
-        };
+    // The former owner sent its last heartbeat, and gave its last order much later or at once.
+    let heartbeat = at(60_000);
+    let heard = Heard {
+        last: heartbeat,
+        before: heartbeat,
+    };
+    let orders = [
+        (FormerOwner::Ended, heartbeat),
+        (FormerOwner::LastEnded, heartbeat),
+        (FormerOwner::Unknown, heartbeat),
+        (FormerOwner::Unknown, heartbeat + OWNER_TIMEOUT),
+    ];
+    for (former, last_order) in orders {
         // All copies of a start carry the end of its first; the clock was read before.
         let clock = Clock::new(1_000, at(54_000));
-        let lease_end = clock.latest_expiry(clock.lease_end(last_order, RUN_LEASE));
-        let deadline = recovery_deadline(former, claimed);
+        let limit = clock.latest_lease_end(heartbeat + HEARTBEAT_LEASE);
+        let lease_end = clock.lease_end(last_order, RUN_LEASE).min(limit);
+        let lease_end = clock.latest_expiry(lease_end);
+        let deadline = recovery_deadline(former, heard, heartbeat);
         assert!(lease_end < deadline, "{former:?}: {lease_end:?}");
     }
 }
@@ -200,9 +210,9 @@
         format!("{recovered} {former:?}")
     });
     insta::assert_snapshot!(former.join("\n"), @r"
-    0 Unknown
-    29 Unknown
-    33 Unknown
+    0 LastEnded
+    29 LastEnded
+    33 LastEnded
     34 Ended
     ");
 }
@@ -242,3 +252,31 @@
         assert!(layout.shards(&one).contains(&shard));
     }
 }
+
+/// A host that reads the store again, or only then, must not take an old heartbeat for a new one,
+/// nor the owners before for longer silent than they are.
+#[test]
+fn a_heartbeat_counts_from_when_a_host_first_knew_it() {
+    let mut views = OwnershipViews::default();
+    let record = |former_age| OwnerRecord {
+        former_age,
+        ..owner("a9", 4)
+    };
+    let steps = [
+        (record(NO_FORMER_OWNER), 8, 20_000),
+        (record(NO_FORMER_OWNER), 8, 30_000),
+        (record(700), 9, 31_000),
+        (record(0), 12, 32_000),
+    ];
+    let heard = steps.map(|(record, revision, now)| {
+        views.on_heartbeat("a.0", &record, revision, at(now));
+        let Heard { last, before } = views.get("a.0").heard;
+        format!("{last} {before}")
+    });
+    insta::assert_snapshot!(heard.join("\n"), @r"
+    20.000s 0.000s
+    20.000s 0.000s
+    31.000s 30.300s
+    32.000s 32.000s
+    ");
+}
--- a/src/shards/views.rs
+++ b/src/shards/views.rs
@@ -1,8 +1,9 @@
 //! What a host knows of the owners of all shards from the store.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
-use super::{Owner, OwnerLease, OwnerRecord, OwnershipView};
+use super::{Heard, Owner, OwnerLease, OwnerRecord, OwnershipView};
 use crate::moment::Moment;
 
 /// What a host knows of the owners of all shards.
@@ -69,11 +70,29 @@
         view.owner_lease = owner_lease;
     }
 
+    /// Records the last heartbeat of a shard's owner.
+    pub fn on_heartbeat(&mut self, shard: &str, owner: &OwnerRecord, revision: u64, now: Moment) {
+        let view = self.entry(shard, now);
+        if view.heartbeat == revision {
+            return;
+        }
+        view.heartbeat = revision;
+        let age = Duration::from_millis(owner.former_age);
+        view.heard = Heard {
+            last: now,
+            before: Moment::default() + (now - Moment::default()).saturating_sub(age),
+        };
+    }
+
     /// Returns the view of a shard. A shard that was not known counts as without an owner
     /// lease from now on, because it is unknown for how long it has had none.
     fn entry(&mut self, shard: &str, now: Moment) -> &mut OwnershipView {
         let new_view = || OwnershipView {
             since: now,
+            heard: Heard {
+                last: now,
+                before: now,
+            },
             ..OwnershipView::default()
         };
         self.shards.entry(shard.to_owned()).or_insert_with(new_view)
