Recovery: an owner that releases a shard names what each worker may run

Callers saw: when the owner is stopped as planned beside a worker that never answers again, all work accepted before waits for the end of the leases, 5.1 s after the release, and again after each further stop: a rolling restart of the hosts.

Cause: knowledge that is not handed on. The roster of an owner tells which tasks may be on the workers that it closed; a worker that was silent for less than 1.1 s is open in it, and a next owner has to wait for anything that it might run. The owner that stops knows it.

Change: the release writes the roster once more, with the tasks of each worker, and for how long the leases on it go on: its own, or those of former owners. So the next owner waits only for the tasks of workers that do not answer, until those leases end, and hands on the rest of that time.

Ruled out: naming tasks only for workers that seem silent (a poll waits up to 0.8 s, so a worker that is gone since then looks like any other).

Tests that failed with the roster of before: `all_tasks_wait_for_a_silent_worker_after_planned_stops`, `a_worker_whose_ends_are_not_stored_is_named_without_their_tasks`.

--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -20,10 +20,10 @@
 use crate::latency::Span;
 use crate::moment::Moment;
 use crate::platform::fleet::{Commit, Transaction};
-use crate::schedule::{Event, Order, Scheduler, Term};
+use crate::schedule::{Event, Order, RosterEntry, Scheduler, Term};
 use crate::shards::{
     FormerOwner, Heard, Incarnations, OWNER_TIMEOUT, Owner, OwnerRecord, encode, epoch_key,
-    owner_lease_key, recovered_key, recovery_deadline,
+    owner_lease_key, recovered_key, recovery_deadline, roster_key,
 };
 
 /// The longest interval between two passes over the waiting tasks.
@@ -289,6 +289,9 @@
             .require(&epoch_key(shard), fence)
             .set(&epoch_key(shard), record)
             .remove(&owner_lease_key(shard));
+        if let Some(roster) = self.final_roster() {
+            transaction = transaction.set(&roster_key(shard), encode(&roster));
+        }
         if self.has_recovered() {
             transaction = transaction.set(&recovered_key(shard), Vec::new());
         }
@@ -312,6 +315,12 @@
         scheduler.is_ok_and(|scheduler| scheduler.has_recovered())
     }
 
+    /// The roster to store with the release. Absent after a panic.
+    fn final_roster(&self) -> Option<Vec<RosterEntry>> {
+        let scheduler = self.scheduler.lock().ok()?;
+        scheduler.final_roster(Moment::now())
+    }
+
     /// Gives up the fencing token. Returns the record that tells a newer owner so; `None`
     /// while this host owns another shard under a lower token, which the record would cover.
     pub fn give_up_token(&self) -> Option<OwnerRecord> {
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -125,6 +125,7 @@
             address: String::new(),
             zone: String::new(),
             closed: None,
+            lease_left: None,
         }])]
     };
     let first = store.apply(&transaction(&owned, &roster("first"), 0));
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -19,6 +19,10 @@
     /// The tasks that a closed worker may still be running; `None` if the worker
     /// is open to new tasks.
     pub closed: Option<Vec<TaskName>>,
+    /// For how long the leases on a closed worker may go on, in milliseconds; `None` if its owner
+    /// may have prolonged them after this entry was written.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_left: Option<u64>,
 }
 
 impl RosterEntry {
--- a/src/schedule/recovery.rs
+++ b/src/schedule/recovery.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use super::{Event, Scheduler};
+use super::{Event, RosterEntry, Scheduler};
 use crate::fleet::WorkerKey;
 use crate::moment::Moment;
 use crate::workflow::{Stage, Task, TaskKey, TaskName};
@@ -10,6 +10,15 @@
 /// The largest number of unanswering workers that one log line names.
 const MAX_NAMED_WORKERS: usize = 5;
 
+/// A worker that a former owner closed, and that has not answered this owner.
+#[derive(Debug, Clone)]
+pub(super) struct ClosedWorker {
+    /// The tasks that the worker may still be running.
+    pub tasks: Vec<TaskName>,
+    /// When all leases on the worker have ended, if that is before the recovery deadline.
+    pub leases_end: Option<Moment>,
+}
+
 impl Scheduler {
     /// Lets tasks that a former owner may have started start again, once no run
     /// of them can exist any more.
@@ -31,7 +40,7 @@
         }
         self.recovering = false;
         self.tasks_recovering = !self.closed_workers.is_empty();
-        let kept: HashSet<TaskName> = self.closed_workers.values().flatten().copied().collect();
+        let kept = self.kept_tasks();
         let may_restart =
             |task: &Task| task.stage == Stage::Recovering && !kept.contains(&task.name);
         let recovering = self
@@ -60,6 +69,60 @@
         }
     }
 
+    /// The tasks that closed workers may still be running. Those on workers whose leases have
+    /// ended are forgotten.
+    fn kept_tasks(&mut self) -> HashSet<TaskName> {
+        let confirmed = self.confirmed;
+        for closed in self.closed_workers.values_mut() {
+            if closed.leases_end.is_some_and(|end| end <= confirmed) {
+                closed.tasks.clear();
+            }
+        }
+        let closed = self.closed_workers.values();
+        closed
+            .flat_map(|closed| closed.tasks.iter().copied())
+            .collect()
+    }
+
+    /// Returns the roster to store when this owner releases the shard and gives no more orders:
+    /// it names for each worker what it may still run. `None` before the former owner's roster
+    /// was read.
+    pub fn final_roster(&self, now: Moment) -> Option<Vec<RosterEntry>> {
+        let keys = self.workers.keys();
+        let entries = keys.map(|key| self.final_entry(key, now));
+        self.has_roster().then(|| entries.collect())
+    }
+
+    /// An entry of the last roster. A worker is open in it if not all that it may run, or all
+    /// whose ends are not stored, are known.
+    fn final_entry(&self, key: WorkerKey, now: Moment) -> RosterEntry {
+        let worker = &self.workers[key];
+        let mut entry = self.roster_entry(key);
+        let unstored = worker.unstored_ends(self.writes.written()) > 0;
+        if unstored || self.former_workers.contains(&key) {
+            entry.closed = None;
+            return entry;
+        }
+        let mut tasks = worker.possible_tasks();
+        let mut leases_end = worker.lease_deadline;
+        match self.closed_workers.get(&key) {
+            Some(closed) => {
+                tasks.extend(closed.tasks.iter().copied());
+                leases_end = leases_end.max(closed.leases_end.unwrap_or(self.former_leases_end()));
+            }
+            // It may still hold a lease of a former owner.
+            None => leases_end = leases_end.max(self.former_leases_end()),
+        }
+        entry.closed = Some(tasks.into_iter().collect());
+        entry.lease_left = Some((leases_end - now).as_millis() as u64 + 1);
+        entry
+    }
+
+    /// When all leases that former owners gave have ended.
+    fn former_leases_end(&self) -> Moment {
+        self.term.recovery_deadline.unwrap_or_default()
+    }
+
     /// Whether no former owner gives orders any more that a worker carries out.
     pub const fn has_recovered(&self) -> bool {
         self.former_ended || !self.tasks_recovering
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use super::recovery::ClosedWorker;
 use super::{Event, RosterEntry, Scheduler};
 use crate::fleet::{Availability, Registration, Worker, WorkerKey};
 use crate::moment::Moment;
@@ -64,7 +65,10 @@
             }
             match entry.closed {
                 Some(tasks) => {
-                    self.closed_workers.insert(key, tasks);
+                    let left = entry.lease_left.map(Duration::from_millis);
+                    let leases_end = left.map(|left| now + left.max(MIN_RECOVERY));
+                    let closed = ClosedWorker { tasks, leases_end };
+                    self.closed_workers.insert(key, closed);
                 }
                 None => {
                     self.former_workers.insert(key);
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -14,6 +14,7 @@
 use super::peers::PeerEvidence;
 use super::place::{Candidates, OpenWorkers, Placement, PlacementFailures, Tolerance};
 use super::rank::{Rank, rank};
+use super::recovery::ClosedWorker;
 use super::trial::Trials;
 use super::waiting::WaitList;
 use super::write::Writes;
@@ -23,8 +24,8 @@
 use crate::moment::Moment;
 use crate::routing::{Queue, Queues};
 use crate::workflow::{
-    ActiveWorkflow, FULL_SPEED, JobTransition, Ledger, Progress, Stage, Step, TaskKey, TaskName,
-    WorkflowId, WorkflowKey, WorkflowState,
+    ActiveWorkflow, FULL_SPEED, JobTransition, Ledger, Progress, Stage, Step, TaskKey, WorkflowId,
+    WorkflowKey, WorkflowState,
 };
 
 /// The range of run numbers for one term. Run numbers start at the fencing token
@@ -109,8 +110,8 @@
     pub(super) newest_jobs: HashMap<String, Moment>,
     /// The pools with more than half of their processors idle.
     pub(super) idle_pools: HashSet<String>,
-    /// The tasks that workers closed by a former owner may still be running.
-    pub(super) closed_workers: HashMap<WorkerKey, Vec<TaskName>>,
+    /// The workers closed by a former owner that have not answered this owner.
+    pub(super) closed_workers: HashMap<WorkerKey, ClosedWorker>,
     pub(super) writes: Writes,
     pub(super) images: Images,
     pub(super) pairs: ImagePairs,
--- a/src/schedule/tests/fuzz/owner.rs
+++ b/src/schedule/tests/fuzz/owner.rs
@@ -114,6 +114,10 @@
         self.scheduler.has_recovered()
     }
 
+    pub fn final_roster(&self, now: u64) -> Option<Vec<RosterEntry>> {
+        self.scheduler.final_roster(at(now))
+    }
+
     fn is_confirmed(&self, now: u64) -> bool {
         at(now) - at(self.heartbeat) < OWNER_TIMEOUT
     }
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -356,5 +356,6 @@
         address: address(id).to_string(),
         zone: "a".to_owned(),
         closed,
+        lease_left: None,
     }
 }
--- a/src/schedule/tests/stored_state.rs
+++ b/src/schedule/tests/stored_state.rs
@@ -187,6 +187,7 @@
         address: "127.0.0.1:9".to_owned(),
         zone: String::new(),
         closed,
+        lease_left: None,
     };
     for closed in [None, Some(vec![task])] {
         let term = Term {
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -350,3 +350,67 @@
     let lease_end = shard.scheduler.workers[shard.workers[0]].lease_deadline;
     assert!(lease_end <= limit, "{lease_end} for a start");
 }
+
+/// The owner after one that released the shard.
+fn next_owner(former: &Shard, workers: &[&str]) -> Shard {
+    let roster = former.scheduler.final_roster(at(former.now));
+    let term = Term {
+        fence: FENCE + 50,
+        recovery_deadline: Some(at(former.now + 5_100)),
+    };
+    let mut shard = Shard::new(term, workers);
+    shard.now = former.now;
+    let roster = roster.expect("the former owner has read its roster");
+    shard.scheduler.on_roster(roster, at(shard.now));
+    shard
+}
+
+/// All tasks waited for what one worker may run, and again after each further stop.
+#[test]
+fn all_tasks_wait_for_a_silent_worker_after_planned_stops() {
+    let mut first = Shard::first_owner(&["w0", "gone"]);
+    first.submit(active_workflow(1, vec![step(4, 6)], 1, 0));
+    first.plan();
+    let ran = first.confirm();
+    assert_eq!(ran.len(), 2, "two of the tasks have no room");
+    let mut owner = first;
+    for stop in [100, 400] {
+        owner.now = stop;
+        owner = next_owner(&owner, &["w0", "gone"]);
+        owner.submit(active_workflow(1, vec![step(4, 6)], 1, 0));
+        let live: Vec<(TaskName, u64)> = ran
+            .iter()
+            .filter(|(worker, ..)| *worker == 0)
+            .map(|(_, task, run)| (*task, *run))
+            .collect();
+        owner.report(0, &live, &[]);
+        assert_eq!(owner.recoveries(), [(2, 1)], "at {stop}");
+    }
+    // The first owner's leases end, not those that its successors might have given.
+    owner.write();
+    for now in [4_000, 4_900] {
+        owner.now = now;
+        owner.report(0, &[], &[]);
+        owner.plan();
+    }
+    assert_eq!(owner.recoveries(), [(1, 0)]);
+}
+
+#[test]
+fn a_worker_whose_ends_are_not_stored_is_named_without_their_tasks() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(2, 1)], 1, 0));
+    shard.plan();
+    let [(_, first, run), (_, second, other)] = shard.confirm()[..] else {
+        panic!("two starts");
+    };
+    let running = [(second, other)];
+    let closed = |shard: &Shard| {
+        let roster = shard.scheduler.final_roster(at(shard.now)).unwrap();
+        roster[0].closed.clone()
+    };
+    shard.report(0, &running, &[(1, first, run, RunOutcome::Done)]);
+    assert_eq!(closed(&shard), None, "the end is not stored");
+    shard.write();
+    assert_eq!(closed(&shard), Some(vec![second]));
+}
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -206,20 +206,26 @@
     }
 
     fn roster(&self) -> Vec<RosterEntry> {
-        let rows = self.workers.iter().map(|(key, worker)| RosterEntry {
-            id: worker.registration.id.clone(),
-            address: worker.registration.address.to_string(),
-            zone: worker.registration.zone.clone(),
+        let keys = self.workers.keys();
+        keys.map(|key| self.roster_entry(key)).collect()
+    }
+
+    pub(super) fn roster_entry(&self, key: WorkerKey) -> RosterEntry {
+        let registration = &self.workers[key].registration;
+        RosterEntry {
+            id: registration.id.clone(),
+            address: registration.address.to_string(),
+            zone: registration.zone.clone(),
             closed: self.closed_tasks(key),
-        });
-        rows.collect()
+            lease_left: None,
+        }
     }
 
     /// The tasks that a closed worker may still be running; `None` if the worker
     /// is open.
     fn closed_tasks(&self, key: WorkerKey) -> Option<Vec<TaskName>> {
-        if let Some(tasks) = self.closed_workers.get(&key) {
-            return Some(tasks.clone());
+        if let Some(closed) = self.closed_workers.get(&key) {
+            return Some(closed.tasks.clone());
         }
         let worker = &self.workers[key];
         let silent = worker.caught_up && !worker.in_roster && !worker.responsive;
