Recovery: a worker that another one has replaced is not waited for

Callers saw: after a takeover all work accepted before waited for a worker that had crashed and come back under another id, until all leases had ended.

Cause: the new owner polls the worker's address and learns that another worker answers there, so the former one and its runs have ended; `on_replaced` noted the crash only, and left the worker among those that recovery waits for.

Ruled out: taking the missing registry entry as evidence (a worker that is cut off from the store loses its entry and runs on).

The test `a_worker_that_was_replaced_delays_the_recovery` failed before.

--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -73,6 +73,9 @@
         if first && worker.registration.availability == Availability::Ready {
             self.record_crash(key, "another worker answers at its address", now);
         }
+        // All that it ran for a former owner has ended with it.
+        self.former_workers.remove(&key);
+        self.closed_workers.remove(&key);
     }
 
     /// Records the crash of a worker for the runs that it had, or had when its leases
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -414,3 +414,16 @@
     shard.write();
     assert_eq!(closed(&shard), Some(vec![second]));
 }
+
+#[test]
+fn a_worker_that_was_replaced_delays_the_recovery() {
+    let mut shard = Shard::later_owner(&["w0", "replaced"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.report(0, &[], &[]);
+    shard.plan();
+    assert_eq!(shard.orders(), "", "the other worker may run it");
+    let replaced = shard.workers[1];
+    shard.scheduler.on_replaced(replaced, at(0));
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 1);
+}
