Metrics: how long tasks of a former owner wait after a claim

Operators could see the wait only in the log (`settled` after `shard_claimed`). Two histograms, by whether the owner had released the shard or was lost. No decision changes.

--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -153,10 +153,7 @@
         let urgent = scheduler.is_urgent();
         drop(scheduler);
         for event in &events {
-            if let Event::Placed { waited, .. } = event {
-                let waited = Duration::from_millis(*waited);
-                self.node.latencies.record(Span::Wait, waited);
-            }
+            self.measure(event);
             journal::line(&ShardLine {
                 shard: &self.claim.shard,
                 fence: self.claim.fence,
@@ -169,6 +166,25 @@
         result
     }
 
+    /// Records the latency that an event shows.
+    fn measure(&self, event: &Event) {
+        let (span, took) = match event {
+            Event::Placed { waited, .. } => (Span::Wait, Duration::from_millis(*waited)),
+            Event::RecoveryFinished { .. } => {
+                (self.recovery_span(), Moment::now() - self.claim.begun)
+            }
+            _ => return,
+        };
+        self.node.latencies.record(span, took);
+    }
+
+    fn recovery_span(&self) -> Span {
+        match &self.claim.former {
+            Some(former) if former.released => Span::RecoveryAfterRelease,
+            _ => Span::RecoveryAfterLoss,
+        }
+    }
+
     /// Returns the record of this ownership that is written to the store.
     pub fn record(&self) -> OwnerRecord {
         let claim = &self.claim;
--- a/src/latency.rs
+++ b/src/latency.rs
@@ -25,11 +25,23 @@
     StartOrder,
     /// The wait of a task, from the moment it may start to its start order.
     Wait,
+    /// From the claim of a shard that its owner had released until tasks that it may have started
+    /// may start again.
+    RecoveryAfterRelease,
+    /// The same after the loss of the owner.
+    RecoveryAfterLoss,
 }
 
 impl Span {
     /// All spans, in the order of the histograms.
-    pub const ALL: [Self; 4] = [Self::Answer, Self::StoreCall, Self::StartOrder, Self::Wait];
+    pub const ALL: [Self; 6] = [
+        Self::Answer,
+        Self::StoreCall,
+        Self::StartOrder,
+        Self::Wait,
+        Self::RecoveryAfterRelease,
+        Self::RecoveryAfterLoss,
+    ];
 
     /// Returns the name of the span in metrics.
     ///
@@ -42,6 +54,8 @@
             Self::StoreCall => "store_call",
             Self::StartOrder => "start_order",
             Self::Wait => "wait",
+            Self::RecoveryAfterRelease => "recovery_after_release",
+            Self::RecoveryAfterLoss => "recovery_after_loss",
         }
     }
 }
