Workers: one that comes back at another address is connected to again

Cause: the registry's new address was taken into the registration, but a connection was made for workers of new ids only; the two tasks of the worker went on calling the former address.

Change: `on_registry` names workers at another address too. Their connection is replaced: the tasks are ended, and the orders that were queued are repeated at the new address. A crash that another worker at the former address has shown does not count again when the worker reports its new incarnation: two crashes let a task be given up.

--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -8,7 +8,7 @@
 
 use futures_util::FutureExt;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
 use super::Node;
@@ -84,12 +84,25 @@
     heartbeat: AtomicU64,
     /// Why the ownership ends; absent while it lasts.
     lost: watch::Sender<Option<&'static str>>,
-    /// The order queue of each attached worker.
-    orders: Mutex<HashMap<WorkerKey, mpsc::UnboundedSender<Order>>>,
+    /// The connection to each attached worker.
+    connections: Mutex<HashMap<WorkerKey, Connection>>,
     /// The tasks that are aborted at the end of the ownership.
     tasks: Mutex<JoinSet<()>>,
 }
 
+/// The two tasks of an attached worker.
+#[derive(Debug)]
+struct Connection {
+    orders: mpsc::UnboundedSender<Order>,
+    tasks: [AbortHandle; 2],
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
 /// Runs the tasks of an owned shard until the ownership is lost or the daemon
 /// stops.
 ///
@@ -138,7 +151,7 @@
             confirmed: AtomicU64::new(claim.begun.as_micros()),
             heartbeat: AtomicU64::new(claim.begun.as_micros()),
             lost: watch::channel(None).0,
-            orders: Mutex::default(),
+            connections: Mutex::default(),
             tasks: Mutex::default(),
             node,
             claim,
@@ -201,17 +214,18 @@
 
     /// Spawns a task that is aborted at the end of this ownership. If the task panics,
     /// the ownership ends, as its state is not to be trusted any more.
-    pub fn spawn(self: &Arc<Self>, task: impl Future<Output = ()> + Send + 'static) {
+    pub fn spawn(self: &Arc<Self>, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
         let owned = self.clone();
         let task = async move {
             if AssertUnwindSafe(task).catch_unwind().await.is_err() {
                 owned.mark_lost(TASK_PANICKED);
             }
         };
-        self.tasks.lock().expect("no holder panics").spawn(task);
+        self.tasks.lock().expect("no holder panics").spawn(task)
     }
 
-    /// Starts the two tasks of a worker: one sends orders, one polls it.
+    /// Starts the two tasks of a worker: one sends orders, one polls it. They replace those for
+    /// an earlier address of the worker.
     pub fn attach_worker(self: &Arc<Self>, key: WorkerKey) {
         let entry = self.decide(|scheduler, _| {
             scheduler
@@ -223,23 +237,32 @@
             return;
         };
         let (sender, receiver) = mpsc::unbounded_channel();
-        self.orders
-            .lock()
-            .expect("no holder panics")
-            .insert(key, sender);
         let api = self.node.worker(&entry.id, entry.address);
-        self.spawn(worker::send_orders(
-            self.clone(),
-            key,
-            api.clone(),
-            receiver,
-        ));
-        self.spawn(worker::poll_worker(self.clone(), key, api));
+        let send = worker::send_orders(self.clone(), key, api.clone(), receiver);
+        let poll = worker::poll_worker(self.clone(), key, api);
+        let connection = Connection {
+            orders: sender,
+            tasks: [self.spawn(send), self.spawn(poll)],
+        };
+        let mut connections = self.connections.lock().expect("no holder panics");
+        connections.insert(key, connection);
     }
 
-    /// Closes the order queue of a worker that was removed.
+    /// Ends the tasks of a worker that was removed.
     pub fn detach_worker(&self, key: WorkerKey) {
-        self.orders.lock().expect("no holder panics").remove(&key);
+        let mut connections = self.connections.lock().expect("no holder panics");
+        connections.remove(&key);
+    }
+
+    /// Hands orders to the tasks of their workers; those for removed workers are dropped.
+    fn send_orders(&self, orders: Vec<(WorkerKey, Order)>) {
+        let connections = self.connections.lock().expect("no holder panics");
+        for (worker, order) in orders {
+            if let Some(connection) = connections.get(&worker) {
+                // The receiver is dropped when the worker was removed.
+                let _ = connection.orders.send(order);
+            }
+        }
     }
 
     /// Ends this ownership; only the first reason is kept.
@@ -367,13 +390,7 @@
         let confirmed = owned.confirmed();
         let begun = Moment::now();
         let orders = owned.decide(|scheduler, now| scheduler.plan(confirmed, now));
-        let senders = owned.orders.lock().expect("no holder panics").clone();
-        for (worker, order) in orders {
-            if let Some(sender) = senders.get(&worker) {
-                // The receiver is dropped when the worker was removed.
-                let _ = sender.send(order);
-            }
-        }
+        owned.send_orders(orders);
         sleep(pass_delay(Moment::now() - begun)).await;
     }
 }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -433,7 +433,12 @@
         self.order_stop(key, run, reason);
     }
 
-    fn order_stop(&mut self, key: WorkerKey, (task, run): (TaskName, u64), reason: &'static str) {
+    pub(super) fn order_stop(
+        &mut self,
+        key: WorkerKey,
+        (task, run): (TaskName, u64),
+        reason: &'static str,
+    ) {
         let worker = self.worker_name(key);
         self.record(Event::Stopping {
             task: task.to_string(),
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use super::recovery::ClosedWorker;
-use super::{Event, RosterEntry, Scheduler};
+use super::{Event, Order, RosterEntry, Scheduler};
 use crate::fleet::{Availability, Registration, Worker, WorkerKey};
 use crate::moment::Moment;
-use crate::workflow::TaskKey;
+use crate::workflow::{Stage, TaskKey, TaskName};
 
 /// How long a worker may be silent before the roster marks it as closed.
 const MAX_SILENCE: Duration = Duration::from_millis(1100);
@@ -16,14 +16,22 @@
 const MIN_RECOVERY: Duration = Duration::from_secs(1);
 
 impl Scheduler {
-    /// Applies the registry's entries for this shard. Returns the new workers.
+    /// Applies the registry's entries for this shard. Returns the workers to connect to: new
+    /// ones, and those that came back at another address.
     pub fn on_registry(&mut self, entries: Vec<Registration>, now: Moment) -> Vec<WorkerKey> {
         let listed: HashSet<String> = entries.iter().map(|entry| entry.id.clone()).collect();
-        let mut added = Vec::new();
+        let mut connect = Vec::new();
         for entry in entries {
             match self.by_id.get(&entry.id).copied() {
-                Some(key) => self.update_worker(key, entry, now),
-                None => added.push(self.add_worker(entry, now)),
+                Some(key) => {
+                    let moved = entry.address != self.workers[key].registration.address;
+                    self.update_worker(key, entry, now);
+                    if moved {
+                        self.on_moved(key);
+                        connect.push(key);
+                    }
+                }
+                None => connect.push(self.add_worker(entry, now)),
             }
         }
         let gone: Vec<WorkerKey> = self
@@ -36,7 +44,31 @@
             self.workers[key].listed = false;
             self.record_worker_change(key, "no longer registered");
         }
-        added
+        connect
+    }
+
+    /// Repeats the orders that were queued for a worker's former address. Its first report
+    /// tells whether it has restarted.
+    fn on_moved(&mut self, key: WorkerKey) {
+        self.record_worker_change(key, "at another address");
+        self.writes.mark_roster_changed();
+        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
+        for task in tasks {
+            let run = self.ledger.tasks[task].run;
+            match self.ledger.tasks[task].stage {
+                Stage::Starting(_) => self.order(key, Order::Start { task, run }),
+                Stage::Stopping(_) => {
+                    let order = self.stop_order(task);
+                    self.order(key, Order::Stop(order));
+                }
+                _ => {}
+            }
+        }
+        let unknown: Vec<(TaskName, u64)> =
+            self.workers[key].unknown_runs.keys().copied().collect();
+        for run in unknown {
+            self.order_stop(key, run, "the worker is at another address");
+        }
     }
 
     /// Adds the workers that a former owner may have used. Returns those that
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -25,7 +25,10 @@
         let lost_open = self.lost_open_runs(key);
         let known = self.workers[key].synced;
         if known {
-            self.record_crash(key, "it has a new incarnation", now);
+            // Unless another worker at its former address has shown the crash before.
+            if !self.workers[key].replaced {
+                self.record_crash(key, "it has a new incarnation", now);
+            }
             open = self.lose_ended(key, now);
         }
         self.workers[key].registration.incarnation = incarnation;
--- a/src/schedule/tests/workers.rs
+++ b/src/schedule/tests/workers.rs
@@ -351,3 +351,27 @@
     assert_eq!(shard.stage(task), Stage::Starting(target));
     assert!(shard.scheduler.workers.contains_key(target));
 }
+
+/// A crash that counts twice lets its tasks be given up.
+#[test]
+fn a_worker_that_another_replaced_and_that_comes_back_elsewhere_crashed_twice() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (_, task, _) = shard.confirm()[0];
+    let worker = shard.workers[0];
+    shard.scheduler.on_replaced(worker, at(100));
+    let moved = Registration {
+        address: address("elsewhere"),
+        ..registration("w0")
+    };
+    let connect = shard.scheduler.on_registry(vec![moved], at(200));
+    assert_eq!(connect, [worker], "it is called at its new address");
+    shard.now = 300;
+    shard.report_with(0, 2, Vec::new(), &[]);
+    let events = shard.scheduler.take_events();
+    let crashes = events.iter();
+    let crashes = crashes.filter(|event| matches!(event, Event::WorkerCrashed { .. }));
+    assert_eq!(crashes.count(), 1);
+    assert_eq!(shard.stage(task), Stage::Waiting);
+}
--- a/tests/fleet/deployment.rs
+++ b/tests/fleet/deployment.rs
@@ -256,6 +256,22 @@
         self.store.put(&key, &worker.roster_entry());
     }
 
+    /// Restarts a worker under its id at another address.
+    pub async fn move_worker(&mut self, worker: usize) {
+        let (former, server) = self.workers.remove(worker);
+        former.restart();
+        // Open connections would be served on.
+        former.set_reach(Reach::Nobody);
+        server.abort();
+        let (journal, faults) = (&self.journal, &self.faults);
+        let moved = Worker::new(&former.id, free_address(), journal, faults, TASK_DURATION);
+        moved.restart();
+        let server = moved.serve().await;
+        let key = format!("servers/{}", moved.id);
+        self.store.put(&key, &moved.roster_entry());
+        self.workers.insert(worker, (moved, server));
+    }
+
     /// Kills an entry daemon and waits for its process to exit.
     pub fn kill(&mut self, entry: usize) {
         self.entries[entry].signal("KILL");
--- a/tests/fleet/restarts.rs
+++ b/tests/fleet/restarts.rs
@@ -43,3 +43,21 @@
     deployment.wait_for("all are carried out", is_settled).await;
     assert_eq!(deployment.journal.duplicate_runs(), Vec::<String>::new());
 }
+
+/// Its tasks wait without end, or until the shard has another owner.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_that_restarts_at_another_address_gets_no_work() {
+    let mut deployment = Deployment::start("moved", 1, 1).await;
+    let lasting = json!([{"count": 2, "cpu": 500, "mem_mb": 10, "daemon": true}]);
+    let status = deployment.submit(0, &job_id(1), "endless", lasting).await;
+    assert_eq!(status, 200);
+    let is_running = || deployment.journal.active_runs().len() == 2;
+    deployment.wait_for("the tasks run", is_running).await;
+    deployment.move_worker(0).await;
+    let id = job_id(2);
+    assert_eq!(deployment.submit(0, &id, "once", steps(3)).await, 200);
+    assert_all_done(&deployment, &[id], JOB_TIMEOUT).await;
+    let is_running = || deployment.journal.active_runs().len() == 2;
+    deployment.wait_for("the tasks run again", is_running).await;
+    assert_eq!(deployment.journal.duplicate_runs(), Vec::<String>::new());
+}
