Recovery: no order follows the roster of the release

The scheduler now gives no orders once the shard is released.

`an_owner_gives_orders_after_the_release` fails without the three checks.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,9 +6,9 @@
 //! There is one task per connection. One task watches the operator's
 //! configuration, one the settings file, one the owners of the shards, and one
 //! probes the store while it is lost. For each shard that this host owns, one task
-//! renews the owner lease, one sends heartbeats, one reads new jobs, one reads the worker registry, one
-//! places waiting tasks, one waits for the end of the former owner and one writes
-//! to the store; each worker has two, one that sends orders and one that polls it.
+//! renews the owner lease, one sends heartbeats, one reads new jobs, one reads the
+//! worker registry, one places waiting tasks, one waits for the end of the former owner
+//! and one writes to the store; each worker has two, one that sends orders and one that polls it.
 
 mod configuration;
 mod health;
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -328,7 +328,7 @@
             .require(&epoch_key(shard), fence)
             .set(&epoch_key(shard), record)
             .remove(&owner_lease_key(shard));
-        if let Some(roster) = self.final_roster() {
+        if let Some(roster) = self.release_workers() {
             transaction = transaction.set(&roster_key(shard), encode(&roster));
         }
         if self.has_recovered() {
@@ -354,10 +354,11 @@
         scheduler.is_ok_and(|scheduler| scheduler.has_recovered())
     }
 
-    /// The roster to store with the release. Absent after a panic.
-    fn final_roster(&self) -> Option<Vec<RosterEntry>> {
-        let scheduler = self.scheduler.lock().ok()?;
-        scheduler.final_roster(Moment::now())
+    /// Ends all orders, also those of tasks that are being aborted. Returns the roster to store
+    /// with the release; absent after a panic.
+    fn release_workers(&self) -> Option<Vec<RosterEntry>> {
+        let mut scheduler = self.scheduler.lock().ok()?;
+        scheduler.release_shard(Moment::now())
     }
 
     /// Gives up the fencing token. Returns the record that tells a newer owner so; `None`
--- a/src/schedule/recovery.rs
+++ b/src/schedule/recovery.rs
@@ -84,10 +84,11 @@
             .collect()
     }
 
-    /// Returns the roster to store when this owner releases the shard and gives no more orders:
-    /// it names for each worker what it may still run. `None` before the former owner's roster
-    /// was read.
-    pub fn final_roster(&self, now: Moment) -> Option<Vec<RosterEntry>> {
+    /// Ends all orders, as this owner releases the shard. Returns the roster to store with the
+    /// release: it names for each worker what it may still run. `None` before the former owner's
+    /// roster was read.
+    pub fn release_shard(&mut self, now: Moment) -> Option<Vec<RosterEntry>> {
+        self.released = true;
         let keys = self.workers.keys();
         let entries = keys.map(|key| self.final_entry(key, now));
         self.has_roster().then(|| entries.collect())
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -93,6 +93,8 @@
     pub(super) tasks_recovering: bool,
     /// Whether all former owners are known to have ended.
     pub(super) former_ended: bool,
+    /// Whether this owner has released the shard and gives no more orders.
+    pub(super) released: bool,
     /// The workers of a former owner that have not answered this owner.
     pub(super) former_workers: HashSet<WorkerKey>,
     pub(super) waiting: WaitList,
@@ -143,6 +145,7 @@
             recovering: term.recovery_deadline.is_some(),
             tasks_recovering: term.recovery_deadline.is_some(),
             former_ended: term.recovery_deadline.is_none(),
+            released: false,
             former_workers: HashSet::new(),
             waiting: WaitList::default(),
             delays: Delays::default(),
@@ -251,6 +254,9 @@
     /// Places all waiting tasks that fit and returns the orders to send. The store
     /// has confirmed this ownership in reply to a call sent at `confirmed`.
     pub fn plan(&mut self, confirmed: Moment, now: Moment) -> Vec<(WorkerKey, Order)> {
+        if self.released {
+            return Vec::new();
+        }
         self.confirmed = confirmed;
         self.close_silent(now);
         self.expire_leases(now);
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -27,6 +27,9 @@
         if task.stage != Stage::Starting(worker) || task.run != run {
             return None;
         }
+        if self.released {
+            return None;
+        }
         let first = task.lease_end.is_none();
         if first && self.is_leaving(worker) {
             self.lose(key, "the worker is leaving", now);
@@ -208,8 +211,11 @@
     }
 
     /// Builds the next poll of a worker. Without `renew` the leases are not
-    /// renewed.
+    /// renewed. `None` if the worker was removed or the shard released.
     pub fn poll_order(&mut self, key: WorkerKey, renew: bool, now: Moment) -> Option<PollOrder> {
+        if self.released {
+            return None;
+        }
         let settles = self.awaits_report(key);
         let worker = self.workers.get(key)?;
         let renews = renew && worker.synced && now - worker.last_contact < MAX_RENEWAL_SILENCE;
--- a/src/schedule/tests/fuzz/owner.rs
+++ b/src/schedule/tests/fuzz/owner.rs
@@ -114,8 +114,8 @@
         self.scheduler.has_recovered()
     }
 
-    pub fn final_roster(&self, now: u64) -> Option<Vec<RosterEntry>> {
-        self.scheduler.final_roster(at(now))
+    pub fn release(&mut self, now: u64) -> Option<Vec<RosterEntry>> {
+        self.scheduler.release_shard(at(now))
     }
 
     fn is_confirmed(&self, now: u64) -> bool {
--- a/src/schedule/tests/fuzz/world.rs
+++ b/src/schedule/tests/fuzz/world.rs
@@ -428,7 +428,7 @@
         if self.store.epoch == fence {
             self.store.epoch = self.store.next();
             self.store.lease = None;
-            if let Some(roster) = self.owners[owner].final_roster(self.now) {
+            if let Some(roster) = self.owners[owner].release(self.now) {
                 self.store.roster = roster;
             }
             if self.owners[owner].has_recovered() {
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -352,8 +352,8 @@
 }
 
 /// The owner after one that released the shard.
-fn next_owner(former: &Shard, workers: &[&str]) -> Shard {
-    let roster = former.scheduler.final_roster(at(former.now));
+fn next_owner(former: &mut Shard, workers: &[&str]) -> Shard {
+    let roster = former.scheduler.release_shard(at(former.now));
     let term = Term {
         fence: FENCE + 50,
         recovery_deadline: Some(at(former.now + 5_100)),
@@ -376,7 +376,7 @@
     let mut owner = first;
     for stop in [100, 400] {
         owner.now = stop;
-        owner = next_owner(&owner, &["w0", "gone"]);
+        owner = next_owner(&mut owner, &["w0", "gone"]);
         owner.submit(active_workflow(1, vec![step(4, 6)], 1, 0));
         let live: Vec<(TaskName, u64)> = ran
             .iter()
@@ -405,14 +405,14 @@
         panic!("two starts");
     };
     let running = [(second, other)];
-    let closed = |shard: &Shard| {
-        let roster = shard.scheduler.final_roster(at(shard.now)).unwrap();
+    let closed = |shard: &mut Shard| {
+        let roster = shard.scheduler.release_shard(at(shard.now)).unwrap();
         roster[0].closed.clone()
     };
     shard.report(0, &running, &[(1, first, run, RunOutcome::Done)]);
-    assert_eq!(closed(&shard), None, "the end is not stored");
+    assert_eq!(closed(&mut shard), None, "the end is not stored");
     shard.write();
-    assert_eq!(closed(&shard), Some(vec![second]));
+    assert_eq!(closed(&mut shard), Some(vec![second]));
 }
 
 #[test]
@@ -427,3 +427,21 @@
     shard.plan();
     assert_eq!(shard.confirm().len(), 1);
 }
+
+/// The last roster would not name the task, or not for how long its lease goes on.
+#[test]
+fn an_owner_gives_orders_after_the_release() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(2, 5)], 1, 0));
+    shard.plan();
+    let orders = std::mem::take(&mut shard.orders);
+    let [(worker, Order::Start { task, run })] = orders[..] else {
+        panic!("one start");
+    };
+    let roster = shard.scheduler.release_shard(at(0)).unwrap();
+    assert_eq!(roster[0].closed, Some(vec![name(1, 0, 0)]));
+    assert_eq!(shard.scheduler.start_order(worker, task, run, at(0)), None);
+    assert_eq!(shard.scheduler.poll_order(worker, true, at(0)), None);
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+}
