Recovery: a shortened one leaves workers the time to report ended runs

The recovery then ended with the next pass, and a task whose run was done, with its end not reported yet, was started again.

`a_recovery_that_is_shortened_leaves_workers_no_time_to_report` failed before.

--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -419,8 +419,8 @@
         if former != FormerOwner::Unknown {
             let deadline = recovery_deadline(former, owned.claim.heard, Moment::now());
             let all_ended = former == FormerOwner::Ended;
-            return owned.decide(|scheduler, _| {
-                scheduler.shorten_recovery(deadline);
+            return owned.decide(|scheduler, now| {
+                scheduler.shorten_recovery(deadline, now);
                 if all_ended {
                     scheduler.on_former_ended();
                 }
--- a/src/schedule/recovery.rs
+++ b/src/schedule/recovery.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use super::registry::MIN_RECOVERY;
 use super::{Event, RosterEntry, Scheduler};
 use crate::fleet::WorkerKey;
 use crate::moment::Moment;
@@ -135,10 +136,10 @@
     }
 
     /// Brings the recovery deadline forward when all leases that former owners gave are known
-    /// to end by `deadline`.
-    pub fn shorten_recovery(&mut self, deadline: Moment) {
+    /// to end by `deadline`. Workers still get the time to report their ended runs.
+    pub fn shorten_recovery(&mut self, deadline: Moment, now: Moment) {
         if let Some(known) = &mut self.term.recovery_deadline {
-            *known = deadline.min(*known);
+            *known = deadline.max(now + MIN_RECOVERY).min(*known);
         }
     }
 
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -13,7 +13,7 @@
 const MAX_SILENCE: Duration = Duration::from_millis(1100);
 
 /// The time after the stored state was read in which all workers can report their ended runs.
-const MIN_RECOVERY: Duration = Duration::from_secs(1);
+pub(super) const MIN_RECOVERY: Duration = Duration::from_secs(1);
 
 impl Scheduler {
     /// Applies the registry's entries for this shard. Returns the workers to connect to: new
--- a/src/schedule/tests/fuzz/owner.rs
+++ b/src/schedule/tests/fuzz/owner.rs
@@ -260,7 +260,7 @@
         }
         let known = &mut self.owners[owner];
         let deadline = recovery_deadline(former, known.heard, at(self.now));
-        known.scheduler.shorten_recovery(deadline);
+        known.scheduler.shorten_recovery(deadline, at(self.now));
         if former == FormerOwner::Ended {
             known.scheduler.on_former_ended();
         }
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -445,3 +445,19 @@
     shard.plan();
     assert_eq!(shard.orders(), "");
 }
+
+/// All leases ended long before the claim, but a task may be done and its end not reported yet.
+#[test]
+fn a_recovery_that_is_shortened_leaves_workers_no_time_to_report() {
+    let mut shard = Shard::later_owner(&["w0", "w1"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.now = 2_000;
+    shard.report(0, &[], &[]);
+    shard.scheduler.shorten_recovery(at(500), at(2_000));
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    shard.now = 3_000;
+    shard.report(0, &[], &[]);
+    shard.plan();
+    assert_eq!(shard.recoveries(), [(1, 0)]);
+}
