Recovery: the times of a release count for the next owner only

Cause: the roster of a release says for how long the leases on each worker go on. The next owner adopts the runs and prolongs these leases before it stores a roster of its own. If it is cut off before that, the owner after it reads the same roster and waits for the shorter times only. Evidence: in a trace of the fuzz test the third owner's RecoveryFinished comes 4.5 s after its claim, before its recovery deadline. Ruled out: a recovery deadline that is too early, or leases that last too long; the runs end before the deadline.

A roster older than the former owner's epoch is not that owner's, and its times do not count.

The fuzz test has a new step, WriteFaults.

--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -268,7 +268,8 @@
 
 fn apply_roster(owned: &Arc<OwnedShard>, item: Option<Item>) {
     let roster = item.as_ref().and_then(decode_item).unwrap_or_default();
-    let added = owned.decide(|scheduler, now| scheduler.on_roster(roster, now));
+    let revision = item.map_or(0, |item| item.revision);
+    let added = owned.decide(|scheduler, now| scheduler.on_roster(roster, revision, now));
     added.into_iter().for_each(|key| owned.attach_worker(key));
 }
 
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -136,6 +136,7 @@
             .map(|_| recovery_deadline(FormerOwner::Unknown, claim.heard, Moment::now()));
         let term = Term {
             fence: claim.fence,
+            former_epoch: claim.former.as_ref().map_or(0, |former| former.fence),
             recovery_deadline,
         };
         let mut tokens = node.tokens.lock().expect("no holder panics");
--- a/src/daemon/tests/review_late_orders.rs
+++ b/src/daemon/tests/review_late_orders.rs
@@ -100,7 +100,7 @@
 fn place_job(owned: &OwnedShard, address: SocketAddr) -> Vec<(WorkerKey, Order)> {
     owned.decide(|scheduler, now| {
         let key = scheduler.on_registry(vec![registration(address)], now)[0];
-        scheduler.on_roster(Vec::new(), now);
+        scheduler.on_roster(Vec::new(), 0, now);
         let batch = scheduler.collect(true, now);
         scheduler.on_written(&batch);
         let report = WorkerReport {
--- a/src/platform/fleet/tests/mutated.rs
+++ b/src/platform/fleet/tests/mutated.rs
@@ -124,9 +124,10 @@
     let term = Term {
         fence: 1,
         recovery_deadline: None,
+        ..Term::default()
     };
     let mut scheduler = Scheduler::new(term);
-    scheduler.on_roster(Vec::new(), Moment::default());
+    scheduler.on_roster(Vec::new(), 0, Moment::default());
     let workers = scheduler.on_registry(vec![registration], Moment::default());
     for now in [1_000, 700_000, 1_400_000].map(Moment::from_micros) {
         scheduler.on_report(workers[0], now, report, now);
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -20,7 +20,8 @@
     /// is open to new tasks.
     pub closed: Option<Vec<TaskName>>,
     /// For how long the leases on a closed worker may go on, in milliseconds; `None` if its owner
-    /// may have prolonged them after this entry was written.
+    /// may have prolonged them after this entry was written. It holds for the next owner only,
+    /// which may prolong them before it stores a roster.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease_left: Option<u64>,
 }
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -71,9 +71,16 @@
         }
     }
 
-    /// Adds the workers that a former owner may have used. Returns those that
-    /// were not known yet.
-    pub fn on_roster(&mut self, roster: Vec<RosterEntry>, now: Moment) -> Vec<WorkerKey> {
+    /// Adds the workers that a former owner may have used, from the roster that was stored at
+    /// `revision`. Returns those that were not known yet.
+    pub fn on_roster(
+        &mut self,
+        roster: Vec<RosterEntry>,
+        revision: u64,
+        now: Moment,
+    ) -> Vec<WorkerKey> {
+        // A former owner that has stored no roster may still have prolonged leases.
+        let by_former = revision >= self.term.former_epoch;
         let mut added = Vec::new();
         for entry in roster {
             let key = match self.by_id.get(&entry.id).copied() {
@@ -97,7 +104,8 @@
             }
             match entry.closed {
                 Some(tasks) => {
-                    let left = entry.lease_left.map(Duration::from_millis);
+                    let left = entry.lease_left.filter(|_| by_former);
+                    let left = left.map(Duration::from_millis);
                     let leases_end = left.map(|left| now + left.max(MIN_RECOVERY));
                     let closed = ClosedWorker { tasks, leases_end };
                     self.closed_workers.insert(key, closed);
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -45,10 +45,13 @@
 const RERANK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// One continuous ownership of a shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Term {
     /// The fencing token: the store revision of the claim.
     pub fence: u64,
+    /// The store revision of the former owner's release or, without one, of its claim; 0 if there
+    /// was no former owner.
+    pub former_epoch: u64,
     /// The recovery deadline, by which every lease that a former owner could
     /// give has ended; `None` if there was no former owner.
     pub recovery_deadline: Option<Moment>,
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -219,11 +219,12 @@
         let term = Term {
             fence: FENCE + 1,
             recovery_deadline: Some(at(now + 10_000)),
+            ..Term::default()
         };
         let roster: Vec<RosterEntry> = IDS.iter().map(|id| roster_entry(id, None)).collect();
         self.shard = Shard::new(term, &IDS);
         self.shard.now = now;
-        self.shard.scheduler.on_roster(roster, at(now));
+        self.shard.scheduler.on_roster(roster, 0, at(now));
         let deadly = active_workflow(self.deadly, spec, 1, 0);
         self.shard.restore(deadly, &progress.tasks);
     }
--- a/src/schedule/tests/fuzz/calls.rs
+++ b/src/schedule/tests/fuzz/calls.rs
@@ -404,7 +404,7 @@
     pub(super) fn send_write(&mut self, owner: usize, write: Write) {
         let sent = self.now;
         let known: &OwnerProcess = &self.owners[owner];
-        let reaches = self.reaches_store(known.host);
+        let reaches = self.takes_writes(known.host);
         let mut fate = Fate::Answered;
         if !reaches {
             fate = Fate::Lost;
--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -103,3 +103,22 @@
     }
     run_steps(0, &steps);
 }
+
+/// The second owner prolongs the leases of the first one's runs, then is cut off with their
+/// worker before it has written a roster of its own.
+#[test]
+fn an_owner_starts_tasks_again_that_run_on_under_the_owner_before_it() {
+    for seed in 0..10 {
+        let steps = [
+            Step::Submit(6),
+            Step::Submit(6),
+            Step::Advance(500),
+            Step::Stop,
+            Step::WriteFaults(1_500),
+            Step::Advance(1_000),
+            Step::Partition(5, 7_000),
+            Step::Advance(8_000),
+        ];
+        run_steps(seed, &steps);
+    }
+}
--- a/src/schedule/tests/fuzz/owner.rs
+++ b/src/schedule/tests/fuzz/owner.rs
@@ -85,6 +85,7 @@
             .map(|_| recovery_deadline(FormerOwner::Unknown, heard, at(begun)));
         let term = Term {
             fence,
+            former_epoch: former.as_ref().map_or(0, |former| former.fence),
             recovery_deadline,
         };
         let mut scheduler = Scheduler::new(term);
@@ -273,9 +274,11 @@
         }
         self.read_jobs(owner);
         self.read_registry(owner);
-        let roster = self.store.roster.clone();
+        let (roster, revision) = (self.store.roster.clone(), self.store.roster_revision);
         let now = at(self.now);
-        let added = self.owners[owner].scheduler.on_roster(roster, now);
+        let added = self.owners[owner]
+            .scheduler
+            .on_roster(roster, revision, now);
         self.attach(owner, added);
         self.owners[owner].restored = true;
         self.owners[owner].recovered = self.store.recovered;
--- a/src/schedule/tests/fuzz/step.rs
+++ b/src/schedule/tests/fuzz/step.rs
@@ -59,6 +59,8 @@
     CallFaults(u64, u64),
     /// Of the calls to the store, this percentage fails.
     StoreFaults(u64, u64),
+    /// No write of an owner reaches the store but its heartbeats.
+    WriteFaults(u64),
     /// A worker lists many ends of runs of a job that is forgotten.
     Backlog(usize),
 }
@@ -91,6 +93,7 @@
         1 => worker.clone().prop_map(Step::Gone),
         2 => (10..70_u64, 200..6_000_u64).prop_map(|(share, span)| Step::CallFaults(share, span)),
         3 => (10..90_u64, 200..6_000_u64).prop_map(|(share, span)| Step::StoreFaults(share, span)),
+        2 => (200..4_000_u64).prop_map(Step::WriteFaults),
         1 => worker.prop_map(Step::Backlog),
     ]
 }
--- a/src/schedule/tests/fuzz/store.rs
+++ b/src/schedule/tests/fuzz/store.rs
@@ -64,6 +64,8 @@
     pub jobs: BTreeMap<WorkflowId, StoredJob>,
     pub progress: BTreeMap<WorkflowId, Progress>,
     pub roster: Vec<RosterEntry>,
+    /// The revision at which the roster was stored.
+    pub roster_revision: u64,
     /// The revision of the mark that no earlier owner gives orders.
     pub recovered: u64,
     pub incarnations: Incarnations,
@@ -158,7 +160,10 @@
             Change::Progress(_, id, progress) => {
                 self.progress.insert(*id, progress.clone());
             }
-            Change::Roster(roster) => self.roster.clone_from(roster),
+            Change::Roster(roster) => {
+                self.roster.clone_from(roster);
+                self.roster_revision = revision;
+            }
             Change::Recovered => self.recovered = revision,
             Change::Pending(_) | Change::Pairs(_) => {}
         }
--- a/src/schedule/tests/fuzz/world.rs
+++ b/src/schedule/tests/fuzz/world.rs
@@ -137,6 +137,8 @@
     pub links: [[Link; WORKER_COUNT]; HOST_COUNT],
     pub call_faults: Faults,
     store_faults: Faults,
+    /// Until when no write of an owner reaches the store.
+    writes_cut: u64,
     /// The calls without an outcome.
     pub sent: BTreeMap<u64, SentCall>,
     /// The polls that wait at workers.
@@ -226,6 +228,7 @@
             links: Default::default(),
             call_faults: Faults::default(),
             store_faults: Faults::default(),
+            writes_cut: 0,
             sent: BTreeMap::new(),
             polls: BTreeMap::new(),
             oracle: Oracle::default(),
@@ -319,6 +322,11 @@
         self.hosts[host].store_cut <= self.now
     }
 
+    /// Whether the store accepts what an owner writes, beside its heartbeats.
+    pub fn takes_writes(&self, host: usize) -> bool {
+        self.reaches_store(host) && self.writes_cut <= self.now
+    }
+
     /// Whether a call to the store fails.
     pub fn store_fails(&mut self) -> bool {
         self.store_faults.strikes(self.now, &mut self.rng)
@@ -430,6 +438,7 @@
             self.store.lease = None;
             if let Some(roster) = self.owners[owner].release(self.now) {
                 self.store.roster = roster;
+                self.store.roster_revision = self.store.epoch;
             }
             if self.owners[owner].has_recovered() {
                 self.store.recovered = self.store.epoch;
@@ -523,6 +532,7 @@
                 let until = now + span;
                 self.store_faults = Faults { until, share };
             }
+            FuzzStep::WriteFaults(span) => self.writes_cut = now + span,
             FuzzStep::Backlog(worker) => self.add_backlog(worker),
         }
     }
@@ -613,6 +623,7 @@
         self.links = Default::default();
         self.call_faults = Faults::default();
         self.store_faults = Faults::default();
+        self.writes_cut = 0;
         for host in &mut self.hosts {
             host.paused_until = 0;
             host.store_cut = 0;
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -161,9 +161,10 @@
         let term = Term {
             fence: FENCE,
             recovery_deadline: None,
+            ..Term::default()
         };
         let mut shard = Self::new(term, workers);
-        shard.scheduler.on_roster(Vec::new(), at(0));
+        shard.scheduler.on_roster(Vec::new(), 0, at(0));
         shard.write();
         shard.report_all();
         shard
@@ -175,10 +176,11 @@
         let term = Term {
             fence: FENCE,
             recovery_deadline: Some(at(10_000)),
+            ..Term::default()
         };
         let mut shard = Self::new(term, workers);
         let roster = workers.iter().map(|id| roster_entry(id, None)).collect();
-        shard.scheduler.on_roster(roster, at(0));
+        shard.scheduler.on_roster(roster, 0, at(0));
         shard
     }
 
--- a/src/schedule/tests/stored_state.rs
+++ b/src/schedule/tests/stored_state.rs
@@ -37,9 +37,10 @@
         let term = Term {
             fence: 2 * FENCE,
             recovery_deadline: Some(at(10_000)),
+            ..Term::default()
         };
         let mut shard = Shard::new(term, workers);
-        shard.scheduler.on_roster(self.roster.clone(), at(0));
+        shard.scheduler.on_roster(self.roster.clone(), 0, at(0));
         if !self.ended {
             shard.restore(job.clone(), &self.progress.tasks);
         }
@@ -193,10 +194,11 @@
         let term = Term {
             fence: 2 * FENCE,
             recovery_deadline: Some(at(10_000)),
+            ..Term::default()
         };
         let mut shard = Shard::new(term, &["w1"]);
         let roster = vec![stored(closed.clone())];
-        let added = shard.scheduler.on_roster(roster, at(0));
+        let added = shard.scheduler.on_roster(roster, 0, at(0));
         shard.restore(
             active_workflow(1, vec![step(1, 1)], 1, 0),
             &Progress::default().tasks,
@@ -253,6 +255,7 @@
     let term = Term {
         fence: FENCE,
         recovery_deadline: Some(at(10_000)),
+        ..Term::default()
     };
     let mut shard = Shard::new(term, &[]);
     for now in [100, 10_001] {
@@ -268,7 +271,7 @@
         .iter()
         .map(|id| roster_entry(id, None))
         .collect();
-    shard.scheduler.on_roster(roster, at(shard.now));
+    shard.scheduler.on_roster(roster, 0, at(shard.now));
     shard.now += 10;
     shard.report(1, &[], &[]);
     shard.plan();
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -94,6 +94,7 @@
     let term = Term {
         fence: FENCE,
         recovery_deadline: Some(at(10_000)),
+        ..Term::default()
     };
     let mut shard = Shard::new(term, &["w0"]);
     let kept = name(1, 0, 1);
@@ -101,7 +102,7 @@
         roster_entry("w0", None),
         roster_entry("dead", Some(vec![kept])),
     ];
-    shard.scheduler.on_roster(roster, at(0));
+    shard.scheduler.on_roster(roster, 0, at(0));
     shard.submit(active_workflow(1, vec![step(3, 1)], 1, 0));
     shard.report(0, &[], &[]);
     assert_eq!(shard.recoveries(), [(2, 1)]);
@@ -118,10 +119,11 @@
     let term = Term {
         fence: FENCE,
         recovery_deadline: Some(at(10_000)),
+        ..Term::default()
     };
     let mut shard = Shard::new(term, &["w0"]);
     let roster = vec![roster_entry("w0", None), roster_entry("cut-off", None)];
-    let added = shard.scheduler.on_roster(roster, at(0));
+    let added = shard.scheduler.on_roster(roster, 0, at(0));
     shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
     shard.report(0, &[], &[]);
     shard.scheduler.on_poll_failed(added[0], true);
@@ -176,13 +178,14 @@
     let term = Term {
         fence: FENCE,
         recovery_deadline: Some(at(10_000)),
+        ..Term::default()
     };
     let mut shard = Shard::new(term, &["w0", "dead"]);
     let roster = vec![
         roster_entry("w0", None),
         roster_entry("dead", Some(vec![name(1, 0, 0)])),
     ];
-    shard.scheduler.on_roster(roster, at(0));
+    shard.scheduler.on_roster(roster, 0, at(0));
     shard.report(0, &[], &[]);
     for _ in 0..3 {
         shard.write();
@@ -229,7 +232,7 @@
         address: "10.0.0.1:99999".to_owned(),
         ..roster_entry("odd", None)
     };
-    shard.scheduler.on_roster(vec![odd], at(0));
+    shard.scheduler.on_roster(vec![odd], 0, at(0));
     shard.report(0, &[], &[]);
     shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
     shard.plan();
@@ -251,6 +254,7 @@
         let term = Term {
             fence: FENCE,
             recovery_deadline: Some(at(10_000)),
+            ..Term::default()
         };
         let mut shard = Shard::new(term, &["w0"]);
         shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
@@ -258,7 +262,7 @@
         shard.plan();
         assert_eq!(shard.orders(), "", "other workers may run it");
         let roster = vec![roster_entry("w0", closed.clone())];
-        shard.scheduler.on_roster(roster, at(0));
+        shard.scheduler.on_roster(roster, 0, at(0));
         shard.write();
         for now in [100, 200] {
             shard.now = now;
@@ -310,13 +314,14 @@
     let term = Term {
         fence: FENCE,
         recovery_deadline: Some(at(10_000)),
+        ..Term::default()
     };
     let mut shard = Shard::new(term, &["w0"]);
     let roster = vec![
         roster_entry("w0", None),
         roster_entry("dead", Some(vec![name(1, 0, 0)])),
     ];
-    shard.scheduler.on_roster(roster, at(0));
+    shard.scheduler.on_roster(roster, 0, at(0));
     let mut stored = Vec::new();
     for now in [0, 5_000, 10_001, 10_300] {
         shard.now = now;
@@ -357,11 +362,12 @@
     let term = Term {
         fence: FENCE + 50,
         recovery_deadline: Some(at(former.now + 5_100)),
+        ..Term::default()
     };
     let mut shard = Shard::new(term, workers);
     shard.now = former.now;
     let roster = roster.expect("the former owner has read its roster");
-    shard.scheduler.on_roster(roster, at(shard.now));
+    shard.scheduler.on_roster(roster, 0, at(shard.now));
     shard
 }
 
@@ -461,3 +467,34 @@
     shard.plan();
     assert_eq!(shard.recoveries(), [(1, 0)]);
 }
+
+/// The owner between has prolonged the leases and stored no roster.
+#[test]
+fn a_release_ends_the_leases_that_the_next_owner_gave() {
+    let kept = name(1, 0, 0);
+    let silent = RosterEntry {
+        lease_left: Some(2_000),
+        ..roster_entry("silent", Some(vec![kept]))
+    };
+    for (former_epoch, expected) in [(50, 2_000), (60, 10_000)] {
+        let term = Term {
+            fence: FENCE,
+            former_epoch,
+            recovery_deadline: Some(at(10_000)),
+        };
+        let mut shard = Shard::new(term, &["w0"]);
+        let roster = vec![roster_entry("w0", None), silent.clone()];
+        shard.scheduler.on_roster(roster, 50, at(0));
+        shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+        let mut restarted = None;
+        for now in (0..=10_500).step_by(500) {
+            shard.now = now;
+            shard.report(0, &[], &[]);
+            shard.plan();
+            if shard.stage(kept) != Stage::Recovering {
+                restarted.get_or_insert(now);
+            }
+        }
+        assert_eq!(restarted, Some(expected), "former epoch {former_epoch}");
+    }
+}
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -106,7 +106,7 @@
     pub host: String,
     /// The incarnation of the process that owned the shard.
     pub incarnation: u64,
-    /// The owner's fencing token.
+    /// The owner's fencing token; after a release, the store revision of that.
     pub fence: u64,
     /// Whether the owner released the shard.
     pub released: bool,
