Connections to the store are given up together when one is silent

Cause: the owner learns of a cancellation by its watch of the jobs only. That watch notices silence by its own timeout, 3.8 s, and answers on other connections hide it: the host counts the store as lost only if no later call is answered. Evidence: the last start comes 3.8 s after the watch began, worst if a job came just before the silence. Ruled out: a lost cancellation (the starts end).

Change: when a call to the store times out, all connections that were open then are given up; later calls use new ones, and watches on old ones begin anew once a new one is answered. The watch of the jobs waits for 1.5 s.

Tests: a_cancelled_job_starts_tasks_after_connections_to_the_store_went_silent failed on ('started after the bound: [236.511527ms, 539.993244ms, 843.176637ms]').

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -10,7 +10,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use tokio::time::{Interval, MissedTickBehavior, interval, timeout};
+use tokio::time::{Interval, MissedTickBehavior, interval};
 
 use super::term::OwnedShard;
 use crate::moment::Moment;
@@ -48,7 +48,7 @@
 async fn renew_once(owned: &OwnedShard) -> Result<bool, StoreFault> {
     let sent = Moment::now();
     let lease = owned.lease.load(Ordering::Relaxed);
-    let renewal = in_time(owned.node.store.renew(lease));
+    let renewal = owned.node.store.renew(lease, CALL_TIMEOUT);
     let renewed = owned.node.call(renewal).await?;
     if renewed {
         owned.confirm(sent);
@@ -74,7 +74,7 @@
 async fn beat_once(owned: &OwnedShard) {
     let sent = Moment::now();
     let transaction = heartbeat_transaction(owned);
-    let commit = in_time(owned.node.store.commit(&transaction));
+    let commit = owned.node.store.commit_within(&transaction, CALL_TIMEOUT);
     match owned.node.call(commit).await {
         Ok(Commit::Done(_)) => owned.on_heartbeat(sent),
         Ok(Commit::Conflict(_)) => owned.mark_lost("another host claimed the shard"),
@@ -91,14 +91,6 @@
         .set(&heartbeat_key(shard), encode(&owned.heartbeat_record()))
 }
 
-/// Bounds the time of a call that is repeated at short intervals.
-async fn in_time<T>(call: impl Future<Output = Result<T, StoreFault>>) -> Result<T, StoreFault> {
-    let late = || StoreFault::Unanswered("the call took too long".to_owned());
-    timeout(CALL_TIMEOUT, call)
-        .await
-        .unwrap_or_else(|_| Err(late()))
-}
-
 fn ticks(period: Duration) -> Interval {
     let mut due = interval(period);
     due.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -22,6 +22,10 @@
 /// The time after which an unanswered order to a worker fails.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The wait of a watch. Connections may go silent, and watches are the only calls of some hosts. A
+/// host counts as in touch again 3 s later; by then it has to follow changes again.
+pub(super) const WATCH_WAIT: Duration = Duration::from_millis(1500);
+
 /// The state that all tasks of the daemon share.
 #[derive(Debug)]
 pub struct Node {
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -23,8 +23,8 @@
     owner_lease_key, read_shard_key,
 };
 
-/// The time after which a watch without a change returns.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// The longest time between two looks at what shards to claim.
+const MAX_CLAIM_WAIT: Duration = Duration::from_secs(20);
 /// The interval at which registered workers are counted. Registration counts as
 /// complete when two consecutive counts are equal.
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(400);
@@ -184,7 +184,7 @@
         return Ok(Update::Snapshot(page.items, page.revision));
     };
     Ok(
-        match node.watch(SHARD_PREFIX, after, WATCH_TIMEOUT).await? {
+        match node.watch(SHARD_PREFIX, after, MAX_CLAIM_WAIT).await? {
             Watched::Compacted => Update::Compacted,
             Watched::Changes(changes, revision) => Update::Changes(changes, revision),
         },
@@ -203,9 +203,9 @@
     /// may be due.
     async fn claim_due(&mut self) -> Duration {
         if self.revision.is_none() {
-            return WATCH_TIMEOUT;
+            return MAX_CLAIM_WAIT;
         }
-        let mut wait = WATCH_TIMEOUT;
+        let mut wait = MAX_CLAIM_WAIT;
         let shards: Vec<String> = self
             .views
             .iter()
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::lines::DaemonLine;
-use super::node::wall_clock;
+use super::node::{WATCH_WAIT, wall_clock};
 use super::term::{OwnedShard, watch_former_owner};
 use super::writer;
 use crate::fleet::Registration;
@@ -25,8 +25,6 @@
 };
 use crate::workflow::{ActiveWorkflow, Progress, WorkflowId, WorkflowState, due_times};
 
-/// The time after which a watch without a change returns.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
 /// The delay before a failed call to the store is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// The interval at which the worker registry is read.
@@ -306,7 +304,7 @@
 async fn follow_jobs(owned: &Arc<OwnedShard>, after: u64) -> Result<u64, StoreFault> {
     let prefix = work_prefix(&owned.claim.shard);
     let node = &owned.node;
-    match node.watch(&prefix, after, WATCH_TIMEOUT).await? {
+    match node.watch(&prefix, after, WATCH_WAIT).await? {
         Watched::Changes(changes, revision) => {
             let written: Vec<Item> = changes
                 .into_iter()
--- a/src/platform/fleet/mod.rs
+++ b/src/platform/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! of the platform's formats.
 
 mod configuration;
+mod connections;
 mod decode;
 mod job;
 mod keys;
--- a/src/platform/fleet/store.rs
+++ b/src/platform/fleet/store.rs
@@ -11,10 +11,10 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use thiserror::Error;
 
+use super::connections::{Connections, Generation};
+
 /// The time that the answer to a watch may take in addition to its wait.
 const WATCH_MARGIN: Duration = Duration::from_millis(800);
-/// The time after which an unused connection to the store is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Why a call to the store has no result.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -243,7 +243,7 @@
 /// A client of the store. All tasks share its connections.
 #[derive(Debug)]
 pub struct Store {
-    client: Client,
+    connections: Connections,
     base: RwLock<String>,
     timeout: Duration,
 }
@@ -254,14 +254,8 @@
     /// Creates a client for the store at `address`. Unanswered calls fail after
     /// `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let client = Client::builder()
-            .connect_timeout(timeout)
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .tcp_nodelay(true)
-            .build()
-            .expect("a client without TLS needs nothing that can fail");
         Self {
-            client,
+            connections: Connections::new(timeout),
             base: RwLock::new(format!("http://{address}")),
             timeout,
         }
@@ -278,8 +272,8 @@
     ///
     /// Fails if the store refused or did not answer.
     pub async fn get(&self, key: &str) -> Answer<Option<Item>> {
-        let call = self.client.get(self.url("kv-key")).query(&[("key", key)]);
-        let (status, body) = self.send(call, self.timeout).await?;
+        let build = |client: &Client| client.get(self.url("kv-key")).query(&[("key", key)]);
+        let (status, body) = self.send(build, self.timeout).await?;
         if status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -296,17 +290,15 @@
         let mut page = Page::default();
         let mut after = String::new();
         loop {
-            let mut call = self
-                .client
-                .get(self.url("kv-range"))
-                .query(&[("prefix", prefix)]);
+            let mut query = vec![("prefix", prefix)];
             if stale {
-                call = call.query(&[("serializable", "1")]);
+                query.push(("serializable", "1"));
             }
             if !after.is_empty() {
-                call = call.query(&[("after", after.as_str())]);
+                query.push(("after", after.as_str()));
             }
-            let (status, body) = self.send(call, self.timeout).await?;
+            let build = |client: &Client| client.get(self.url("kv-range")).query(&query);
+            let (status, body) = self.send(build, self.timeout).await?;
             let answer: RangeAnswer = decode(&check_status(status, body)?)?;
             if page.revision == 0 {
                 page.revision = answer.revision;
@@ -319,12 +311,29 @@
         }
     }
 
-    /// Waits up to `wait` for changes under a prefix after a revision.
+    /// Waits up to `wait` for changes under a prefix after a revision. Returns no changes earlier
+    /// if its connection may be silent.
     ///
     /// # Errors
     ///
     /// Fails if the store refused, ended the watch early or did not answer.
     pub async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
+        let generation = self.connections.current();
+        tokio::select! {
+            watched = self.watch_on(&generation, prefix, after, wait) => watched,
+            () = self.connections.wait_superseded(&generation) => {
+                Ok(Watched::Changes(Vec::new(), after))
+            }
+        }
+    }
+
+    async fn watch_on(
+        &self,
+        generation: &Generation,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Answer<Watched> {
         let after = after.to_string();
         let wait_ms = wait.as_millis().to_string();
         let query = [
@@ -332,8 +341,8 @@
             ("after", after.as_str()),
             ("wait_ms", wait_ms.as_str()),
         ];
-        let call = self.client.get(self.url("kv-watch")).query(&query);
-        let (status, body) = self.send(call, wait + WATCH_MARGIN).await?;
+        let call = generation.client.get(self.url("kv-watch")).query(&query);
+        let (status, body) = self.send_on(generation, call, wait + WATCH_MARGIN).await?;
         if status == StatusCode::GONE {
             return Ok(Watched::Compacted);
         }
@@ -349,8 +358,21 @@
     /// [`StoreFault::Unanswered`] the transaction may have taken effect, or may do
     /// so later.
     pub async fn commit(&self, transaction: &Transaction) -> Answer<Commit> {
-        let call = self.client.post(self.url("kv-txn")).json(transaction);
-        let (status, body) = self.send(call, self.timeout).await?;
+        self.commit_within(transaction, self.timeout).await
+    }
+
+    /// Commits a transaction like [`Store::commit`], with a time limit of its own.
+    ///
+    /// # Errors
+    ///
+    /// The same.
+    pub async fn commit_within(
+        &self,
+        transaction: &Transaction,
+        timeout: Duration,
+    ) -> Answer<Commit> {
+        let build = |client: &Client| client.post(self.url("kv-txn")).json(transaction);
+        let (status, body) = self.send(build, timeout).await?;
         match status {
             StatusCode::PRECONDITION_FAILED => {
                 decode::<ConflictAnswer>(&body).map(|answer| Commit::Conflict(answer.items))
@@ -370,23 +392,23 @@
     /// Fails if the store refused or did not answer.
     pub async fn grant(&self, ttl: Duration) -> Answer<u64> {
         let ttl_ms = ttl.as_millis() as u64;
-        let call = self
-            .client
-            .post(self.url("kv-lease"))
-            .json(&LeaseBody { ttl_ms });
-        let (status, body) = self.send(call, self.timeout).await?;
+        let lease = LeaseBody { ttl_ms };
+        let build = |client: &Client| client.post(self.url("kv-lease")).json(&lease);
+        let (status, body) = self.send(build, self.timeout).await?;
         let answer: LeaseAnswer = decode(&check_status(status, body)?)?;
         Ok(answer.lease)
     }
 
-    /// Renews a lease. Returns false if it has already ended.
+    /// Renews a lease, unless that takes longer than `timeout`. Returns false if the lease has
+    /// already ended.
     ///
     /// # Errors
     ///
     /// Fails if the store refused or did not answer.
-    pub async fn renew(&self, lease: u64) -> Answer<bool> {
-        let call = self.client.post(self.url(&format!("kv-keep/{lease}")));
-        let (status, body) = self.send(call, self.timeout).await?;
+    pub async fn renew(&self, lease: u64, timeout: Duration) -> Answer<bool> {
+        let url = self.url(&format!("kv-keep/{lease}"));
+        let build = |client: &Client| client.post(&url);
+        let (status, body) = self.send(build, timeout).await?;
         if status == StatusCode::NOT_FOUND {
             return Ok(false);
         }
@@ -398,24 +420,47 @@
         format!("{base}/{path}")
     }
 
-    async fn send(&self, call: RequestBuilder, timeout: Duration) -> Answer<(StatusCode, Vec<u8>)> {
-        let fault = |error: reqwest::Error| {
+    async fn send(
+        &self,
+        build: impl Fn(&Client) -> RequestBuilder,
+        timeout: Duration,
+    ) -> Answer<(StatusCode, Vec<u8>)> {
+        let generation = self.connections.current();
+        let call = build(&generation.client);
+        self.send_on(&generation, call, timeout).await
+    }
+
+    async fn send_on(
+        &self,
+        generation: &Generation,
+        call: RequestBuilder,
+        timeout: Duration,
+    ) -> Answer<(StatusCode, Vec<u8>)> {
+        let answer = read_answer(call.timeout(timeout)).await;
+        match &answer {
+            Ok(_) => self.connections.on_answer(generation),
+            Err(error) if error.is_timeout() && !error.is_connect() => {
+                self.connections.on_timeout(generation)
+            }
+            Err(_) => {}
+        }
+        answer.map_err(|error| {
             if error.is_connect() {
                 StoreFault::Refused(error.to_string())
             } else {
                 StoreFault::Unanswered(error.to_string())
             }
-        };
-        let response = call.timeout(timeout).send().await.map_err(fault)?;
-        let status = response.status();
-        let body = response
-            .bytes()
-            .await
-            .map_err(|error| StoreFault::Unanswered(error.to_string()))?;
-        Ok((status, body.to_vec()))
+        })
     }
 }
 
+async fn read_answer(call: RequestBuilder) -> reqwest::Result<(StatusCode, Vec<u8>)> {
+    let response = call.send().await?;
+    let status = response.status();
+    let body = response.bytes().await?;
+    Ok((status, body.to_vec()))
+}
+
 fn check_status(status: StatusCode, body: Vec<u8>) -> Answer<Vec<u8>> {
     if status.is_success() {
         return Ok(body);
--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -1,3 +1,4 @@
+mod connections;
 mod mutated;
 
 use reqwest::StatusCode;
--- a/tests/fleet/deployment.rs
+++ b/tests/fleet/deployment.rs
@@ -15,6 +15,7 @@
 
 use crate::faults::Faults;
 use crate::ports::free_address;
+use crate::relay::Relay;
 use crate::store::Store;
 use crate::workers::{Journal, Reach, Worker};
 
@@ -66,6 +67,33 @@
     }
 }
 
+/// What a deployment consists of.
+#[derive(Debug)]
+pub struct Parts<'a> {
+    /// Number of entry daemons.
+    pub entries: usize,
+    /// Number of workers.
+    pub workers: usize,
+    /// Availability zones, which the daemons and the workers are in by turns.
+    pub zones: &'a [&'a str],
+    /// What a daemon may use of its processor.
+    pub cores: &'a str,
+    /// Whether connections to the store and to workers lead through relays.
+    pub relayed: bool,
+}
+
+impl Default for Parts<'_> {
+    fn default() -> Self {
+        Self {
+            entries: 1,
+            workers: 1,
+            zones: &["a"],
+            cores: "1",
+            relayed: false,
+        }
+    }
+}
+
 /// A deployment under test.
 pub struct Deployment {
     /// Processes of the entry daemons, in the order of their numbers.
@@ -82,6 +110,10 @@
     client: reqwest::Client,
     folder: PathBuf,
     workers: Vec<(Arc<Worker>, RunningServer)>,
+    /// Relays to the store, one for each entry daemon, if there are any.
+    pub store_relays: Vec<Relay>,
+    /// Relays to the workers, if there are any.
+    pub worker_relays: Vec<Relay>,
     /// One for each entry daemon.
     _store_servers: Vec<RunningServer>,
 }
@@ -89,31 +121,38 @@
 impl Deployment {
     /// Starts all servers and waits until the daemons are ready and one owns the shard.
     pub async fn start(name: &str, entries: usize, workers: usize) -> Self {
-        Self::start_in_zones(name, &["a"], entries, workers, "1").await
+        let parts = Parts {
+            entries,
+            workers,
+            ..Parts::default()
+        };
+        Self::start_parts(name, &parts).await
     }
 
-    /// Starts all servers with the daemons and the workers in these zones by turns, and waits
-    /// until the daemons are ready and one owns a shard. A daemon may use `cores` of its
-    /// processor.
-    pub async fn start_in_zones(
-        name: &str,
-        zones: &[&str],
-        entries: usize,
-        workers: usize,
-        cores: &str,
-    ) -> Self {
+    /// Starts all servers and waits until the daemons are ready and one owns a shard.
+    pub async fn start_parts(name: &str, parts: &Parts<'_>) -> Self {
+        let Parts {
+            entries,
+            workers,
+            zones,
+            cores,
+            relayed,
+        } = *parts;
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let number = COUNT.fetch_add(1, Ordering::Relaxed);
         let unique = format!("lycheelock-fleet-{name}-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(unique);
         fs::create_dir_all(&folder).expect("the settings folder can be created");
         let store = Arc::new(Store::default());
+        let (mut store_relays, mut worker_relays) = (Vec::new(), Vec::new());
         let mut platforms = Vec::new();
         let mut store_servers = Vec::new();
         for number in 0..entries {
             let platform = free_address();
             store_servers.push(store.serve(number, platform).await);
-            platforms.push(platform);
+            let relay = relayed.then(|| Relay::start(platform));
+            platforms.push(relay.as_ref().map_or(platform, |relay| relay.address));
+            store_relays.extend(relay);
         }
         let mut running = Vec::new();
         let journal = Arc::new(Journal::default());
@@ -124,6 +163,11 @@
             let server = worker.serve().await;
             let mut entry = worker.roster_entry();
             entry["zone"] = json!(zones[number % zones.len()]);
+            if relayed {
+                let relay = Relay::start(worker.address());
+                entry["address"] = json!(relay.address.to_string());
+                worker_relays.push(relay);
+            }
             store.put(&format!("servers/{id}"), &entry);
             running.push((worker, server));
         }
@@ -139,6 +183,8 @@
             client: reqwest::Client::new(),
             folder,
             workers: running,
+            store_relays,
+            worker_relays,
             _store_servers: store_servers,
         };
         for (number, platform) in platforms.into_iter().enumerate() {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,8 +8,12 @@
 mod odd;
 #[path = "../common/ports.rs"]
 mod ports;
+#[allow(dead_code, reason = "the process tests use the rest of it")]
+#[path = "../common/relay.rs"]
+mod relay;
 mod restarts;
 mod shards;
+mod silence;
 mod store;
 mod takeovers;
 mod unanswered;
--- a/tests/fleet/shards.rs
+++ b/tests/fleet/shards.rs
@@ -3,7 +3,7 @@
 use lycheelock::shards::Layout;
 use serde_json::json;
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, Parts};
 use crate::workers::Reach;
 use crate::{JOB_TIMEOUT, assert_all_done, job_id, steps};
 
@@ -16,7 +16,14 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn jobs_wait_for_the_lost_workers_of_their_zone() {
     assert_eq!(Layout::of(WORKERS, ZONES.len(), 2), Layout::Zones(1));
-    let deployment = Deployment::start_in_zones("zones", &ZONES, 3, WORKERS, CORES).await;
+    let parts = Parts {
+        entries: ZONES.len(),
+        workers: WORKERS,
+        zones: &ZONES,
+        cores: CORES,
+        ..Parts::default()
+    };
+    let deployment = Deployment::start_parts("zones", &parts).await;
     let lost = 1;
     let lasting = json!([{"count": 2, "cpu": 500, "mem_mb": 10, "daemon": true}]);
     let endless = job_id(1);
--- a/tests/fleet/workers.rs
+++ b/tests/fleet/workers.rs
@@ -303,6 +303,11 @@
             .expect("the address is free")
     }
 
+    /// The address at which the worker takes orders.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the entry that the worker writes about itself to the roster.
     pub fn roster_entry(&self) -> Value {
         let born = self.inner.lock().unwrap().born;
--- a/tests/processes/deployment/mod.rs
+++ b/tests/processes/deployment/mod.rs
@@ -1,5 +1,6 @@
 //! A test deployment of separate processes, with a relay that can cut connections.
 
+#[path = "../../common/relay.rs"]
 pub mod relay;
 
 use std::fs;
