--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -17,6 +17,10 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time limit from the acknowledgement of a cancellation to the last start of the job's tasks.
 const CANCEL_LIMIT: Duration = Duration::from_secs(3);
+/// Time limit from the end of a long-running task's last run to the next one.
+const RESTART_LIMIT: Duration = Duration::from_secs(9);
+/// Time from the loss of an owner to the end of the runs that it gave leases.
+const RUN_LEASE: Duration = Duration::from_millis(4_500);
 /// The job that the clients ask for.
 const JOB: u32 = 1;
 
@@ -46,6 +50,12 @@
     clients
 }
 
+fn silence_store(deployment: &Deployment) -> Instant {
+    let relays = deployment.store_relays.iter();
+    relays.for_each(crate::relay::Relay::silence_open_connections);
+    Instant::now()
+}
+
 /// A job of many short steps, one after the other.
 fn chain(length: usize) -> Value {
     let step = |number: usize| {
@@ -87,6 +97,27 @@
     assert!(late.is_empty(), "started after the bound: {late:?}");
 }
 
+/// The watch of the owners went silent, and no daemon took over the shard of a lost one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_daemon_takes_over_after_connections_to_the_store_went_silent() {
+    let deployment = start("silent-owner").await;
+    let clients = ask_states(&deployment);
+    let id = job_id(JOB);
+    start_long_running(&deployment, &id).await;
+    let owner = deployment.owner().await;
+    silence_store(&deployment);
+    sleep_ms(CONTACT.as_millis() as u64 + 500).await;
+    deployment.entries[owner].signal("KILL");
+    let killed = Instant::now();
+    deployment.wait_for_owner_other_than(owner).await;
+    drop(clients);
+    let vacant = killed.elapsed();
+    assert!(
+        vacant < RUN_LEASE + RESTART_LIMIT,
+        "no owner for {vacant:?}"
+    );
+}
+
 /// Polls and orders on silent connections must not cost the runs their leases.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn runs_are_lost_after_connections_to_workers_went_silent() {
