The watch of the configuration waits no longer than others

Cause: the watch of the configuration noticed that after 2.8 s, but each call after it took another silent connection of the pool, with 0.5 s and 0.2 s for each. Ruled out: the watch's timeout alone, which ends within the 3 s in which a host is not in touch.

--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -7,13 +7,12 @@
 
 use super::Node;
 use super::lines::DaemonLine;
+use super::node::WATCH_WAIT;
 use crate::journal;
 use crate::platform::fleet::{
     CONFIGURATION_KEY, Change, Item, OPERATOR_PREFIX, Watched, read_queues,
 };
 
-/// The time after which a watch without a change returns.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// The delay before a failed read or watch is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -43,7 +42,7 @@
 }
 
 async fn watch(node: &Node, after: u64) -> Result<Option<u64>, ()> {
-    let watched = node.watch(OPERATOR_PREFIX, after, WATCH_TIMEOUT).await;
+    let watched = node.watch(OPERATOR_PREFIX, after, WATCH_WAIT).await;
     match watched.map_err(|_| ())? {
         Watched::Compacted => Ok(None),
         Watched::Changes(changes, revision) => {
--- a/tests/fleet/deployment.rs
+++ b/tests/fleet/deployment.rs
@@ -359,6 +359,14 @@
             .await
     }
 
+    /// Returns the status of the answer to a request for the queue of a path prefix.
+    pub async fn queue_status(&self, entry: usize, prefix: &str) -> u16 {
+        let url = format!("http://{}{prefix}", self.front_addresses[entry]);
+        let request = self.client.get(url).header("host", "jobs.example");
+        let response = request.send().await.expect("the entry answers");
+        response.status().as_u16()
+    }
+
     /// Cancels a job. Returns the status.
     pub async fn cancel(&self, entry: usize, id: &str) -> u16 {
         let url = format!("http://{}/q/{id}", self.front_addresses[entry]);
--- a/tests/fleet/silence.rs
+++ b/tests/fleet/silence.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 
-use crate::deployment::{Deployment, Parts, sleep_ms};
+use crate::deployment::{Deployment, Parts, configuration, sleep_ms};
 use crate::{JOB_TIMEOUT, assert_all_done, job_id, start_long_running, steps};
 
 const ENTRIES: usize = 3;
@@ -17,6 +17,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time limit from the acknowledgement of a cancellation to the last start of the job's tasks.
 const CANCEL_LIMIT: Duration = Duration::from_secs(3);
+/// Time limit from the acknowledgement of a configuration to its effect at all daemons.
+const CONFIGURATION_LIMIT: Duration = Duration::from_secs(2);
 /// Time limit from the end of a long-running task's last run to the next one.
 const RESTART_LIMIT: Duration = Duration::from_secs(9);
 /// Time from the loss of an owner to the end of the runs that it gave leases.
@@ -118,6 +120,32 @@
     );
 }
 
+/// The watch of the configuration went silent, and each call took another silent connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_is_late_after_connections_to_the_store_went_silent() {
+    let deployment = start("silent-configuration").await;
+    // Each daemon has several open connections, and makes few calls from then on.
+    let mut asked = JoinSet::new();
+    for number in 0..ENTRIES * CLIENTS {
+        let deployment = deployment.clone();
+        asked.spawn(async move { deployment.job_state(number % ENTRIES, &job_id(JOB)).await });
+    }
+    asked.join_all().await;
+    sleep_ms(500).await;
+    let silenced = silence_store(&deployment);
+    sleep_ms(1_000).await;
+    deployment
+        .store
+        .put("op/config", &configuration(2, "/new/"));
+    let acknowledged = Instant::now();
+    let bound = (acknowledged + CONFIGURATION_LIMIT).max(silenced + CONTACT);
+    tokio::time::sleep_until(bound.into()).await;
+    for entry in 0..ENTRIES {
+        let status = deployment.queue_status(entry, "/new/").await;
+        assert_ne!(status, 404, "daemon {entry} has the former configuration");
+    }
+}
+
 /// Polls and orders on silent connections must not cost the runs their leases.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn runs_are_lost_after_connections_to_workers_went_silent() {
