Restarted workers: orders to the former incarnation outlive its leases

Callers saw tasks run twice (TWICE, the users' own runs) where workers started again under their ids and were cut off soon after: the next incarnation carries out orders that were meant for the former one, with a lease that is far ahead on its new clock, while the owner counts 4.5 s by the old clock.

Evidence: in three logs the first run began after the restart, by an open copy, a late copy, or a start that the next incarnation had answered, and ended some 6 s later, not 4.5 s. Ruled out: a wrong lease on workers that did not restart; open copies alone (one start was answered).

Change: the owner also learns of a restart from the registry and from the clock in the answer to a start. Runs of the former incarnation are over then. A task that the next one may run waits for the longest lease, for open copies counted from 12 s after the last. An open copy on a silent worker is over with its lease only if the registry, read since, shows no restart. Starts are repeated only after a newer report; a worker whose last poll failed gets no tasks. The roster names the incarnation, so that a new owner sees a restart as well.

One test reads the registry now where it did not (a_start_without_an_answer_is_lost_before_its_copies_expire): an owner reads it every 0.9 s, and the release of the task needs it; the times are the same.

--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -127,6 +127,7 @@
             zone: String::new(),
             closed: None,
             lease_left: None,
+            incarnation: None,
         }])]
     };
     let first = store.apply(&transaction(&owned, &roster("first"), 0));
--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -104,11 +104,13 @@
     let order = owned.decide(|scheduler, now| scheduler.start_order(key, task, run, now))?;
     let sent = Moment::now();
     let fault = match api.start(&order).await {
-        Ok(reply) => {
+        Ok(answer) => {
             let took = Moment::now() - sent;
             owned.node.latencies.record(Span::StartOrder, took);
-            let stop =
-                owned.decide(|scheduler, now| scheduler.on_start(key, task, run, reply, now));
+            let stop = owned.decide(|scheduler, now| {
+                scheduler.check_clock(key, task, answer, sent, now);
+                scheduler.on_start(key, task, run, answer.reply, now)
+            });
             owned.wake();
             return stop.map(Order::Stop);
         }
--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -16,6 +16,9 @@
 /// The longest lease that a worker grants; it shortens longer ones to its own limit.
 pub const MAX_WORKER_LEASE: Duration = Duration::from_secs(10);
 
+/// The longest time after which a worker carries out a call that it has not answered.
+pub const MAX_LATENESS: Duration = Duration::from_secs(12);
+
 /// The factor by which a worker's clock may run slower than ours.
 pub const MAX_CLOCK_SLOWDOWN: f64 = 1.02;
 
@@ -34,6 +37,22 @@
         Self { reading, received }
     }
 
+    /// Whether a reading in the answer to a call sent at `sent` is too low for this clock, so that
+    /// the worker has restarted in between.
+    ///
+    /// ```
+    /// use lycheelock::fleet::Clock;
+    /// use lycheelock::moment::Moment;
+    ///
+    /// let clock = Clock::new(10_000, Moment::from_micros(0));
+    /// let sent = Moment::from_micros(1_020_000);
+    /// assert!(!clock.has_restarted(11_000, sent));
+    /// assert!(clock.has_restarted(10_999, sent));
+    /// ```
+    pub fn has_restarted(self, reading: u64, sent: Moment) -> bool {
+        sent >= self.received && reading < self.latest_lease_end(sent)
+    }
+
     /// Returns the end of a lease that begins at `now`, in milliseconds of the worker's
     /// clock.
     ///
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -77,6 +77,15 @@
     NoCapacity,
 }
 
+/// A worker's answer to a copy of a start order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartAnswer {
+    /// What the worker did.
+    pub reply: StartReply,
+    /// The worker's clock in milliseconds; absent if the answer had none.
+    pub clock: Option<u64>,
+}
+
 /// An order to stop a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopOrder {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,10 +12,12 @@
 mod worker;
 
 pub use capacity::Capacity;
-pub use lease::{Clock, HEARTBEAT_LEASE, MAX_CLOCK_SLOWDOWN, MAX_WORKER_LEASE, RUN_LEASE};
+pub use lease::{
+    Clock, HEARTBEAT_LEASE, MAX_CLOCK_SLOWDOWN, MAX_LATENESS, MAX_WORKER_LEASE, RUN_LEASE,
+};
 pub use messages::{
-    Availability, EndedRun, LiveRun, PollOrder, Registration, RunOutcome, StartOrder, StartReply,
-    StopOrder, WorkerReport,
+    Availability, EndedRun, LiveRun, PollOrder, Registration, RunOutcome, StartAnswer, StartOrder,
+    StartReply, StopOrder, WorkerReport,
 };
 pub use pool::PoolLoad;
 pub use worker::{FailureHistory, UnknownRun, Worker, WorkerKey};
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -120,6 +120,10 @@
     pub responsive: bool,
     /// Whether the last poll failed, so that the worker may have restarted since.
     pub poll_failed: bool,
+    /// Whether the worker is known to have restarted, but not under which incarnation.
+    pub restart_unreported: bool,
+    /// When the last poll that prolongs leases was sent.
+    pub renewed: Moment,
     /// Whether the worker is known to have ended: another one answers at its address.
     pub replaced: bool,
     /// Whether the worker has answered this owner, so that it refuses former owners.
@@ -183,6 +187,8 @@
             in_roster: false,
             responsive: true,
             poll_failed: false,
+            restart_unreported: false,
+            renewed: Moment::default(),
             replaced: false,
             synced: false,
             caught_up: false,
@@ -229,6 +235,7 @@
             && self.in_roster
             && self.synced
             && !self.replaced
+            && !self.poll_failed
             && self.unknown_runs.is_empty()
             && self.registration.availability == Availability::Ready
             && now - self.last_contact < MAX_REPORT_AGE
--- a/src/platform/fleet/worker.rs
+++ b/src/platform/fleet/worker.rs
@@ -12,7 +12,8 @@
 
 use super::decode::{DecodeError, span};
 use crate::fleet::{
-    EndedRun, LiveRun, PollOrder, RunOutcome, StartOrder, StartReply, StopOrder, WorkerReport,
+    EndedRun, LiveRun, PollOrder, RunOutcome, StartAnswer, StartOrder, StartReply, StopOrder,
+    WorkerReport,
 };
 use crate::workflow::TaskName;
 
@@ -292,7 +293,7 @@
     /// # Errors
     ///
     /// Fails if the worker was not reached, did not answer or refused the order.
-    pub async fn start(&self, order: &StartOrder) -> Result<StartReply, WorkerFault> {
+    pub async fn start(&self, order: &StartOrder) -> Result<StartAnswer, WorkerFault> {
         let body = StartBody {
             task: order.task.to_string(),
             run: order.run,
@@ -304,7 +305,9 @@
         let (status, bytes) = self
             .post(&self.endpoints.start, &body, self.timeout)
             .await?;
-        read_start_reply(status, &bytes)
+        let reply = read_start_reply(status, &bytes)?;
+        let clock = read_clock(&bytes);
+        Ok(StartAnswer { reply, clock })
     }
 
     /// Stops a run. If its start order has not arrived yet, the worker will refuse
@@ -408,6 +411,13 @@
     span("clock_ms", millis, MAX_CLOCK).map(|clock| clock.as_millis() as u64)
 }
 
+/// Reads the clock in a worker's answer, in milliseconds, if there is one.
+pub(super) fn read_clock(bytes: &[u8]) -> Option<u64> {
+    let answer: ReasonBody = serde_json::from_slice(bytes).ok()?;
+    let reading = clock(answer.clock_ms).ok()?;
+    (reading > 0).then_some(reading)
+}
+
 /// Decodes a worker's answer to a start order.
 pub(super) fn read_start_reply(
     status: StatusCode,
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -25,6 +25,9 @@
     /// which may prolong them before it stores a roster.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease_left: Option<u64>,
+    /// The incarnation of a closed worker that ran the tasks; `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<u64>,
 }
 
 impl RosterEntry {
--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -81,7 +81,7 @@
     /// Records the crash of a worker for the runs that it had, or had when its leases
     /// ended.
     pub(super) fn record_crash(&mut self, key: WorkerKey, evidence: &'static str, now: Moment) {
-        let mut runs = self.runs_on(key);
+        let mut runs = self.runs_on(key, now);
         let worker = &self.workers[key].registration;
         if let Some(lost) = self.lost_workers.by_address.remove(&worker.address) {
             runs.extend(lost.runs);
@@ -91,8 +91,8 @@
     }
 
     /// Keeps the runs of a silent worker whose leases have ended.
-    pub(super) fn keep_lost(&mut self, key: WorkerKey, now: Moment) {
-        let runs = self.runs_on(key);
+    pub(super) fn keep_lost(&mut self, key: WorkerKey, tasks: &[TaskKey], now: Moment) {
+        let runs = self.run_states(tasks.iter().copied(), now);
         let worker = &self.workers[key];
         let lost = &mut self.lost_workers.by_address;
         lost.retain(|_, lost| now - lost.since < LOST_RETENTION);
@@ -108,16 +108,17 @@
         lost.insert(worker.registration.address, entry);
     }
 
-    /// Delays the restart of those tasks of a silent worker that have crashes on record and
+    /// Delays the restart of those of a silent worker's tasks that have crashes on record and
     /// would be suspects again if this worker has crashed. Without the delay they could crash
     /// further workers before that is known. Long-running tasks are not delayed.
-    pub(super) fn hold_suspects(&mut self, key: WorkerKey, now: Moment) {
-        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
+    pub(super) fn hold_suspects(&mut self, tasks: &[TaskKey], now: Moment) {
         for key in tasks {
-            let long_running = self.step_of(key).long_running;
-            let task = &mut self.ledger.tasks[key];
+            let long_running = self.step_of(*key).long_running;
+            let task = &mut self.ledger.tasks[*key];
             let suspect = task.survived < task.crashes.survival_time();
-            if suspect && !long_running && !task.crashes.is_empty() {
+            // A run on a restarted worker has been waited for longer.
+            let waited = task.outlives > Moment::default();
+            if suspect && !waited && !long_running && !task.crashes.is_empty() {
                 task.held_until = now + MAX_HOLD;
             }
         }
@@ -165,9 +166,12 @@
         }
     }
 
-    fn runs_on(&self, key: WorkerKey) -> Vec<RunState> {
-        let tasks = self.workers[key].tasks.values();
-        let tasks = tasks.map(|key| (*key, &self.ledger.tasks[*key]));
+    fn runs_on(&self, key: WorkerKey, now: Moment) -> Vec<RunState> {
+        self.run_states(self.workers[key].tasks.values().copied(), now)
+    }
+
+    fn run_states(&self, tasks: impl Iterator<Item = TaskKey>, now: Moment) -> Vec<RunState> {
+        let tasks = tasks.map(|key| (key, &self.ledger.tasks[key]));
         let runs = tasks
             .filter(|(_, task)| may_have_begun(task))
             .map(|(key, task)| RunState {
@@ -175,7 +179,7 @@
                 run: task.run,
                 begun: task.begun,
                 survived: task.survived,
-                open: self.may_arrive(key),
+                open: self.may_arrive(key, now),
             });
         runs.collect()
     }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -122,14 +122,19 @@
     pub(super) fn expire_leases(&mut self, now: Moment) {
         let expired = self.workers.iter().filter(|(_, worker)| {
             let silent = now > worker.last_contact + crate::fleet::RUN_LEASE;
-            worker.synced && silent && worker.lease_deadline < self.confirmed
+            let used = worker.synced || !worker.tasks.is_empty();
+            used && silent && worker.lease_deadline < self.confirmed
         });
         let keys: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in keys {
+            let lost = self.expired_tasks(key, now);
+            if !lost.is_empty() {
+                self.keep_lost(key, &lost, now);
+                self.hold_suspects(&lost, now);
+                self.lose_all(&lost, "its lease has ended on a silent worker", now);
+            }
             if !self.workers[key].tasks.is_empty() {
-                self.keep_lost(key, now);
-                self.hold_suspects(key, now);
-                self.lose_all(key, "its lease has ended on a silent worker", now);
+                continue;
             }
             self.workers[key].unknown_runs.clear();
             if !self.workers[key].listed {
@@ -138,6 +143,20 @@
         }
     }
 
+    /// The tasks of a worker whose leases have ended that cannot run there any more. An open copy
+    /// of a start order counts as refused after the end of its lease only if the registry, read
+    /// since, shows no restart.
+    fn expired_tasks(&self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
+        let worker = &self.workers[key];
+        let unread = self.registry_read <= worker.lease_deadline;
+        let has_expired = |task: &TaskKey| {
+            let known = &self.ledger.tasks[*task];
+            let open = self.may_arrive(*task, now);
+            known.outlives < self.confirmed && !(open && unread)
+        };
+        worker.tasks.values().copied().filter(has_expired).collect()
+    }
+
     pub(super) fn record_failure(&mut self, key: WorkerKey, workflow: WorkflowKey, now: Moment) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
@@ -147,11 +166,10 @@
         }
     }
 
-    pub(super) fn lose_all(&mut self, key: WorkerKey, reason: &'static str, now: Moment) {
-        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
+    pub(super) fn lose_all(&mut self, tasks: &[TaskKey], reason: &'static str, now: Moment) {
         for task in tasks {
-            self.ledger.tasks[task].restart_gate = now;
-            self.lose(task, reason, now);
+            self.ledger.tasks[*task].restart_gate = now;
+            self.lose(*task, reason, now);
         }
     }
 
--- a/src/schedule/recovery.rs
+++ b/src/schedule/recovery.rs
@@ -36,7 +36,9 @@
         let silent = self.former_workers.iter().take(MAX_NAMED_WORKERS);
         let silent = silent.map(|key| self.worker_name(*key)).collect();
         if expired {
-            self.closed_workers.clear();
+            let confirmed = self.confirmed;
+            self.closed_workers
+                .retain(|_, closed| closed.leases_end.is_some_and(|end| end > confirmed));
             self.remove_former();
         }
         self.recovering = false;
@@ -106,7 +108,7 @@
             return entry;
         }
         let mut tasks = worker.possible_tasks();
-        let mut leases_end = worker.lease_deadline;
+        let mut leases_end = self.runs_end(key);
         match self.closed_workers.get(&key) {
             Some(closed) => {
                 tasks.extend(closed.tasks.iter().copied());
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use super::recovery::ClosedWorker;
+use super::restart::longest_lease;
 use super::{Event, Order, RosterEntry, Scheduler};
-use crate::fleet::{Availability, Registration, Worker, WorkerKey};
+use crate::fleet::{Availability, MAX_LATENESS, Registration, Worker, WorkerKey};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey, TaskName};
 
@@ -19,6 +20,7 @@
     /// Applies the registry's entries for this shard. Returns the workers to connect to: new
     /// ones, and those that came back at another address.
     pub fn on_registry(&mut self, entries: Vec<Registration>, now: Moment) -> Vec<WorkerKey> {
+        self.registry_read = now;
         let listed: HashSet<String> = entries.iter().map(|entry| entry.id.clone()).collect();
         let mut connect = Vec::new();
         for entry in entries {
@@ -107,6 +109,15 @@
                     let left = entry.lease_left.filter(|_| by_former);
                     let left = left.map(Duration::from_millis);
                     let leases_end = left.map(|left| now + left.max(MIN_RECOVERY));
+                    // Orders of former owners may still reach the new incarnation.
+                    let restarted = entry
+                        .incarnation
+                        .is_some_and(|known| worker.registration.incarnation > known);
+                    let leases_end = if restarted {
+                        Some(now + MAX_LATENESS + longest_lease())
+                    } else {
+                        leases_end
+                    };
                     let closed = ClosedWorker { tasks, leases_end };
                     self.closed_workers.insert(key, closed);
                 }
@@ -162,14 +173,15 @@
         let leaving = worker.registration.availability == Availability::Ready
             && entry.availability == Availability::Draining;
         let returned = !worker.listed;
-        let incarnation = worker.registration.incarnation;
+        let (incarnation, registered) = (worker.registration.incarnation, entry.incarnation);
         worker.listed = true;
-        // The incarnation changes only with the worker's own report, which
-        // shows that its earlier runs are gone.
         worker.registration = Registration {
             incarnation,
             ..entry
         };
+        if incarnation > 0 && registered > incarnation {
+            self.on_restart_registered(key, registered, now);
+        }
         if returned {
             self.record_worker_change(key, "registered again");
         }
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -4,20 +4,105 @@
 
 use super::Scheduler;
 use super::ends::live_runs;
-use crate::fleet::{MAX_CLOCK_SLOWDOWN, MAX_WORKER_LEASE, WorkerKey, WorkerReport};
+use crate::fleet::{
+    Clock, MAX_CLOCK_SLOWDOWN, MAX_LATENESS, MAX_WORKER_LEASE, StartAnswer, StartReply, WorkerKey,
+    WorkerReport,
+};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey};
 
+/// The longest time for which a run goes on without a renewal, whatever the lease in its order.
+pub(super) fn longest_lease() -> Duration {
+    MAX_WORKER_LEASE.mul_f64(MAX_CLOCK_SLOWDOWN)
+}
+
 impl Scheduler {
     /// Compares the incarnation in a worker's report with the known one. The runs of the
     /// former incarnation have ended; those that the report lists began after the restart.
     pub(super) fn check_incarnation(&mut self, key: WorkerKey, report: &WorkerReport, now: Moment) {
-        let worker = &self.workers[key];
+        let worker = &mut self.workers[key];
         let incarnation = report.incarnation;
         if worker.registration.incarnation == incarnation || incarnation == 0 {
             return;
         }
+        if std::mem::take(&mut worker.restart_unreported) {
+            worker.registration.incarnation = incarnation;
+            return;
+        }
         let listed = self.listed_tasks(key, report);
+        self.process_restart(key, incarnation, listed, "it has a new incarnation", now);
+    }
+
+    /// Processes a registration that shows a later incarnation of a worker than its reports. The
+    /// worker may be cut off from this host.
+    pub(super) fn on_restart_registered(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
+        let worker = &mut self.workers[key];
+        if std::mem::take(&mut worker.restart_unreported) {
+            worker.registration.incarnation = incarnation;
+            return;
+        }
+        let evidence = "the registry shows a new incarnation";
+        self.process_unreported_restart(key, incarnation, Vec::new(), evidence, now);
+    }
+
+    /// Processes the worker's clock in the answer to a start order that was sent at `sent`. A
+    /// reading that is too low shows that the worker has restarted; it may have accepted the
+    /// order, whose lease ends far ahead on its new clock.
+    pub fn check_clock(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskKey,
+        answer: StartAnswer,
+        sent: Moment,
+        now: Moment,
+    ) {
+        let Some(known) = self.workers.get(worker) else {
+            return;
+        };
+        let reading = answer.clock.zip(known.clock);
+        let Some((reading, _)) = reading.filter(|(new, old)| old.has_restarted(*new, sent)) else {
+            return;
+        };
+        let accepted =
+            answer.reply == StartReply::Running && known.tasks.values().any(|key| *key == task);
+        let listed = accepted.then_some(task).into_iter().collect();
+        let incarnation = known.registration.incarnation;
+        let evidence = "its clock was reset";
+        self.process_unreported_restart(worker, incarnation, listed, evidence, now);
+        let restarted = &mut self.workers[worker];
+        restarted.restart_unreported = true;
+        restarted.clock = Some(Clock::new(reading, now));
+    }
+
+    /// Processes a restart of which no report tells yet. The worker has no runs but those of the
+    /// `listed` tasks, and those that open copies of start orders begin.
+    fn process_unreported_restart(
+        &mut self,
+        key: WorkerKey,
+        incarnation: u64,
+        listed: Vec<TaskKey>,
+        evidence: &'static str,
+        now: Moment,
+    ) {
+        let former = self.workers[key].clone();
+        self.process_restart(key, incarnation, listed, evidence, now);
+        let worker = &mut self.workers[key];
+        worker.caught_up = former.caught_up;
+        worker.responsive = former.responsive;
+        worker.poll_failed = former.poll_failed;
+        worker.last_contact = former.last_contact;
+    }
+
+    fn process_restart(
+        &mut self,
+        key: WorkerKey,
+        incarnation: u64,
+        listed: Vec<TaskKey>,
+        evidence: &'static str,
+        now: Moment,
+    ) {
+        let renewed = self.workers[key].renewed;
+        let unanswered = renewed > self.workers[key].last_contact;
         for task in &listed {
             self.unassign(*task);
         }
@@ -27,7 +112,7 @@
         if known {
             // Unless another worker at its former address has shown the crash before.
             if !self.workers[key].replaced {
-                self.record_crash(key, "it has a new incarnation", now);
+                self.record_crash(key, evidence, now);
             }
             open = self.lose_ended(key, now);
         }
@@ -36,13 +121,22 @@
         if known {
             // The last orders gave a lease by the clock of the former incarnation, which may
             // be far ahead of the new one.
-            let longest = MAX_WORKER_LEASE.mul_f64(MAX_CLOCK_SLOWDOWN);
-            self.workers[key].lease_deadline = now + longest;
+            self.workers[key].lease_deadline = now + longest_lease();
         }
+        // So did a poll that has no answer yet.
+        let last_renewal = if unanswered {
+            renewed + MAX_LATENESS
+        } else {
+            now
+        };
         for task in listed {
+            self.ledger.tasks[task].outlives = last_renewal.max(now) + longest_lease();
             self.continue_run(key, task, now);
         }
         for task in open {
+            let last_start = self.ledger.tasks[task].last_copy + MAX_LATENESS;
+            let outlives = last_start.max(last_renewal).max(now) + longest_lease();
+            self.ledger.tasks[task].outlives = outlives;
             self.withdraw_open(key, task, now);
         }
         for run in lost_open {
@@ -55,8 +149,9 @@
     /// whose start may still reach the new one.
     fn lose_ended(&mut self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
         let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
-        let (open, ended): (Vec<TaskKey>, Vec<TaskKey>) =
-            tasks.into_iter().partition(|task| self.may_arrive(*task));
+        let (open, ended): (Vec<TaskKey>, Vec<TaskKey>) = tasks
+            .into_iter()
+            .partition(|task| self.may_arrive(*task, now));
         for task in &open {
             self.unassign(*task);
             self.ledger.tasks[*task].restart_gate = now;
@@ -99,10 +194,19 @@
         tasks.filter(is_listed).collect()
     }
 
+    /// By when all runs on a worker have ended, if it gets no further orders.
+    pub(super) fn runs_end(&self, key: WorkerKey) -> Moment {
+        let worker = &self.workers[key];
+        let tasks = worker.tasks.values();
+        let late = tasks.map(|task| self.ledger.tasks[*task].outlives).max();
+        worker.lease_deadline.max(late.unwrap_or_default())
+    }
+
     /// Whether a copy of a task's start order may be on its way to the new incarnation,
     /// which has seen no fencing token and accepts it.
-    pub(super) fn may_arrive(&self, key: TaskKey) -> bool {
+    pub(super) fn may_arrive(&self, key: TaskKey, now: Moment) -> bool {
         let task = &self.ledger.tasks[key];
-        task.unanswered_copies > 0 || (!task.confirmed && task.lease_end.is_some())
+        let sent = task.unanswered_copies > 0 || (!task.confirmed && task.lease_end.is_some());
+        sent && now < task.last_copy + MAX_LATENESS
     }
 }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -133,6 +133,8 @@
     pub(super) confirmed: Moment,
     /// When the last heartbeat that the store accepted was sent.
     heartbeat: Moment,
+    /// When the registry was last read.
+    pub(super) registry_read: Moment,
     last_ranked: Moment,
     /// The run numbers of this term are higher than this.
     first_run: u64,
@@ -178,6 +180,7 @@
             baselines: HashMap::new(),
             confirmed: Moment::default(),
             heartbeat: Moment::default(),
+            registry_read: Moment::default(),
             last_ranked: Moment::default(),
             first_run: term.fence * RUNS_PER_TERM,
             run_count: 0,
@@ -492,6 +495,7 @@
         self.ledger.tasks[key].run = run;
         self.ledger.tasks[key].lease_end = None;
         self.ledger.tasks[key].unanswered_copies = 0;
+        self.ledger.tasks[key].outlives = Moment::default();
         self.ledger.tasks[key].survived = Duration::ZERO;
         self.ledger.tasks[key].begun = false;
         self.ledger.set_stage(key, Stage::Starting(worker), now);
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -35,6 +35,10 @@
             self.lose(key, "the worker is leaving", now);
             return None;
         }
+        if first && self.poll_failed(worker) {
+            self.lose(key, "the worker does not answer", now);
+            return None;
+        }
         if first && !self.holds_its_tasks(worker) {
             self.lose(key, "the worker's capacity has shrunk", now);
             return None;
@@ -47,6 +51,7 @@
         let target = self.workers.get_mut(worker)?;
         target.lease_deadline = target.lease_deadline.max(clock.latest_expiry(until));
         self.ledger.tasks[key].lease_end = Some(until);
+        self.ledger.tasks[key].last_copy = now;
         let task = &self.ledger.tasks[key];
         Some(StartOrder {
             task: task.name,
@@ -64,8 +69,16 @@
     pub fn holds_repeat(&self, worker: WorkerKey, key: TaskKey, run: u64) -> bool {
         let starting = self.starting_workflow(worker, key, run).is_some();
         let is_repeat = starting && self.ledger.tasks[key].lease_end.is_some();
-        let known = self.workers.get(worker);
-        is_repeat && known.is_some_and(|known| known.poll_failed)
+        let Some(known) = self.workers.get(worker).filter(|_| is_repeat) else {
+            return false;
+        };
+        known.poll_failed || known.last_contact < self.ledger.tasks[key].last_copy
+    }
+
+    fn poll_failed(&self, worker: WorkerKey) -> bool {
+        self.workers
+            .get(worker)
+            .is_some_and(|worker| worker.poll_failed)
     }
 
     fn is_leaving(&self, worker: WorkerKey) -> bool {
@@ -231,6 +244,7 @@
         let until = match worker.clock.zip(lease_end) {
             Some((clock, until)) if renews => {
                 worker.lease_deadline = worker.lease_deadline.max(clock.latest_expiry(until));
+                worker.renewed = now;
                 Some(until)
             }
             _ => None,
--- a/src/schedule/tests/fuzz/calls.rs
+++ b/src/schedule/tests/fuzz/calls.rs
@@ -7,6 +7,7 @@
 use super::store::Write;
 use super::worker::{Answer, Process, Request, Run};
 use super::world::{Action, OwnerAction, World};
+use crate::fleet::StartAnswer;
 use crate::fleet::{PollOrder, StartOrder};
 
 /// The time after which an order without an answer fails, in milliseconds.
@@ -169,7 +170,11 @@
             return self.answer(&call, Outcome::Answer(Answer::Fenced));
         }
         let answer = match call.request.clone() {
-            Request::Start(order) => Answer::Start(self.begin(call.slot, &order)),
+            Request::Start(order) => {
+                let clock = Some(process.clock(self.now));
+                let reply = self.begin(call.slot, &order);
+                Answer::Start(StartAnswer { reply, clock })
+            }
             Request::Stop(order) => {
                 process.refuse(order.task, order.run);
                 if process.runs.contains_key(&(order.task, order.run)) {
--- a/src/schedule/tests/fuzz/mod.rs
+++ b/src/schedule/tests/fuzz/mod.rs
@@ -64,9 +64,12 @@
     #[test]
     fn rules_hold_while_owners_are_replaced(
         seed in 0..1000_u64,
+        late_after_restart in any::<bool>(),
         steps in prop::collection::vec(steps(), 1..MAX_STEPS),
     ) {
         let kept: Vec<step::Step> = steps.into_iter().filter(|step| !is_left_out(step)).collect();
-        run_steps(seed, &kept);
+        let mut world = World::new(seed);
+        world.late_after_restart = late_after_restart;
+        run_world(world, &kept);
     }
 }
--- a/src/schedule/tests/fuzz/owner.rs
+++ b/src/schedule/tests/fuzz/owner.rs
@@ -608,7 +608,9 @@
             sender.busy = false;
         }
         match order {
-            Order::Start { task, run } => self.on_start_outcome(owner, key, (task, run), outcome),
+            Order::Start { task, run } => {
+                self.on_start_outcome(owner, key, (task, run), sent.at, outcome)
+            }
             Order::Stop(stop) => match outcome {
                 Outcome::Answer(Answer::Stop) => {
                     let now = at(self.now);
@@ -626,12 +628,16 @@
         owner: usize,
         key: WorkerKey,
         (task, run): (TaskKey, u64),
+        sent: u64,
         outcome: Outcome,
     ) {
         let now = at(self.now);
         let scheduler = &mut self.owners[owner].scheduler;
         let stop = match outcome {
-            Outcome::Answer(Answer::Start(reply)) => scheduler.on_start(key, task, run, reply, now),
+            Outcome::Answer(Answer::Start(answer)) => {
+                scheduler.check_clock(key, task, answer, at(sent), now);
+                scheduler.on_start(key, task, run, answer.reply, now)
+            }
             Outcome::Answer(Answer::Refused) => scheduler.on_start_refused(key, task, run, now),
             Outcome::Answer(Answer::Replaced) => {
                 scheduler.on_start_misdirected(key, task, run, now);
--- a/src/schedule/tests/fuzz/worker.rs
+++ b/src/schedule/tests/fuzz/worker.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::super::*;
+use crate::fleet::StartAnswer;
 use crate::fleet::{PollOrder, StartOrder, StopOrder};
 
 /// The longest lease that a worker grants, in milliseconds of its clock.
@@ -34,7 +35,7 @@
 /// An answer of a worker.
 #[derive(Debug, Clone)]
 pub(super) enum Answer {
-    Start(StartReply),
+    Start(StartAnswer),
     Stop,
     Report(WorkerReport),
     Fenced,
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -13,6 +13,7 @@
 mod overload;
 mod peers;
 mod placing;
+mod restarts;
 mod review_late_orders;
 mod slow;
 mod slow_share;
@@ -362,5 +363,6 @@
         zone: "a".to_owned(),
         closed,
         lease_left: None,
+        incarnation: None,
     }
 }
--- /dev/null
+++ b/src/schedule/tests/restarts.rs
@@ -0,0 +1,183 @@
+//! Tests of workers that restart under their ids, take orders that were meant for the former
+//! incarnation, and are cut off from the owner before it learns of the restart.
+
+use super::*;
+use crate::fleet::StartAnswer;
+
+/// The clock of a worker that has just restarted.
+const NEW_CLOCK: u64 = 40;
+/// When the start order is sent.
+const STARTED: u64 = 10;
+/// How long a run on a restarted worker goes on by its first lease, and a margin.
+const LONGEST_LEASE: u64 = 10_200;
+/// The longest time after which a worker carries out a call that it has not answered.
+const MAX_LATENESS: u64 = 12_000;
+
+/// An owner of two workers that has sent a start order to the first.
+fn start_one() -> (Shard, WorkerKey, TaskKey, u64) {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let [(worker, Order::Start { task, run })] = shard.orders[..] else {
+        panic!("one start");
+    };
+    let sent = shard.scheduler.start_order(worker, task, run, at(STARTED));
+    assert!(sent.is_some());
+    register(&mut shard, 1, 0);
+    shard.report(1, &[], &[]);
+    shard.write();
+    (shard, worker, task, run)
+}
+
+/// Registers both workers, the first of them under this incarnation.
+fn register(shard: &mut Shard, first: u64, now: u64) {
+    let restarted = Registration {
+        incarnation: first,
+        ..registration("w0")
+    };
+    let entries = vec![restarted, registration("w1")];
+    let added = shard.scheduler.on_registry(entries, at(now));
+    shard.workers.extend(added);
+}
+
+/// Lets the second worker report until the task starts there. Returns the time of that.
+fn restart_time(shard: &mut Shard, task: TaskKey, until: u64) -> Option<u64> {
+    let second = shard.workers[1];
+    while shard.now < until {
+        shard.now += 100;
+        let now = shard.now;
+        shard.report(1, &[], &[]);
+        if now.is_multiple_of(900) {
+            let entries = shard.scheduler.workers.values();
+            let entries = entries.map(|worker| worker.registration.clone()).collect();
+            shard.scheduler.on_registry(entries, at(now));
+        }
+        shard.write();
+        shard.plan();
+        if shard.scheduler.ledger.tasks[task].stage == Stage::Starting(second) {
+            return Some(now);
+        }
+    }
+    None
+}
+
+/// The lease in the order is a time on the clock of the former incarnation.
+#[test]
+fn a_run_that_a_restarted_worker_has_accepted_starts_elsewhere_before_it_ends() {
+    let (mut shard, worker, task, run) = start_one();
+    let answer = StartAnswer {
+        reply: StartReply::Running,
+        clock: Some(NEW_CLOCK),
+    };
+    let scheduler = &mut shard.scheduler;
+    scheduler.check_clock(worker, task, answer, at(50), at(60));
+    scheduler.on_start(worker, task, run, answer.reply, at(60));
+    let restarted = restart_time(&mut shard, task, 2 * LONGEST_LEASE);
+    assert!(
+        restarted.is_some_and(|at| at > 60 + LONGEST_LEASE && at < 1_000 + LONGEST_LEASE),
+        "{restarted:?}"
+    );
+}
+
+#[test]
+fn a_run_of_an_open_copy_on_a_restarted_worker_starts_elsewhere_before_it_ends() {
+    let (mut shard, worker, task, run) = start_one();
+    let scheduler = &mut shard.scheduler;
+    scheduler.on_start_unanswered(worker, task, run, at(250));
+    register(&mut shard, 2, 900);
+    let limit = STARTED + MAX_LATENESS + LONGEST_LEASE;
+    let restarted = restart_time(&mut shard, task, 2 * limit);
+    assert!(
+        restarted.is_some_and(|at| at > limit && at < limit + 1_000),
+        "{restarted:?}"
+    );
+}
+
+/// The registry tells of the restart, and the runs of the former incarnation are gone.
+#[test]
+fn a_run_of_the_former_incarnation_waits_for_its_lease() {
+    let (mut shard, worker, task, run) = start_one();
+    shard
+        .scheduler
+        .on_start(worker, task, run, StartReply::Running, at(10));
+    shard.now = 800;
+    shard.report(1, &[], &[]);
+    register(&mut shard, 2, 900);
+    let restarted = restart_time(&mut shard, task, LONGEST_LEASE);
+    assert!(restarted.is_some_and(|at| at < 1_500), "{restarted:?}");
+}
+
+/// Without a restart in the registry, the lease in the order ends its open copies.
+#[test]
+fn an_open_copy_on_a_worker_that_is_gone_holds_up_its_task() {
+    let (mut shard, worker, task, run) = start_one();
+    let scheduler = &mut shard.scheduler;
+    scheduler.on_start_unanswered(worker, task, run, at(250));
+    let restarted = restart_time(&mut shard, task, 2 * LONGEST_LEASE);
+    assert!(
+        restarted.is_some_and(|at| (4_500..6_000).contains(&at)),
+        "{restarted:?}"
+    );
+}
+
+/// The worker may have restarted since its last report, and would take the copy.
+#[test]
+fn a_start_is_repeated_before_the_worker_has_answered_a_poll() {
+    let (mut shard, worker, task, run) = start_one();
+    shard.now = 250;
+    shard
+        .scheduler
+        .on_start_unanswered(worker, task, run, at(250));
+    assert!(shard.scheduler.holds_repeat(worker, task, run));
+    shard.now = 400;
+    shard.report(0, &[], &[]);
+    assert!(!shard.scheduler.holds_repeat(worker, task, run));
+}
+
+#[test]
+fn a_task_is_started_on_a_worker_whose_last_poll_failed() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let [(worker, Order::Start { task, run })] = shard.orders[..] else {
+        panic!("one start");
+    };
+    shard.scheduler.on_poll_failed(worker, false);
+    let sent = shard.scheduler.start_order(worker, task, run, at(100));
+    assert_eq!(sent, None);
+    shard.now = 200;
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+}
+
+/// What the roster says of its leases holds for the incarnation that the former owner knew.
+#[test]
+fn tasks_of_a_worker_that_restarted_before_the_claim_start_at_the_recovery_deadline() {
+    let kept = name(1, 0, 0);
+    for (registered, expected) in [(1, 10_000), (2, MAX_LATENESS + LONGEST_LEASE)] {
+        let term = Term {
+            fence: FENCE,
+            recovery_deadline: Some(at(10_000)),
+            ..Term::default()
+        };
+        let mut shard = Shard::new(term, &["w1"]);
+        register(&mut shard, registered, 0);
+        let silent = RosterEntry {
+            incarnation: Some(1),
+            ..roster_entry("w0", Some(vec![kept]))
+        };
+        let roster = vec![silent, roster_entry("w1", None)];
+        shard.scheduler.on_roster(roster, 0, at(0));
+        shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+        let mut restarted = None;
+        while restarted.is_none() && shard.now < 30_000 {
+            shard.now += 100;
+            shard.report(0, &[], &[]);
+            shard.plan();
+            let waits = shard.stage(kept) == Stage::Recovering;
+            restarted = (!waits).then_some(shard.now);
+        }
+        let restarted = restarted.unwrap_or_default();
+        assert!(restarted.abs_diff(expected) <= 200, "{restarted}");
+    }
+}
--- a/src/schedule/tests/workers.rs
+++ b/src/schedule/tests/workers.rs
@@ -321,10 +321,11 @@
         .scheduler
         .on_start_undelivered(target, TaskKey::default(), run, at(100));
     let entries = vec![registration(["w1", "w0"][worker])];
-    shard.scheduler.on_registry(entries, at(200));
     let starting = Stage::Starting(target);
     for (now, expected) in [(300, starting), (4_580, starting), (4_600, Stage::Waiting)] {
         shard.now = now;
+        // The registry shows no restart.
+        shard.scheduler.on_registry(entries.clone(), at(now));
         // Repeated copies carry the same end of the lease.
         let _ = shard.scheduler.start_order(target, key, run, at(now));
         shard.report(1 - worker, &[], &[]);
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -221,6 +221,7 @@
             zone: registration.zone.clone(),
             closed: self.closed_tasks(key),
             lease_left: None,
+            incarnation: Some(registration.incarnation).filter(|incarnation| *incarnation > 0),
         }
     }
 
