A held start order is withdrawn if its worker drains

Cause: a start order without an answer is held back while polls fail, and sent again with the next report. Only the first copy, and the answer to a copy that got none, looked whether the worker drains.

Change: instead of the repetition a stop order is sent.

--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -101,6 +101,10 @@
     if owned.decide(|scheduler, _| scheduler.holds_repeat(key, task, run)) {
         return Some(Order::Start { task, run });
     }
+    let withdrawn = owned.decide(|scheduler, now| scheduler.withdraw_repeat(key, task, run, now));
+    if let Some(stop) = withdrawn {
+        return Some(Order::Stop(stop));
+    }
     let order = owned.decide(|scheduler, now| scheduler.start_order(key, task, run, now))?;
     let sent = Moment::now();
     let fault = match api.start(&order).await {
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -75,6 +75,23 @@
         known.poll_failed || known.last_contact < self.ledger.tasks[key].last_copy
     }
 
+    /// Takes back a run whose start order is to be repeated to a worker that is leaving. Returns
+    /// the stop order to send.
+    pub fn withdraw_repeat(
+        &mut self,
+        worker: WorkerKey,
+        key: TaskKey,
+        run: u64,
+        now: Moment,
+    ) -> Option<StopOrder> {
+        self.starting_workflow(worker, key, run)?;
+        let is_repeat = self.ledger.tasks[key].lease_end.is_some();
+        if !is_repeat || !self.is_leaving(worker) {
+            return None;
+        }
+        self.withdraw(key, "the worker is leaving", now)
+    }
+
     fn poll_failed(&self, worker: WorkerKey) -> bool {
         self.workers
             .get(worker)
--- a/src/schedule/tests/fuzz/owner.rs
+++ b/src/schedule/tests/fuzz/owner.rs
@@ -563,6 +563,11 @@
             Order::Start { task, run } if known.scheduler.holds_repeat(key, task, run) => {
                 return self.retry(owner, key, order, ORDER_RETRY_DELAY);
             }
+            Order::Start { task, run }
+                if let Some(stop) = known.scheduler.withdraw_repeat(key, task, run, at(now)) =>
+            {
+                return self.send_copy(owner, key, Order::Stop(stop));
+            }
             Order::Start { task, run } => {
                 let order = known.scheduler.start_order(key, task, run, at(now));
                 order.map(Request::Start)
--- a/src/schedule/tests/workers.rs
+++ b/src/schedule/tests/workers.rs
@@ -376,3 +376,30 @@
     assert_eq!(crashes.count(), 1);
     assert_eq!(shard.stage(task), Stage::Waiting);
 }
+
+/// Held back while polls failed, the copy was sent seconds after the worker began to drain.
+#[test]
+fn a_start_is_repeated_to_a_worker_that_drains_since_its_first_copy() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    let (_, task, run) = send_starts(&mut shard)[0];
+    let (key, target) = (shard.task(task), shard.workers[0]);
+    shard
+        .scheduler
+        .on_start_unanswered(target, key, run, at(250));
+    shard.scheduler.on_poll_failed(target, false);
+    assert!(shard.scheduler.holds_repeat(target, key, run));
+    let draining = Registration {
+        availability: Availability::Draining,
+        ..registration("w0")
+    };
+    shard.scheduler.on_registry(vec![draining], at(900));
+    shard.now = 3_000;
+    shard.report(0, &[], &[]);
+    assert!(!shard.scheduler.holds_repeat(target, key, run));
+    let scheduler = &mut shard.scheduler;
+    let stop = scheduler.withdraw_repeat(target, key, run, at(3_000));
+    assert_eq!(stop.map(|stop| stop.run), Some(run));
+    assert_eq!(scheduler.start_order(target, key, run, at(3_000)), None);
+}
