A restarted worker gets tasks by its own registration only

Cause: a report names the new incarnation, but capacity and labels come with the registry, which is read every 0.9 s. The worker was open at once, with what the former incarnation had registered. Ruled out: a restart that the owner misses, as its runs are counted as ended.

Change: a worker takes no tasks until the registry has shown the incarnation of its reports.

Test: a_restarted_worker_gets_tasks_by_the_capacity_of_its_former_incarnation fails without the check.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -114,6 +114,9 @@
     pub registration: Registration,
     /// Whether the registry still lists the worker.
     pub listed: bool,
+    /// The incarnation that the registry showed last, to which the capacity and the labels belong;
+    /// 0 if the registry named none.
+    pub registered: u64,
     /// Whether the stored roster says that this owner may start tasks on the worker.
     pub in_roster: bool,
     /// Whether the worker answered recently; the roster marks one that did not as closed.
@@ -182,6 +185,7 @@
     /// Creates the state of a worker that has just appeared in the registry.
     pub fn new(registration: Registration, now: Moment) -> Self {
         Self {
+            registered: registration.incarnation,
             registration,
             listed: true,
             in_roster: false,
@@ -219,6 +223,7 @@
     pub fn reset(&mut self, now: Moment) {
         *self = Self {
             listed: self.listed,
+            registered: self.registered,
             in_roster: self.in_roster,
             ..Self::new(self.registration.clone(), now)
         };
@@ -232,6 +237,7 @@
     /// Whether the worker may get new tasks, in quarantine or not.
     pub fn accepts_tasks(&self, now: Moment) -> bool {
         self.listed
+            && self.has_current_registration()
             && self.in_roster
             && self.synced
             && !self.replaced
@@ -242,6 +248,12 @@
             && self.avoided_until.is_none_or(|until| until <= now)
     }
 
+    /// Whether the known capacity and labels are those of the present incarnation. A worker may
+    /// come back under its id as another kind.
+    const fn has_current_registration(&self) -> bool {
+        self.registered == 0 || self.registered >= self.registration.incarnation
+    }
+
     /// Returns the tasks of which the worker may have a run, now or later.
     pub(crate) fn possible_tasks(&self) -> BTreeSet<TaskName> {
         let unknown = self.unknown_runs.keys().map(|(task, _)| *task);
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -175,6 +175,7 @@
         let returned = !worker.listed;
         let (incarnation, registered) = (worker.registration.incarnation, entry.incarnation);
         worker.listed = true;
+        worker.registered = registered;
         worker.registration = Registration {
             incarnation,
             ..entry
--- a/src/schedule/tests/crashes.rs
+++ b/src/schedule/tests/crashes.rs
@@ -602,7 +602,11 @@
     for worker in 0..3 {
         shard.report_with(worker, 2, Vec::new(), &[]);
     }
-    let left = ["w0", "w1"].map(registration).to_vec();
+    let restarted = |id| Registration {
+        incarnation: 2,
+        ..registration(id)
+    };
+    let left = ["w0", "w1"].map(restarted).to_vec();
     shard.scheduler.on_registry(left, at(100));
     shard.submit(active_workflow(2, vec![step(1, 1)], 2, 1));
     let started = run_confirmed(&mut shard, &[2, 2, 2], 60_000);
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -249,9 +249,21 @@
             running,
             ended: ended.collect(),
         };
-        let now = at(self.now);
-        self.scheduler
-            .on_report(self.workers[worker], now, &report, now);
+        let (now, key) = (at(self.now), self.workers[worker]);
+        let known = self.scheduler.workers.get(key);
+        let restarted = known.is_some_and(|known| known.registration.incarnation < incarnation);
+        self.scheduler.on_report(key, now, &report, now);
+        if restarted {
+            self.read_registry();
+        }
+    }
+
+    /// Lets the owner read the registry, which shows the workers as they have reported.
+    fn read_registry(&mut self) {
+        let workers = self.scheduler.workers.values();
+        let listed = workers.filter(|worker| worker.listed);
+        let entries = listed.map(|worker| worker.registration.clone()).collect();
+        self.scheduler.on_registry(entries, at(self.now));
     }
 
     fn report_all(&mut self) {
--- a/src/schedule/tests/workers.rs
+++ b/src/schedule/tests/workers.rs
@@ -295,6 +295,7 @@
     };
     let target = shard.workers[0];
     shard.scheduler.on_report(target, at(0), &report, at(100));
+    shard.read_registry();
     shard.now = 200;
     let mut job = step(1, 1);
     job.label = Some("rack-w0".to_owned());
@@ -403,3 +404,31 @@
     assert_eq!(stop.map(|stop| stop.run), Some(run));
     assert_eq!(scheduler.start_order(target, key, run, at(3_000)), None);
 }
+
+/// Its capacity and labels were those of the former incarnation until the registry was read again.
+#[test]
+fn a_restarted_worker_gets_tasks_by_the_capacity_of_its_former_incarnation() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    let worker = shard.workers[0];
+    shard.now = 500;
+    let report = WorkerReport {
+        clock: 100,
+        incarnation: 2,
+        ..WorkerReport::default()
+    };
+    shard.scheduler.on_report(worker, at(500), &report, at(500));
+    shard.write();
+    shard.submit(active_workflow(1, vec![step(2, 4)], 1, 0));
+    shard.plan();
+    assert_eq!(shard.orders(), "", "its capacity is not known");
+    let mut smaller = Registration {
+        incarnation: 2,
+        ..registration("w0")
+    };
+    smaller.capacity.millicores = 4 * CORE;
+    shard.scheduler.on_registry(vec![smaller], at(900));
+    shard.now = 900;
+    shard.report_with(0, 2, Vec::new(), &[]);
+    shard.plan();
+    assert_eq!(shard.confirm().len(), 1);
+}
