--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -7,7 +7,6 @@
 
 use super::Node;
 use super::lines::DaemonLine;
-use super::node::WATCH_WAIT;
 use crate::journal;
 use crate::platform::fleet::{
     CONFIGURATION_KEY, Change, Item, OPERATOR_PREFIX, Watched, read_queues,
@@ -42,7 +41,7 @@
 }
 
 async fn watch(node: &Node, after: u64) -> Result<Option<u64>, ()> {
-    let watched = node.watch(OPERATOR_PREFIX, after, WATCH_WAIT).await;
+    let watched = node.watch(OPERATOR_PREFIX, after).await;
     match watched.map_err(|_| ())? {
         Watched::Compacted => Ok(None),
         Watched::Changes(changes, revision) => {
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -24,7 +24,7 @@
 
 /// The wait of a watch. Connections may go silent, and watches are the only calls of some hosts. A
 /// host counts as in touch again 3 s later; by then it has to follow changes again.
-pub(super) const WATCH_WAIT: Duration = Duration::from_millis(1500);
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// The state that all tasks of the daemon share.
 #[derive(Debug)]
@@ -90,14 +90,9 @@
     }
 
     /// Waits for changes in the store and records whether it answered.
-    pub(super) async fn watch(
-        &self,
-        prefix: &str,
-        after: u64,
-        wait: Duration,
-    ) -> Result<Watched, StoreFault> {
-        let call = self.store.watch(prefix, after, wait);
-        self.health.record(wait, call).await
+    pub(super) async fn watch(&self, prefix: &str, after: u64) -> Result<Watched, StoreFault> {
+        let call = self.store.watch(prefix, after, WATCH_WAIT);
+        self.health.record(WATCH_WAIT, call).await
     }
 
     /// Returns the newest configuration that this host has read.
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -10,7 +10,6 @@
 
 use super::Node;
 use super::lines::DaemonLine;
-use super::node::WATCH_WAIT;
 use super::term::{Claim, own_shard};
 use crate::journal;
 use crate::moment::Moment;
@@ -184,7 +183,7 @@
         let page = node.call(node.store.range(SHARD_PREFIX, false)).await?;
         return Ok(Update::Snapshot(page.items, page.revision));
     };
-    Ok(match node.watch(SHARD_PREFIX, after, WATCH_WAIT).await? {
+    Ok(match node.watch(SHARD_PREFIX, after).await? {
         Watched::Compacted => Update::Compacted,
         Watched::Changes(changes, revision) => Update::Changes(changes, revision),
     })
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::lines::DaemonLine;
-use super::node::{WATCH_WAIT, wall_clock};
+use super::node::wall_clock;
 use super::term::{OwnedShard, watch_former_owner};
 use super::writer;
 use crate::fleet::Registration;
@@ -304,7 +304,7 @@
 async fn follow_jobs(owned: &Arc<OwnedShard>, after: u64) -> Result<u64, StoreFault> {
     let prefix = work_prefix(&owned.claim.shard);
     let node = &owned.node;
-    match node.watch(&prefix, after, WATCH_WAIT).await? {
+    match node.watch(&prefix, after).await? {
         Watched::Changes(changes, revision) => {
             let written: Vec<Item> = changes
                 .into_iter()
