The state of an owned shard stands below the tasks that share it

Six files of src/daemon imported each other in a loop, as all took OwnedShard from term.rs, which starts each of them. The state is in owned.rs now, with the tasks of a worker in worker.rs, the watch of the former owner in former.rs and the record of the host's incarnation in incarnation.rs.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -12,7 +12,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::{Interval, MissedTickBehavior, interval};
 
-use super::term::OwnedShard;
+use super::owned::OwnedShard;
 use crate::moment::Moment;
 use crate::platform::fleet::{Commit, StoreFault, Transaction};
 use crate::shards::{encode, epoch_key, heartbeat_key, owner_lease_key};
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,13 +11,16 @@
 //! and one writes to the store; each worker has two, one that sends orders and one that polls it.
 
 mod configuration;
+mod former;
 mod health;
 mod heartbeat;
+mod incarnation;
 mod ingress;
 mod intake;
 mod lifecycle;
 mod lines;
 mod node;
+mod owned;
 mod ownership;
 mod probe;
 mod restore;
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -9,18 +9,19 @@
 use tokio::time::sleep;
 
 use super::Node;
+use super::incarnation::announce_incarnation;
 use super::lines::DaemonLine;
-use super::term::{Claim, own_shard};
+use super::owned::{Claim, former_age};
+use super::term::own_shard;
 use crate::journal;
 use crate::moment::Moment;
 use crate::platform::fleet::{
     Change, Commit, Item, REGISTRY_PREFIX, StoreFault, Transaction, Watched,
 };
 use crate::shards::{
-    Candidate, ClaimDecision, Heard, Incarnation, Incarnations, LAYOUT_KEY, Layout,
-    NO_FORMER_OWNER, Owner, OwnerLease, OwnerRecord, OwnershipView, OwnershipViews, SHARD_PREFIX,
-    ShardKey, claimed_key, decode, encode, epoch_key, heartbeat_key, incarnation_key,
-    owner_lease_key, read_shard_key,
+    Candidate, ClaimDecision, Incarnation, Incarnations, LAYOUT_KEY, Layout, OwnerLease,
+    OwnerRecord, OwnershipView, OwnershipViews, SHARD_PREFIX, ShardKey, claimed_key, decode,
+    encode, epoch_key, heartbeat_key, owner_lease_key, read_shard_key,
 };
 
 /// The longest time between two looks at what shards to claim.
@@ -83,45 +84,6 @@
     while follower.ownerships.join_next().await.is_some() {}
 }
 
-/// Announces this incarnation, which tells the other hosts that earlier ones have
-/// ended.
-async fn announce_incarnation(node: Arc<Node>) {
-    let record = node.owner_record(false);
-    while write_incarnation(&node, &record).await.is_err() {
-        sleep(RETRY_DELAY).await;
-    }
-}
-
-/// Writes the record of this incarnation. A newer incarnation of this host is not replaced
-/// by a resignation, as it shows as much.
-pub(super) async fn write_incarnation(node: &Node, record: &OwnerRecord) -> Result<(), StoreFault> {
-    let mut revision = 0;
-    loop {
-        let transaction = incarnation_transaction(record, revision);
-        let Commit::Conflict(items) = node.call(node.store.commit(&transaction)).await? else {
-            return Ok(());
-        };
-        let key = incarnation_key(&record.host);
-        let found = items.iter().find(|item| item.key == key);
-        revision = found.map_or(0, |item| item.revision);
-        let stored = found.and_then(|item| decode::<OwnerRecord>(&item.value.0).ok());
-        let other = stored.is_some_and(|stored| stored.incarnation != record.incarnation);
-        if other && record.resigned > 0 {
-            return Ok(());
-        }
-    }
-}
-
-/// Builds the transaction for the record of an incarnation. It requires the revision of the
-/// record that it replaces: without an answer it may take effect seconds later, when a newer
-/// incarnation has written its own.
-pub(super) fn incarnation_transaction(record: &OwnerRecord, revision: u64) -> Transaction {
-    let key = incarnation_key(&record.host);
-    Transaction::default()
-        .require(&key, revision)
-        .set(&key, encode(record))
-}
-
 /// Divides the workers into shards once the first workers have registered.
 async fn create_layout(node: Arc<Node>) {
     let mut seen = 0;
@@ -163,11 +125,6 @@
         .set(&epoch_key(shard), owner)
 }
 
-/// Returns for how long no former owner of a shard has sent a heartbeat, in milliseconds.
-pub(super) fn former_age(former: Option<&Owner>, heard: Heard, now: Moment) -> u64 {
-    former.map_or(NO_FORMER_OWNER, |_| (now - heard.last).as_millis() as u64)
-}
-
 /// An update of the shards' keys.
 enum Update {
     /// All keys, and the revision to watch from.
--- a/src/daemon/restore.rs
+++ b/src/daemon/restore.rs
@@ -8,10 +8,11 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use super::former::watch_former_owner;
 use super::lines::DaemonLine;
 use super::node::wall_clock;
-use super::term::{OwnedShard, watch_former_owner};
-use super::writer;
+use super::owned::OwnedShard;
+use super::{worker, writer};
 use crate::fleet::Registration;
 use crate::journal;
 use crate::moment::Moment;
@@ -263,7 +264,7 @@
         scheduler.on_peer_shards(peers);
         scheduler.on_registry(entries, now)
     });
-    added.into_iter().for_each(|key| owned.attach_worker(key));
+    added.into_iter().for_each(|key| worker::attach(owned, key));
 }
 
 /// Returns the workers of the owned shard, and the other shards with theirs.
@@ -298,7 +299,7 @@
     let roster = item.as_ref().and_then(decode_item).unwrap_or_default();
     let revision = item.map_or(0, |item| item.revision);
     let added = owned.decide(|scheduler, now| scheduler.on_roster(roster, revision, now));
-    added.into_iter().for_each(|key| owned.attach_worker(key));
+    added.into_iter().for_each(|key| worker::attach(owned, key));
 }
 
 async fn follow_jobs(owned: &Arc<OwnedShard>, after: u64) -> Result<u64, StoreFault> {
--- a/src/daemon/term.rs
+++ b/src/daemon/term.rs
@@ -1,29 +1,21 @@
 //! The ownership of a shard by this host, from the claim to its end.
 
-use std::collections::HashMap;
-use std::panic::AssertUnwindSafe;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::FutureExt;
-use tokio::sync::{Notify, mpsc, watch};
-use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{sleep, timeout};
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 use super::Node;
-use super::lines::{DaemonLine, ShardLine};
-use super::ownership::{former_age, write_incarnation};
-use super::{heartbeat, restore, worker};
-use crate::fleet::WorkerKey;
+use super::incarnation::write_incarnation;
+use super::lines::DaemonLine;
+use super::owned::{Claim, OwnedShard, TASK_PANICKED};
+use super::{heartbeat, restore};
 use crate::journal;
-use crate::latency::Span;
 use crate::moment::Moment;
 use crate::platform::fleet::{Commit, Transaction};
-use crate::schedule::{Event, Order, RosterEntry, Scheduler, Term};
 use crate::shards::{
-    FormerOwner, Heard, Incarnations, Layout, OWNER_TIMEOUT, Owner, OwnerRecord, encode, epoch_key,
-    owner_lease_key, recovered_key, recovery_deadline, roster_key,
+    Incarnations, OwnerRecord, encode, epoch_key, owner_lease_key, recovered_key, roster_key,
 };
 
 /// The longest interval between two passes over the waiting tasks.
@@ -36,73 +28,10 @@
 const PASS_REST: u32 = 3;
 /// The limit on that delay: a pass during which the process was paused took long as well.
 const MAX_PASS_DELAY: Duration = Duration::from_millis(60);
-/// The interval at which a wait for confirmation checks again.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(150);
-/// The reason for the end of an ownership of which a task panicked.
-const TASK_PANICKED: &str = "a task panicked";
 /// The delay after such an end before this host may claim the shard again, so that
 /// other hosts claim it first.
 const RECLAIM_DELAY: Duration = Duration::from_secs(2);
 
-/// A claim that the store has accepted.
-#[derive(Debug, Clone)]
-pub(super) struct Claim {
-    /// The name of the shard.
-    pub shard: String,
-    /// The fencing token: the revision of the claim.
-    pub fence: u64,
-    /// The former owner; absent for the first claim of the shard.
-    pub former: Option<Owner>,
-    /// When this host knew of the last heartbeats of the former owners. The claim required that
-    /// there was none after them.
-    pub heard: Heard,
-    /// The id of the store lease that the claim attached the owner lease to.
-    pub lease: u64,
-    /// When the claim began, before its store lease was granted. The first heartbeat counts as
-    /// sent then.
-    pub begun: Moment,
-}
-
-/// A shard that this host owns: the state that the tasks of the ownership share.
-#[derive(Debug)]
-pub(super) struct OwnedShard {
-    pub node: Arc<Node>,
-    pub claim: Claim,
-    /// Wakes the writer.
-    pub write: Notify,
-    scheduler: Mutex<Scheduler>,
-    /// Wakes the task that places waiting tasks.
-    plan: Notify,
-    /// The id of the store lease that the owner lease is attached to now; it
-    /// changes when an expired owner lease is written again.
-    pub(super) lease: AtomicU64,
-    /// When the last call that confirmed the ownership was sent, in microseconds
-    /// since the process started.
-    confirmed: AtomicU64,
-    /// When the last heartbeat that the store accepted was sent, in microseconds since the
-    /// process started.
-    heartbeat: AtomicU64,
-    /// Why the ownership ends; absent while it lasts.
-    lost: watch::Sender<Option<&'static str>>,
-    /// The connection to each attached worker.
-    connections: Mutex<HashMap<WorkerKey, Connection>>,
-    /// The tasks that are aborted at the end of the ownership.
-    tasks: Mutex<JoinSet<()>>,
-}
-
-/// The two tasks of an attached worker.
-#[derive(Debug)]
-struct Connection {
-    orders: mpsc::UnboundedSender<Order>,
-    tasks: [AbortHandle; 2],
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.tasks.iter().for_each(AbortHandle::abort);
-    }
-}
-
 /// Runs the tasks of an owned shard until the ownership is lost or the daemon
 /// stops.
 ///
@@ -121,276 +50,50 @@
         reason = owned.wait_lost() => reason,
         () = owned.node.wait_stopping() => "planned stop",
     };
-    owned.end(reason).await;
+    end(&owned, reason).await;
     if reason == TASK_PANICKED {
         sleep(RECLAIM_DELAY).await;
     }
 }
 
-impl OwnedShard {
-    /// Creates the state for the start of the ownership.
-    pub fn new(node: Arc<Node>, claim: Claim) -> Self {
-        let recovery_deadline = claim
-            .former
-            .as_ref()
-            .map(|_| recovery_deadline(FormerOwner::Unknown, claim.heard, Moment::now()));
-        let term = Term {
-            fence: claim.fence,
-            former_epoch: claim.former.as_ref().map_or(0, |former| former.fence),
-            recovery_deadline,
-        };
-        let mut tokens = node.tokens.lock().expect("no holder panics");
-        tokens.hold(claim.fence);
-        drop(tokens);
-        let mut scheduler = Scheduler::new(term);
-        scheduler.on_heartbeat(claim.begun);
-        Self {
-            write: Notify::new(),
-            scheduler: Mutex::new(scheduler),
-            plan: Notify::new(),
-            lease: AtomicU64::new(claim.lease),
-            confirmed: AtomicU64::new(claim.begun.as_micros()),
-            heartbeat: AtomicU64::new(claim.begun.as_micros()),
-            lost: watch::channel(None).0,
-            connections: Mutex::default(),
-            tasks: Mutex::default(),
-            node,
-            claim,
-        }
-    }
-
-    /// Runs a decision on the scheduler and logs the events that it recorded.
-    pub fn decide<T>(&self, decision: impl FnOnce(&mut Scheduler, Moment) -> T) -> T {
-        let mut scheduler = self.scheduler.lock().expect("no holder panics");
-        let result = decision(&mut scheduler, Moment::now());
-        let events = scheduler.take_events();
-        let urgent = scheduler.is_urgent();
-        drop(scheduler);
-        for event in &events {
-            self.measure(event);
-            journal::line(&ShardLine {
-                shard: &self.claim.shard,
-                fence: self.claim.fence,
-                event,
-            });
-        }
-        if urgent {
-            self.write.notify_one();
-        }
-        result
-    }
-
-    /// Records the latency that an event shows.
-    fn measure(&self, event: &Event) {
-        let (span, took) = match event {
-            Event::Placed { waited, .. } => (Span::Wait, Duration::from_millis(*waited)),
-            Event::RecoveryFinished { .. } => {
-                (self.recovery_span(), Moment::now() - self.claim.begun)
-            }
-            _ => return,
-        };
-        self.node.latencies.record(span, took);
-    }
-
-    fn recovery_span(&self) -> Span {
-        match &self.claim.former {
-            Some(former) if former.released => Span::RecoveryAfterRelease,
-            _ => Span::RecoveryAfterLoss,
-        }
-    }
-
-    /// Returns the record of this ownership that is written to the store.
-    pub fn record(&self) -> OwnerRecord {
-        let claim = &self.claim;
-        OwnerRecord {
-            former_age: former_age(claim.former.as_ref(), claim.heard, Moment::now()),
-            ..self.node.owner_record(false)
-        }
-    }
-
-    /// Returns the record for a heartbeat. It shows the load of the shard's workers to the hosts
-    /// that may send jobs there.
-    pub fn heartbeat_record(&self) -> OwnerRecord {
-        let pools = if self.node.layout() == Some(Layout::Whole) {
-            Vec::new()
-        } else {
-            self.decide(|scheduler, now| scheduler.pool_loads(now))
-        };
-        OwnerRecord {
-            pools,
-            ..self.record()
-        }
-    }
-
-    /// Requests a pass over the waiting tasks.
-    pub fn wake(&self) {
-        self.plan.notify_one();
-    }
-
-    /// Spawns a task that is aborted at the end of this ownership. If the task panics,
-    /// the ownership ends, as its state is not to be trusted any more.
-    pub fn spawn(self: &Arc<Self>, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
-        let owned = self.clone();
-        let task = async move {
-            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
-                owned.mark_lost(TASK_PANICKED);
-            }
-        };
-        self.tasks.lock().expect("no holder panics").spawn(task)
-    }
-
-    /// Starts the two tasks of a worker: one sends orders, one polls it. They replace those for
-    /// an earlier address of the worker.
-    pub fn attach_worker(self: &Arc<Self>, key: WorkerKey) {
-        let entry = self.decide(|scheduler, _| {
-            scheduler
-                .workers
-                .get(key)
-                .map(|worker| worker.registration.clone())
-        });
-        let Some(entry) = entry else {
-            return;
-        };
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let api = self.node.worker(&entry.id, entry.address);
-        let send = worker::send_orders(self.clone(), key, api.clone(), receiver);
-        let poll = worker::poll_worker(self.clone(), key, api);
-        let connection = Connection {
-            orders: sender,
-            tasks: [self.spawn(send), self.spawn(poll)],
-        };
-        let mut connections = self.connections.lock().expect("no holder panics");
-        connections.insert(key, connection);
-    }
-
-    /// Ends the tasks of a worker that was removed.
-    pub fn detach_worker(&self, key: WorkerKey) {
-        let mut connections = self.connections.lock().expect("no holder panics");
-        connections.remove(&key);
-    }
-
-    /// Hands orders to the tasks of their workers; those for removed workers are dropped.
-    fn send_orders(&self, orders: Vec<(WorkerKey, Order)>) {
-        let connections = self.connections.lock().expect("no holder panics");
-        for (worker, order) in orders {
-            if let Some(connection) = connections.get(&worker) {
-                // The receiver is dropped when the worker was removed.
-                let _ = connection.orders.send(order);
+/// Ends an ownership: releases the shard, or tells a newer owner that this one has ended.
+pub(super) async fn end(owned: &OwnedShard, reason: &str) {
+    owned.abort_tasks();
+    journal::line(&DaemonLine::ShardLost {
+        shard: &owned.claim.shard,
+        fence: owned.claim.fence,
+        reason,
+    });
+    let resignation = owned.give_up_token();
+    let (shard, fence) = (&owned.claim.shard, owned.claim.fence);
+    let record = encode(&owned.node.owner_record(true));
+    let mut transaction = Transaction::default()
+        .require(&epoch_key(shard), fence)
+        .set(&epoch_key(shard), record)
+        .remove(&owner_lease_key(shard));
+    if let Some(roster) = owned.release_workers() {
+        transaction = transaction.set(&roster_key(shard), encode(&roster));
+    }
+    if owned.has_recovered() {
+        transaction = transaction.set(&recovered_key(shard), Vec::new());
+    }
+    match owned.node.store.commit(&transaction).await {
+        Ok(Commit::Done(_)) => {}
+        // Another host has claimed the shard. Tell it that this host gives no
+        // more orders, which shortens its recovery.
+        Ok(Commit::Conflict(_)) => {
+            if let Some(record) = resignation {
+                resign(owned, &record).await;
             }
         }
+        Ok(Commit::LeaseGone) => {}
+        Err(fault) => log::warn!("shard {shard:?} was not released in the store: {fault}"),
     }
+}
 
-    /// Ends this ownership; only the first reason is kept.
-    pub fn mark_lost(&self, reason: &'static str) {
-        self.lost.send_if_modified(|lost| {
-            let first = lost.is_none();
-            lost.get_or_insert(reason);
-            first
-        });
-    }
-
-    /// Records that the store confirmed this ownership in answer to a call sent
-    /// at that moment.
-    pub fn confirm(&self, sent: Moment) {
-        self.confirmed
-            .fetch_max(sent.as_micros(), Ordering::Relaxed);
-    }
-
-    /// Records that the store accepted a heartbeat sent at that moment. Leases may last longer
-    /// from then on.
-    pub fn on_heartbeat(&self, sent: Moment) {
-        self.confirm(sent);
-        self.heartbeat
-            .fetch_max(sent.as_micros(), Ordering::Relaxed);
-        self.decide(|scheduler, _| scheduler.on_heartbeat(sent));
-    }
-
-    /// Waits until this host may give orders to the workers.
-    pub async fn wait_confirmed(&self) {
-        while !self.is_confirmed() {
-            sleep(CONFIRMATION_INTERVAL).await;
-        }
-    }
-
-    /// Returns when the last call that confirmed this ownership was sent.
-    pub fn confirmed(&self) -> Moment {
-        Moment::from_micros(self.confirmed.load(Ordering::Relaxed))
-    }
-
-    /// Returns true while this host may give orders to the workers.
-    pub fn is_confirmed(&self) -> bool {
-        let heartbeat = Moment::from_micros(self.heartbeat.load(Ordering::Relaxed));
-        Moment::now() - heartbeat < OWNER_TIMEOUT
-    }
-
-    pub async fn wait_lost(&self) -> &'static str {
-        let mut lost = self.lost.subscribe();
-        let reason = lost.wait_for(Option::is_some).await;
-        reason.ok().and_then(|reason| *reason).unwrap_or("ended")
-    }
-
-    pub(super) async fn end(&self, reason: &str) {
-        self.tasks.lock().expect("no holder panics").abort_all();
-        journal::line(&DaemonLine::ShardLost {
-            shard: &self.claim.shard,
-            fence: self.claim.fence,
-            reason,
-        });
-        let resignation = self.give_up_token();
-        let (shard, fence) = (&self.claim.shard, self.claim.fence);
-        let record = encode(&self.node.owner_record(true));
-        let mut transaction = Transaction::default()
-            .require(&epoch_key(shard), fence)
-            .set(&epoch_key(shard), record)
-            .remove(&owner_lease_key(shard));
-        if let Some(roster) = self.release_workers() {
-            transaction = transaction.set(&roster_key(shard), encode(&roster));
-        }
-        if self.has_recovered() {
-            transaction = transaction.set(&recovered_key(shard), Vec::new());
-        }
-        match self.node.store.commit(&transaction).await {
-            Ok(Commit::Done(_)) => {}
-            // Another host has claimed the shard. Tell it that this host gives no
-            // more orders, which shortens its recovery.
-            Ok(Commit::Conflict(_)) => {
-                if let Some(record) = resignation {
-                    self.resign(&record).await;
-                }
-            }
-            Ok(Commit::LeaseGone) => {}
-            Err(fault) => log::warn!("shard {shard:?} was not released in the store: {fault}"),
-        }
-    }
-
-    /// Whether no former owner gives orders any more. Unknown, thus false, after a panic.
-    fn has_recovered(&self) -> bool {
-        let scheduler = self.scheduler.lock();
-        scheduler.is_ok_and(|scheduler| scheduler.has_recovered())
-    }
-
-    /// Ends all orders, also those of tasks that are being aborted. Returns the roster to store
-    /// with the release; absent after a panic.
-    fn release_workers(&self) -> Option<Vec<RosterEntry>> {
-        let mut scheduler = self.scheduler.lock().ok()?;
-        scheduler.release_shard(Moment::now())
-    }
-
-    /// Gives up the fencing token. Returns the record that tells a newer owner so; `None`
-    /// while this host owns another shard under a lower token, which the record would cover.
-    pub fn give_up_token(&self) -> Option<OwnerRecord> {
-        let mut tokens = self.node.tokens.lock().expect("no holder panics");
-        let resigned = tokens.end(self.claim.fence)?;
-        Some(OwnerRecord {
-            resigned,
-            ..self.node.owner_record(false)
-        })
-    }
-
-    async fn resign(&self, record: &OwnerRecord) {
-        if let Err(fault) = write_incarnation(&self.node, record).await {
-            log::warn!("the end of the ownership was not written to the store: {fault}");
-        }
+async fn resign(owned: &OwnedShard, record: &OwnerRecord) {
+    if let Err(fault) = write_incarnation(&owned.node, record).await {
+        log::warn!("the end of the ownership was not written to the store: {fault}");
     }
 }
 
@@ -398,7 +101,7 @@
 async fn plan(owned: Arc<OwnedShard>) {
     loop {
         // A pass after the timeout finds leases that have expired.
-        let _ = timeout(MAX_PLAN_INTERVAL, owned.plan.notified()).await;
+        owned.wait_plan(MAX_PLAN_INTERVAL).await;
         owned.wait_confirmed().await;
         if let Some(queues) = owned.node.queues() {
             owned.decide(|scheduler, _| scheduler.configure(&queues));
@@ -416,33 +119,3 @@
     took.saturating_mul(PASS_REST)
         .clamp(BATCH_DELAY, MAX_PASS_DELAY)
 }
-
-/// Shortens the recovery of the shard once the former owner is known to have ended.
-/// `recovered` is the revision of the mark that no earlier owner gives orders any more.
-pub(super) async fn watch_former_owner(
-    owned: Arc<OwnedShard>,
-    mut incarnations: watch::Receiver<Incarnations>,
-    recovered: u64,
-) {
-    let Some(owner) = owned.claim.former.clone() else {
-        return;
-    };
-    let candidate = owned.node.candidate(0);
-    loop {
-        let incarnation = incarnations.borrow_and_update().get(&owner.host).copied();
-        let former = candidate.former_owner(&owner, incarnation, recovered);
-        if former != FormerOwner::Unknown {
-            let deadline = recovery_deadline(former, owned.claim.heard, Moment::now());
-            let all_ended = former == FormerOwner::Ended;
-            return owned.decide(|scheduler, now| {
-                scheduler.shorten_recovery(deadline, now);
-                if all_ended {
-                    scheduler.on_former_ended();
-                }
-            });
-        }
-        if incarnations.changed().await.is_err() {
-            return;
-        }
-    }
-}
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -12,9 +12,11 @@
 
 use super::Node;
 use super::heartbeat::{heartbeat_transaction, renew};
+use super::incarnation::incarnation_transaction;
 use super::lifecycle::wait_for_panic;
-use super::ownership::{claim_transaction, incarnation_transaction};
-use super::term::{Claim, OwnedShard, pass_delay};
+use super::owned::{Claim, OwnedShard};
+use super::ownership::claim_transaction;
+use super::term::{end, pass_delay};
 use super::writer::transaction;
 use crate::moment::Moment;
 use crate::platform::fleet::Transaction;
@@ -64,7 +66,7 @@
     owned.spawn(async move { deciding.decide(|_, _| panic!("in a decision")) });
     let reason = timeout(WAIT_TIMEOUT, owned.wait_lost()).await.unwrap();
     let ending = owned.clone();
-    let ended = tokio::spawn(async move { ending.end(reason).await }).await;
+    let ended = tokio::spawn(async move { end(&ending, reason).await }).await;
     assert!(ended.is_ok(), "{ended:?}");
 }
 
--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::lines::{DaemonLine, OrderKind};
-use super::term::OwnedShard;
+use super::owned::{Connection, OwnedShard};
 use crate::fleet::{StartOrder, StopOrder, WorkerKey};
 use crate::journal;
 use crate::latency::Span;
@@ -28,6 +28,29 @@
 /// acknowledged yet. It answers such polls immediately.
 const UNACKNOWLEDGED_DELAY: Duration = Duration::from_millis(200);
 
+/// Starts the two tasks of a worker: one sends orders, one polls it. They replace those for
+/// an earlier address of the worker.
+pub(super) fn attach(owned: &Arc<OwnedShard>, key: WorkerKey) {
+    let entry = owned.decide(|scheduler, _| {
+        scheduler
+            .workers
+            .get(key)
+            .map(|worker| worker.registration.clone())
+    });
+    let Some(entry) = entry else {
+        return;
+    };
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let api = owned.node.worker(&entry.id, entry.address);
+    let send = send_orders(owned.clone(), key, api.clone(), receiver);
+    let poll = poll_worker(owned.clone(), key, api);
+    let connection = Connection {
+        orders: sender,
+        tasks: [owned.spawn(send), owned.spawn(poll)],
+    };
+    owned.connect_worker(key, connection);
+}
+
 /// Sends the orders for a worker, one at a time. An order that is not settled is sent
 /// again after a delay and does not hold up the others.
 pub(super) async fn send_orders(
@@ -233,7 +256,7 @@
 }
 
 /// Polls a worker continuously and extends the leases of its runs.
-pub(super) async fn poll_worker(owned: Arc<OwnedShard>, key: WorkerKey, api: WorkerApi) {
+async fn poll_worker(owned: Arc<OwnedShard>, key: WorkerKey, api: WorkerApi) {
     let mut responsive = true;
     loop {
         let renew = owned.is_confirmed();
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -6,7 +6,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::node::wall_clock;
-use super::term::OwnedShard;
+use super::owned::OwnedShard;
 use crate::moment::Moment;
 use crate::platform::fleet::{Commit, Item, StoreFault, Transaction};
 use crate::schedule::{Batch, Change, MoveRecord, StateRecord};
