A second restart before a report no longer strands withdrawn tasks

If its next report names yet another incarnation, the tasks that had been withdrawn there were dropped with the worker's state and stayed in the stage of stopping for good.

a_second_restart_before_a_report_leaves_tasks_without_a_worker failed before the fix (the task was not released).

--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -108,7 +108,8 @@
         }
         let mut open = Vec::new();
         let lost_open = self.lost_open_runs(key);
-        let known = self.workers[key].synced;
+        let worker = &self.workers[key];
+        let known = worker.synced || !worker.tasks.is_empty();
         if known {
             // Unless another worker at its former address has shown the crash before.
             if !self.workers[key].replaced {
--- a/src/schedule/tests/restarts.rs
+++ b/src/schedule/tests/restarts.rs
@@ -181,3 +181,38 @@
         assert!(restarted.abs_diff(expected) <= 200, "{restarted}");
     }
 }
+
+/// The tasks that were withdrawn on the incarnation between were forgotten by the worker's state.
+#[test]
+fn a_second_restart_before_a_report_leaves_tasks_without_a_worker() {
+    let (mut shard, worker, task, run) = start_one();
+    let scheduler = &mut shard.scheduler;
+    scheduler.on_start_unanswered(worker, task, run, at(250));
+    register(&mut shard, 2, 900);
+    shard.now = 2_000;
+    let report = WorkerReport {
+        clock: NEW_CLOCK,
+        incarnation: 3,
+        ..WorkerReport::default()
+    };
+    shard
+        .scheduler
+        .on_report(worker, at(2_000), &report, at(2_000));
+    assert_eq!(
+        shard.scheduler.ledger.tasks[task].stage,
+        Stage::Stopping(worker)
+    );
+    let stop = shard
+        .scheduler
+        .begin_stop(task, "again", at(2_000))
+        .unwrap();
+    shard.scheduler.on_stop(worker, &stop, at(2_100));
+    shard
+        .scheduler
+        .on_report(worker, at(2_200), &report, at(2_200));
+    let stage = shard.scheduler.ledger.tasks[task].stage;
+    assert!(
+        matches!(stage, Stage::Waiting | Stage::Blocked),
+        "{stage:?}"
+    );
+}
