An adopted run of a restarted worker is bounded by its former lease

The worker had accepted the start after its restart, with a lease by its former clock. The next owner adopted the run, renewed it for 4.5 s, and counted on that when the worker was cut off; but a lease is never shortened, and the run went on for 6 s from its start.

Change: the roster names the incarnation that the former owner knew. If the registry or the first report shows a newer one, the leases there may last as long as a worker grants.

an_adopted_run_of_a_restarted_worker_starts_elsewhere_before_it_ends fails without this.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -125,6 +125,8 @@
     pub poll_failed: bool,
     /// Whether the worker is known to have restarted, but not under which incarnation.
     pub restart_unreported: bool,
+    /// The incarnation that the former owner knew, until the worker's first report.
+    pub former_incarnation: Option<u64>,
     /// When the last poll that prolongs leases was sent.
     pub renewed: Moment,
     /// Whether the worker is known to have ended: another one answers at its address.
@@ -192,6 +194,7 @@
             responsive: true,
             poll_failed: false,
             restart_unreported: false,
+            former_incarnation: None,
             renewed: Moment::default(),
             replaced: false,
             synced: false,
@@ -225,6 +228,7 @@
             listed: self.listed,
             registered: self.registered,
             in_roster: self.in_roster,
+            former_incarnation: self.former_incarnation,
             ..Self::new(self.registration.clone(), now)
         };
     }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -28,6 +28,7 @@
             return;
         }
         self.check_incarnation(key, report, now);
+        self.check_former_incarnation(key, report.incarnation, now);
         self.check_lost(key, report.incarnation, now);
         let worker = &mut self.workers[key];
         worker.clock = Some(Clock::new(report.clock, now));
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -99,6 +99,12 @@
             };
             let worker = &mut self.workers[key];
             worker.in_roster = entry.closed.is_none();
+            worker.former_incarnation = entry.incarnation;
+            let incarnation = worker.registration.incarnation;
+            let restarted = entry.incarnation.is_some_and(|known| incarnation > known);
+            if restarted {
+                worker.lease_deadline = worker.lease_deadline.max(now + longest_lease());
+            }
             // Polls begin before the roster is read; a worker that has answered them holds
             // no unknown run of the former owner.
             if worker.caught_up {
@@ -110,9 +116,6 @@
                     let left = left.map(Duration::from_millis);
                     let leases_end = left.map(|left| now + left.max(MIN_RECOVERY));
                     // Orders of former owners may still reach the new incarnation.
-                    let restarted = entry
-                        .incarnation
-                        .is_some_and(|known| worker.registration.incarnation > known);
                     let leases_end = if restarted {
                         Some(now + MAX_LATENESS + longest_lease())
                     } else {
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -33,6 +33,21 @@
         self.process_restart(key, incarnation, listed, "it has a new incarnation", now);
     }
 
+    /// Compares the incarnation in a worker's first report with the one that the former owner
+    /// knew. That owner gave leases by the clock of the earlier one: they may be far ahead.
+    pub(super) fn check_former_incarnation(
+        &mut self,
+        key: WorkerKey,
+        incarnation: u64,
+        now: Moment,
+    ) {
+        let worker = &mut self.workers[key];
+        let former = worker.former_incarnation.take();
+        if former.is_some_and(|known| incarnation > known) {
+            worker.lease_deadline = worker.lease_deadline.max(now + longest_lease());
+        }
+    }
+
     /// Processes a registration that shows a later incarnation of a worker than its reports. The
     /// worker may be cut off from this host.
     pub(super) fn on_restart_registered(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
--- a/src/schedule/tests/restarts.rs
+++ b/src/schedule/tests/restarts.rs
@@ -216,3 +216,43 @@
         "{stage:?}"
     );
 }
+
+/// The former owner gave the lease of the run by the clock of an earlier incarnation.
+#[test]
+fn an_adopted_run_of_a_restarted_worker_starts_elsewhere_before_it_ends() {
+    let task = name(1, 0, 0);
+    for registered in [1, 2] {
+        let term = Term {
+            fence: FENCE,
+            recovery_deadline: Some(at(5_100)),
+            ..Term::default()
+        };
+        let mut shard = Shard::new(term, &["w1"]);
+        register(&mut shard, registered, 0);
+        let known = |id: &str, closed| RosterEntry {
+            incarnation: Some(1),
+            lease_left: Some(LONGEST_LEASE),
+            ..roster_entry(id, closed)
+        };
+        let roster = vec![known("w0", Some(vec![task])), known("w1", Some(Vec::new()))];
+        shard.scheduler.on_roster(roster, 0, at(0));
+        shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+        shard.report(0, &[], &[]);
+        let restarted = shard.workers[1];
+        let report = WorkerReport {
+            clock: NEW_CLOCK,
+            incarnation: 2,
+            running: vec![live(task, 7, 0)],
+            ..WorkerReport::default()
+        };
+        shard.scheduler.on_report(restarted, at(0), &report, at(20));
+        assert_eq!(shard.stage(task), Stage::Running(restarted));
+        let key = shard.task(task);
+        shard.workers.reverse();
+        let time = restart_time(&mut shard, key, 2 * LONGEST_LEASE);
+        assert!(
+            time.is_some_and(|at| at > LONGEST_LEASE && at < LONGEST_LEASE + 1_000),
+            "{time:?}"
+        );
+    }
+}
