Log: which incarnation of a worker a start went to, and what a new owner was told

Callers saw tasks that ran twice after their worker had restarted and the owner had changed.

placed names the incarnation, start_answered the lease, the lowest clock of the known incarnation and the clock in the answer, order_unanswered of a start its lease, worker_restarted both incarnations and how long leases may last, and former_worker what the roster and the registry said. One line more for each start that is answered.

--- a/src/daemon/lines.rs
+++ b/src/daemon/lines.rs
@@ -87,6 +87,8 @@
         worker: &'a str,
         task: String,
         run: u64,
+        #[serde(flatten)]
+        lease: Option<OrderLease>,
         reason: String,
     },
     /// A worker refused one copy of an order. That says nothing of earlier copies without
@@ -96,10 +98,20 @@
         worker: &'a str,
         task: String,
         run: u64,
+        #[serde(flatten)]
+        lease: Option<OrderLease>,
         reason: String,
     },
 }
 
+/// The lease in a start order, and the incarnation of the worker by whose clock it was given.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(super) struct OrderLease {
+    /// The end of the lease, in milliseconds of that clock.
+    pub lease_end: u64,
+    pub incarnation: u64,
+}
+
 /// The kind of an order to a worker.
 #[derive(Debug, Clone, Copy, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -164,6 +176,9 @@
             | Event::RecoveryFinished { .. } => Importance::Essential,
             Event::Queued { .. }
             | Event::Placed { .. }
+            | Event::StartAnswered { .. }
+            | Event::WorkerRestarted { .. }
+            | Event::FormerWorker { .. }
             | Event::Waiting { .. }
             | Event::JobIdle { .. }
             | Event::Adopted { .. }
--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::lines::{DaemonLine, OrderKind};
+use super::lines::{DaemonLine, OrderKind, OrderLease};
 use super::owned::{Connection, OwnedShard};
 use crate::fleet::{StartOrder, StopOrder, WorkerKey};
 use crate::journal;
@@ -154,7 +154,18 @@
         owned.wake();
         return None;
     }
-    handle_fault(owned, api, OrderKind::Start, &name_run(&order), &fault);
+    let lease = OrderLease {
+        lease_end: order.lease_end,
+        incarnation: order.incarnation,
+    };
+    handle_fault(
+        owned,
+        api,
+        OrderKind::Start,
+        &name_run(&order),
+        Some(lease),
+        &fault,
+    );
     let repeated = Order::Start { task, run };
     match fault {
         WorkerFault::Fenced => None,
@@ -190,7 +201,7 @@
     match api.stop(&stop).await {
         Ok(()) => owned.decide(|scheduler, now| scheduler.on_stop(key, &stop, now)),
         Err(fault) => {
-            handle_fault(owned, api, OrderKind::Stop, &stop, &fault);
+            handle_fault(owned, api, OrderKind::Stop, &stop, None, &fault);
             return (fault != WorkerFault::Fenced).then_some(Order::Stop(stop));
         }
     }
@@ -211,7 +222,7 @@
     }
     let wanted = owned.decide(|scheduler, now| scheduler.begin_throttle(key, &run, percent, now));
     if wanted && let Err(fault) = api.throttle(&run, percent).await {
-        handle_fault(owned, api, OrderKind::Throttle, &run, &fault);
+        handle_fault(owned, api, OrderKind::Throttle, &run, None, &fault);
     }
     None
 }
@@ -230,15 +241,22 @@
     api: &WorkerApi,
     kind: OrderKind,
     order: &StopOrder,
+    lease: Option<OrderLease>,
     fault: &WorkerFault,
 ) {
     if *fault == WorkerFault::Fenced {
         owned.mark_lost("a worker follows a newer owner");
     }
-    log_fault(api, kind, order, fault);
+    log_fault(api, kind, order, lease, fault);
 }
 
-fn log_fault(api: &WorkerApi, kind: OrderKind, order: &StopOrder, fault: &WorkerFault) {
+fn log_fault(
+    api: &WorkerApi,
+    kind: OrderKind,
+    order: &StopOrder,
+    lease: Option<OrderLease>,
+    fault: &WorkerFault,
+) {
     let (worker, task) = (api.id(), order.task.to_string());
     let (run, reason) = (order.run, fault.to_string());
     journal::line(&if fault.is_answer() {
@@ -247,6 +265,7 @@
             worker,
             task,
             run,
+            lease,
             reason,
         }
     } else {
@@ -255,6 +274,7 @@
             worker,
             task,
             run,
+            lease,
             reason,
         }
     });
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -69,6 +69,9 @@
     pub fence: u64,
     /// The checkpoint that the run resumes from; empty to start from the beginning.
     pub checkpoint: String,
+    /// The incarnation of the worker by whose clock the lease is given. It is not sent: the
+    /// worker's next incarnation cannot tell the order from one that was meant for it.
+    pub incarnation: u64,
 }
 
 /// A worker's answer to a start order.
@@ -84,6 +87,18 @@
     NoCapacity,
 }
 
+impl StartReply {
+    /// Returns the name of the reply in the log.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Superseded => "superseded",
+            Self::LeaseExpired(_) => "lease_expired",
+            Self::NoCapacity => "no_capacity",
+        }
+    }
+}
+
 /// A worker's answer to a copy of a start order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StartAnswer {
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -72,6 +72,8 @@
         waited: u64,
         /// The age of the worker's last report.
         report_age: u64,
+        /// The incarnation of the worker, as last reported or registered.
+        incarnation: u64,
         /// The worker's free processors in millicores, after this task was placed.
         free: u32,
         /// Whether the worker is on the rack of the task's data; absent if the task names
@@ -110,6 +112,29 @@
         /// How many workers could take the task, by check.
         workers: WorkerCounts,
     },
+    /// A worker answered a copy of a start order. A `clock` below `least_clock` shows that a
+    /// later incarnation answered than the one that the lease was meant for.
+    StartAnswered {
+        /// The name of the task.
+        task: String,
+        /// The number of the run.
+        run: u64,
+        /// The id of the worker.
+        worker: String,
+        /// The incarnation that was known before the answer.
+        incarnation: u64,
+        /// What the worker did.
+        reply: &'static str,
+        /// The end of the lease in the order, in milliseconds of the worker's clock.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        lease_end: Option<u64>,
+        /// The lowest reading that the clock of the known incarnation could have, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        least_clock: Option<u64>,
+        /// The worker's clock in the answer, in milliseconds; absent if it had none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        clock: Option<u64>,
+    },
     /// A job was moved to another shard, whose workers can run it.
     JobMoved {
         /// The id of the job.
@@ -222,6 +247,41 @@
         /// The labels of the worker, separated by spaces.
         labels: String,
     },
+    /// A worker has restarted under its id.
+    WorkerRestarted {
+        /// The id of the worker.
+        worker: String,
+        /// The incarnation that was known before.
+        former: u64,
+        /// The new incarnation; the former one if only the worker's clock shows the restart.
+        incarnation: u64,
+        /// What shows the restart.
+        evidence: &'static str,
+        /// The number of runs that the new incarnation has begun.
+        listed: usize,
+        /// The number of runs that it may still begin by open copies of start orders.
+        open: usize,
+        /// The time until the last lease ends that orders to the former incarnation may give.
+        leases_left: u64,
+    },
+    /// A new owner read what the former one stored about a worker that is not simply open, or
+    /// whose registered incarnation is another one.
+    FormerWorker {
+        /// The id of the worker.
+        worker: String,
+        /// The incarnation that the former owner knew.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        known: Option<u64>,
+        /// The incarnation that the registry shows; 0 if it shows none.
+        registered: u64,
+        /// The number of tasks that the worker may be running; absent if any task may run there.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        tasks: Option<usize>,
+        /// The time for which tasks wait for the worker; absent if they wait until the recovery
+        /// deadline.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        leases_left: Option<u64>,
+    },
     /// The first pass after a request to evacuate a zone: its workers get no new runs.
     ZoneEvacuated {
         /// The name of the zone.
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -161,6 +161,7 @@
             if worker.caught_up {
                 continue;
             }
+            let known = entry.incarnation;
             match entry.closed {
                 Some(tasks) => {
                     let left = entry.lease_left.filter(|_| by_former);
@@ -173,9 +174,13 @@
                         leases_end
                     };
                     let closed = ClosedWorker { tasks, leases_end };
+                    self.record_former_worker(key, known, Some(&closed), now);
                     self.closed_workers.insert(key, closed);
                 }
                 None => {
+                    if restarted {
+                        self.record_former_worker(key, known, None, now);
+                    }
                     self.former_workers.insert(key);
                 }
             }
@@ -187,6 +192,24 @@
         added
     }
 
+    /// Records what the former owner's roster and the registry tell about a worker.
+    fn record_former_worker(
+        &mut self,
+        key: WorkerKey,
+        known: Option<u64>,
+        closed: Option<&ClosedWorker>,
+        now: Moment,
+    ) {
+        let leases_end = closed.and_then(|closed| closed.leases_end);
+        self.record(Event::FormerWorker {
+            worker: self.worker_name(key),
+            known,
+            registered: self.workers[key].registered,
+            tasks: closed.map(|closed| closed.tasks.len()),
+            leases_left: leases_end.map(|end| (end - now).as_millis() as u64),
+        });
+    }
+
     pub(super) fn has_roster(&self) -> bool {
         self.writes.has_roster()
     }
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::Scheduler;
 use super::ends::live_runs;
+use super::{Event, Scheduler};
 use crate::fleet::{
     Clock, MAX_CLOCK_SLOWDOWN, MAX_LATENESS, MAX_WORKER_LEASE, StartAnswer, StartReply, WorkerKey,
     WorkerReport,
@@ -71,6 +71,7 @@
         sent: Moment,
         now: Moment,
     ) {
+        self.record_start_answer(worker, task, answer, sent);
         let Some(known) = self.workers.get(worker) else {
             return;
         };
@@ -89,6 +90,30 @@
         restarted.clock = Some(Clock::new(reading, now));
     }
 
+    fn record_start_answer(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskKey,
+        answer: StartAnswer,
+        sent: Moment,
+    ) {
+        let known = self.workers.get(worker);
+        let Some((known, task)) = known.zip(self.ledger.tasks.get(task)) else {
+            return;
+        };
+        let event = Event::StartAnswered {
+            task: task.name.to_string(),
+            run: task.run,
+            worker: known.registration.id.clone(),
+            incarnation: known.registration.incarnation,
+            reply: answer.reply.name(),
+            lease_end: task.lease_end,
+            least_clock: known.clock.map(|clock| clock.latest_lease_end(sent)),
+            clock: answer.clock,
+        };
+        self.record(event);
+    }
+
     /// Processes a restart of which no report tells yet. The worker has no runs but those of the
     /// `listed` tasks, and those that open copies of start orders begin.
     fn process_unreported_restart(
@@ -124,6 +149,7 @@
         let mut open = Vec::new();
         let lost_open = self.lost_open_runs(key);
         let worker = &self.workers[key];
+        let former = worker.registration.incarnation;
         let known = worker.synced || !worker.tasks.is_empty();
         if known {
             // Unless another worker at its former address has shown the crash before.
@@ -145,6 +171,7 @@
         } else {
             now
         };
+        let (begun, withdrawn) = (listed.len(), open.len() + lost_open.len());
         for task in listed {
             self.ledger.tasks[task].outlives = last_renewal.max(now) + longest_lease();
             self.continue_run(key, task, now);
@@ -159,6 +186,16 @@
             self.stop_unlisted(key, run, "the worker restarted", now);
         }
         self.record_worker_change(key, "restarted");
+        let leases_left = self.runs_end(key) - now;
+        self.record(Event::WorkerRestarted {
+            worker: self.worker_name(key),
+            former,
+            incarnation,
+            evidence,
+            listed: begun,
+            open: withdrawn,
+            leases_left: leases_left.as_millis() as u64,
+        });
     }
 
     /// Releases the tasks whose runs ended with the former incarnation. Returns those
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -558,6 +558,7 @@
             worker: target.registration.id.clone(),
             waited: (now - task.ready).as_millis() as u64,
             report_age: (now - target.last_contact).as_millis() as u64,
+            incarnation: target.registration.incarnation,
             free: target.free().millicores,
             near: rack.map(|rack| rack == target.registration.rack()),
         };
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -62,6 +62,7 @@
             lease_end: until,
             fence: self.term.fence,
             checkpoint: task.checkpoint.clone(),
+            incarnation: self.workers[worker].registration.incarnation,
         })
     }
 
--- a/src/schedule/tests/restarts.rs
+++ b/src/schedule/tests/restarts.rs
@@ -61,6 +61,34 @@
     None
 }
 
+/// Guards against a log that does not tell which incarnation took a start, and by which lease.
+#[test]
+fn the_log_names_the_incarnation_that_a_start_was_meant_for_and_the_clock_that_answered() {
+    let (mut shard, worker, task, _) = start_one();
+    let answer = StartAnswer {
+        reply: StartReply::Running,
+        clock: Some(NEW_CLOCK),
+    };
+    shard.scheduler.take_events();
+    shard
+        .scheduler
+        .check_clock(worker, task, answer, at(50), at(60));
+    let events = shard.scheduler.take_events();
+    let lines = events.iter().filter(|event| {
+        matches!(
+            event,
+            Event::StartAnswered { .. } | Event::WorkerRestarted { .. }
+        )
+    });
+    let lines: Vec<String> = lines
+        .map(|event| serde_json::to_string(event).unwrap())
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    {"event":"start_answered","task":"0000000000000001.0.0.0","run":100000001,"worker":"w0","incarnation":1,"reply":"running","lease_end":1004510,"least_clock":1000049,"clock":40}
+    {"event":"worker_restarted","worker":"w0","former":1,"incarnation":1,"evidence":"its clock was reset","listed":1,"open":0,"leases_left":10200}
+    "#);
+}
+
 /// The lease in the order is a time on the clock of the former incarnation.
 #[test]
 fn a_run_that_a_restarted_worker_has_accepted_starts_elsewhere_before_it_ends() {
