Successors count on the leases that former incarnations' clocks gave

What callers saw: tasks ran twice after workers had restarted under their ids and were cut off, when the owner of the shard changed meanwhile; no order was late.

Cause: a lease is a time on the worker's clock, which starts anew with each incarnation. An order by the former clock that the next incarnation carries out lets all runs there last for the longest lease that a worker grants, not for 4.5 s. Its owner knew that, but a successor did not: it forgot the leases in a release as soon as the worker answered, learned nothing from the roster of an owner that was killed, compared incarnations for closed workers only, and ignored a restart that the registry showed during its recovery. Within one owner, the bound was kept for single tasks, though a late copy of a start, or a late poll, prolongs all runs of the worker.

Why this works: Leases holds by when overlong leases of a worker have ended, for all its runs, counted from the last order that may still be carried out. The roster tells each successor how long they last, whether its owner is killed or stops, and until it is stored the restarted worker gets no new tasks. A successor that finds a newer incarnation in the registry than in the roster, at the claim or later, waits for that worker until it answers or until late orders and their leases have ended. Where no worker has restarted, nothing waits longer.

--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -133,6 +133,7 @@
             zone: String::new(),
             closed: None,
             lease_left: None,
+            overlong_left: None,
             incarnation: None,
         }])]
     };
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod capacity;
 mod lease;
+mod leases;
 mod messages;
 mod pool;
 mod priority;
@@ -16,6 +17,7 @@
 pub use lease::{
     Clock, HEARTBEAT_LEASE, MAX_CLOCK_SLOWDOWN, MAX_LATENESS, MAX_WORKER_LEASE, RUN_LEASE,
 };
+pub use leases::Leases;
 pub use messages::{
     Availability, EndedRun, LiveRun, PollOrder, Registration, RunOutcome, StartAnswer, StartOrder,
     StartReply, StopOrder, WorkerReport,
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -5,7 +5,7 @@
 
 use slotmap::new_key_type;
 
-use super::{Availability, Capacity, Clock, PriorityUse, Registration};
+use super::{Availability, Capacity, Clock, Leases, PriorityUse, Registration};
 use crate::interference::ImageKey;
 use crate::moment::Moment;
 use crate::workflow::{TaskKey, TaskName, WorkflowKey};
@@ -132,10 +132,10 @@
     pub poll_failed: bool,
     /// Whether the worker is known to have restarted, but not under which incarnation.
     pub restart_unreported: bool,
+    /// Whether an incarnation of the worker has answered this owner.
+    pub was_heard: bool,
     /// The incarnation that the former owner knew, until the worker's first report.
     pub former_incarnation: Option<u64>,
-    /// When the last poll that prolongs leases was sent.
-    pub renewed: Moment,
     /// Whether the worker is known to have ended: another one answers at its address.
     pub replaced: bool,
     /// Whether the worker has answered this owner, so that it refuses former owners.
@@ -160,8 +160,8 @@
     pub unknown_runs: HashMap<(TaskName, u64), UnknownRun>,
     /// The last reading of the worker's clock; absent until the first answer.
     pub clock: Option<Clock>,
-    /// The time by which every lease that this owner gave on the worker has ended.
-    pub lease_deadline: Moment,
+    /// By when the leases on the worker have ended.
+    pub leases: Leases,
     /// When the worker last answered.
     pub last_contact: Moment,
     /// The number of the last ended run that was processed.
@@ -207,8 +207,8 @@
             responsive: true,
             poll_failed: false,
             restart_unreported: false,
+            was_heard: false,
             former_incarnation: None,
-            renewed: Moment::default(),
             replaced: false,
             synced: false,
             caught_up: false,
@@ -219,7 +219,7 @@
             tasks: BTreeMap::new(),
             unknown_runs: HashMap::new(),
             clock: None,
-            lease_deadline: now,
+            leases: Leases::new(now),
             last_contact: Moment::default(),
             last_end: 0,
             acknowledged: 0,
@@ -243,6 +243,7 @@
             evacuated: self.evacuated,
             registered: self.registered,
             in_roster: self.in_roster,
+            was_heard: self.was_heard,
             former_incarnation: self.former_incarnation,
             // The registry tells about the new incarnation.
             cold_until: self.cold_until,
--- a/src/schedule/batch.rs
+++ b/src/schedule/batch.rs
@@ -26,7 +26,11 @@
     /// which may prolong them before it stores a roster.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease_left: Option<u64>,
-    /// The incarnation of a closed worker that ran the tasks; `None` if it is not known.
+    /// For how long leases on the worker may go on that orders by the clock of a former incarnation
+    /// gave or may still give, in milliseconds; `None` if there are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub overlong_left: Option<u64>,
+    /// The incarnation of the worker that the orders are meant for; `None` if it is not known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub incarnation: Option<u64>,
 }
--- a/src/schedule/crash.rs
+++ b/src/schedule/crash.rs
@@ -111,14 +111,16 @@
     /// Delays the restart of those of a silent worker's tasks that have crashes on record and
     /// would be suspects again if this worker has crashed. Without the delay they could crash
     /// further workers before that is known. Long-running tasks are not delayed.
-    pub(super) fn hold_suspects(&mut self, tasks: &[TaskKey], now: Moment) {
+    pub(super) fn hold_suspects(&mut self, worker: WorkerKey, tasks: &[TaskKey], now: Moment) {
+        // Runs on a restarted worker have been waited for longer.
+        if self.workers[worker].leases.overlong() > Moment::default() {
+            return;
+        }
         for key in tasks {
             let long_running = self.step_of(*key).long_running;
             let task = &mut self.ledger.tasks[*key];
             let suspect = task.survived < task.crashes.survival_time();
-            // A run on a restarted worker has been waited for longer.
-            let waited = task.outlives > Moment::default();
-            if suspect && !waited && !long_running && !task.crashes.is_empty() {
+            if suspect && !long_running && !task.crashes.is_empty() {
                 task.held_until = now + MAX_HOLD;
             }
         }
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -28,7 +28,7 @@
             return;
         }
         self.check_incarnation(key, report, now);
-        self.check_former_incarnation(key, report.incarnation, now);
+        self.end_former_orders(key, report.incarnation, now);
         self.check_lost(key, report.incarnation, now);
         let worker = &mut self.workers[key];
         worker.clock = Some(Clock::new(report.clock, now));
@@ -111,6 +111,9 @@
             return;
         };
         worker.poll_failed = true;
+        if !refused && worker.leases.renewed() > worker.last_contact {
+            worker.leases.on_unanswered(worker.leases.renewed());
+        }
         let gone = refused && worker.synced && !worker.listed;
         let leaving = worker.registration.availability == Availability::Draining;
         let empty = worker.tasks.is_empty() && worker.unknown_runs.is_empty();
@@ -124,14 +127,14 @@
         let expired = self.workers.iter().filter(|(_, worker)| {
             let silent = now > worker.last_contact + crate::fleet::RUN_LEASE;
             let used = worker.synced || !worker.tasks.is_empty();
-            used && silent && worker.lease_deadline < self.confirmed
+            used && silent && worker.leases.end() < self.confirmed
         });
         let keys: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in keys {
             let lost = self.expired_tasks(key, now);
             if !lost.is_empty() {
                 self.keep_lost(key, &lost, now);
-                self.hold_suspects(&lost, now);
+                self.hold_suspects(key, &lost, now);
                 self.lose_all(&lost, "its lease has ended on a silent worker", now);
             }
             if !self.workers[key].tasks.is_empty() {
@@ -149,12 +152,8 @@
     /// since, shows no restart.
     fn expired_tasks(&self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
         let worker = &self.workers[key];
-        let unread = self.registry_read <= worker.lease_deadline;
-        let has_expired = |task: &TaskKey| {
-            let known = &self.ledger.tasks[*task];
-            let open = self.may_arrive(*task, now);
-            known.outlives < self.confirmed && !(open && unread)
-        };
+        let unread = self.registry_read <= worker.leases.end();
+        let has_expired = |task: &TaskKey| !(unread && self.may_arrive(*task, now));
         worker.tasks.values().copied().filter(has_expired).collect()
     }
 
--- a/src/schedule/recovery.rs
+++ b/src/schedule/recovery.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashSet;
 
-use super::closed::MIN_RECOVERY;
+use super::closed::{ClosedWorker, MIN_RECOVERY, PossibleRuns};
 use super::{Event, RosterEntry, Scheduler};
-use crate::fleet::WorkerKey;
+use crate::fleet::{MAX_LATENESS, WorkerKey};
 use crate::moment::Moment;
 use crate::workflow::{Stage, Task, TaskKey, TaskName};
 
@@ -35,8 +35,10 @@
         self.recovering = false;
         self.tasks_recovering = !self.closed_workers.is_empty();
         let kept = self.kept_tasks();
-        let may_restart =
-            |task: &Task| task.stage == Stage::Recovering && !kept.contains(&task.name);
+        let all_kept = self.may_run_any();
+        let may_restart = |task: &Task| {
+            task.stage == Stage::Recovering && !all_kept && !kept.contains(&task.name)
+        };
         let recovering = self
             .ledger
             .tasks
@@ -68,16 +70,52 @@
     fn kept_tasks(&mut self) -> HashSet<TaskName> {
         let confirmed = self.confirmed;
         for closed in self.closed_workers.values_mut() {
-            if closed.leases_end.is_some_and(|end| end <= confirmed) {
-                closed.tasks.clear();
+            if closed.has_ended(confirmed) {
+                closed.runs = PossibleRuns::Listed(Vec::new());
             }
         }
         let closed = self.closed_workers.values();
         closed
-            .flat_map(|closed| closed.tasks.iter().copied())
+            .flat_map(|closed| closed.tasks().into_iter().flatten().copied())
             .collect()
     }
 
+    /// Whether a worker that has not answered may run any task of the former owners.
+    pub(super) fn may_run_any(&self) -> bool {
+        let mut closed = self.closed_workers.values();
+        closed.any(|closed| closed.runs == PossibleRuns::Any)
+    }
+
+    /// Waits for a worker that has restarted and has not answered this owner: orders of former
+    /// owners may still reach the new incarnation.
+    pub(super) fn await_restarted(&mut self, key: WorkerKey, now: Moment) {
+        let runs = match self.closed_workers.remove(&key) {
+            Some(closed) => closed.runs,
+            None if self.former_workers.remove(&key) => PossibleRuns::Any,
+            None => return,
+        };
+        let end = now + MAX_LATENESS + self.longest_lease;
+        self.workers[key].leases.prolong_overlong(end);
+        let leases_end = Some(end.max(self.former_leases_end()));
+        let closed = ClosedWorker { runs, leases_end };
+        self.record_former_worker(key, &closed, now);
+        self.closed_workers.insert(key, closed);
+        self.tasks_recovering = true;
+        self.writes.mark_roster_changed();
+    }
+
+    /// Forgets the overlong leases that have ended, so that the roster no longer names them.
+    pub(super) fn forget_overlong_leases(&mut self) {
+        let confirmed = self.confirmed;
+        let mut changed = false;
+        for worker in self.workers.values_mut() {
+            changed |= worker.leases.forget_overlong(confirmed);
+        }
+        if changed {
+            self.writes.mark_roster_changed();
+        }
+    }
+
     /// Ends all orders, as this owner releases the shard. Returns the roster to store with the
     /// release: it names for each worker what it may still run. `None` before the former owner's
     /// roster was read.
@@ -92,17 +130,19 @@
     /// whose ends are not stored, are known.
     fn final_entry(&self, key: WorkerKey, now: Moment) -> RosterEntry {
         let worker = &self.workers[key];
-        let mut entry = self.roster_entry(key);
+        let mut entry = self.roster_entry(key, now);
         let unstored = worker.unstored_ends(self.writes.written()) > 0;
-        if unstored || self.former_workers.contains(&key) {
+        let closed = self.closed_workers.get(&key);
+        let any = closed.is_some_and(|closed| closed.runs == PossibleRuns::Any);
+        if unstored || any || self.former_workers.contains(&key) {
             entry.closed = None;
             return entry;
         }
         let mut tasks = worker.possible_tasks();
-        let mut leases_end = self.runs_end(key);
-        match self.closed_workers.get(&key) {
+        let mut leases_end = worker.leases.end();
+        match closed {
             Some(closed) => {
-                tasks.extend(closed.tasks.iter().copied());
+                tasks.extend(closed.tasks().into_iter().flatten().copied());
                 leases_end = leases_end.max(closed.leases_end.unwrap_or(self.former_leases_end()));
             }
             // It may still hold a lease of a former owner.
@@ -114,7 +154,7 @@
     }
 
     /// When all leases that former owners gave have ended.
-    fn former_leases_end(&self) -> Moment {
+    pub(super) fn former_leases_end(&self) -> Moment {
         self.term.recovery_deadline.unwrap_or_default()
     }
 
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -3,8 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use super::closed::{ClosedWorker, MIN_RECOVERY};
-use super::restart::longest_lease;
+use super::closed::{ClosedWorker, MIN_RECOVERY, PossibleRuns};
 use super::{Event, Order, RosterEntry, Scheduler};
 use crate::evacuation::{Evacuations, ZoneRuns};
 use crate::fleet::{Availability, MAX_LATENESS, Registration, Worker, WorkerKey};
@@ -148,65 +147,87 @@
                     key
                 }
             };
-            let worker = &mut self.workers[key];
-            worker.in_roster = entry.closed.is_none();
-            worker.former_incarnation = entry.incarnation;
-            let incarnation = worker.registration.incarnation;
-            let restarted = entry.incarnation.is_some_and(|known| incarnation > known);
-            if restarted {
-                worker.lease_deadline = worker.lease_deadline.max(now + longest_lease());
-            }
-            // Polls begin before the roster is read; a worker that has answered them holds
-            // no unknown run of the former owner.
-            if worker.caught_up {
-                continue;
-            }
-            let known = entry.incarnation;
-            match entry.closed {
-                Some(tasks) => {
-                    let left = entry.lease_left.filter(|_| by_former);
-                    let left = left.map(Duration::from_millis);
-                    let leases_end = left.map(|left| now + left.max(MIN_RECOVERY));
-                    // Orders of former owners may still reach the new incarnation.
-                    let leases_end = if restarted {
-                        Some(now + MAX_LATENESS + longest_lease())
-                    } else {
-                        leases_end
-                    };
-                    let closed = ClosedWorker { tasks, leases_end };
-                    self.record_former_worker(key, known, Some(&closed), now);
-                    self.closed_workers.insert(key, closed);
-                }
-                None => {
-                    if restarted {
-                        self.record_former_worker(key, known, None, now);
-                    }
-                    self.former_workers.insert(key);
-                }
-            }
+            self.apply_roster_entry(key, &entry, by_former, now);
         }
         self.writes.mark_roster_read();
+        if self.term.recovery_deadline.is_some() {
+            self.former_read = Some(now);
+        }
         if let Some(deadline) = &mut self.term.recovery_deadline {
             *deadline = (*deadline).max(now + MIN_RECOVERY);
         }
         added
     }
 
+    /// Applies an entry of the former owner's roster. `by_former` says whether the last owner
+    /// stored it; an owner before it may have been followed by one that prolonged leases.
+    fn apply_roster_entry(
+        &mut self,
+        key: WorkerKey,
+        entry: &RosterEntry,
+        by_former: bool,
+        now: Moment,
+    ) {
+        let longest = self.longest_lease;
+        let worker = &mut self.workers[key];
+        worker.in_roster = entry.closed.is_none();
+        worker.former_incarnation = entry.incarnation;
+        let newest = worker.registered.max(worker.registration.incarnation);
+        let restarted = entry.incarnation.is_some_and(|known| newest > known);
+        if let Some(left) = entry.overlong_left {
+            worker
+                .leases
+                .prolong_overlong(now + Duration::from_millis(left));
+        }
+        if restarted {
+            // Orders of former owners may still reach the new incarnation.
+            worker.leases.prolong_overlong(now + MAX_LATENESS + longest);
+        }
+        // Polls begin before the roster is read; a worker that has answered them holds
+        // no unknown run of the former owner.
+        if worker.caught_up {
+            worker.leases.end_former_orders(now, longest);
+            return;
+        }
+        let overlong = worker.leases.overlong();
+        let (runs, leases_end) = match &entry.closed {
+            Some(tasks) => {
+                let left = entry.lease_left.filter(|_| by_former);
+                let left = left.map(Duration::from_millis);
+                let end = left.map(|left| now + left.max(MIN_RECOVERY));
+                (PossibleRuns::Listed(tasks.clone()), end)
+            }
+            None if overlong > self.former_leases_end() => (PossibleRuns::Any, None),
+            None => {
+                self.former_workers.insert(key);
+                return;
+            }
+        };
+        // A restart ends what the roster says of the former incarnation's leases.
+        let leases_end = match overlong > now {
+            false => leases_end,
+            true if restarted => Some(overlong),
+            true => Some(overlong.max(leases_end.unwrap_or(self.former_leases_end()))),
+        };
+        let closed = ClosedWorker { runs, leases_end };
+        self.record_former_worker(key, &closed, now);
+        self.closed_workers.insert(key, closed);
+    }
+
     /// Records what the former owner's roster and the registry tell about a worker.
-    fn record_former_worker(
+    pub(super) fn record_former_worker(
         &mut self,
         key: WorkerKey,
-        known: Option<u64>,
-        closed: Option<&ClosedWorker>,
+        closed: &ClosedWorker,
         now: Moment,
     ) {
-        let leases_end = closed.and_then(|closed| closed.leases_end);
+        let worker = &self.workers[key];
         self.record(Event::FormerWorker {
-            worker: self.worker_name(key),
-            known,
-            registered: self.workers[key].registered,
-            tasks: closed.map(|closed| closed.tasks.len()),
-            leases_left: leases_end.map(|end| (end - now).as_millis() as u64),
+            worker: worker.registration.id.clone(),
+            known: worker.former_incarnation,
+            registered: worker.registered,
+            tasks: closed.tasks().map(Vec::len),
+            leases_left: closed.leases_end.map(|end| (end - now).as_millis() as u64),
         });
     }
 
@@ -263,7 +284,11 @@
             incarnation,
             ..entry
         };
-        if incarnation > 0 && registered > incarnation {
+        let known = match incarnation {
+            0 => worker.former_incarnation.unwrap_or_default(),
+            known => known,
+        };
+        if known > 0 && registered > known {
             self.on_restart_registered(key, registered, now);
         }
         if returned {
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -4,18 +4,10 @@
 
 use super::ends::live_runs;
 use super::{Event, Scheduler};
-use crate::fleet::{
-    Clock, MAX_CLOCK_SLOWDOWN, MAX_LATENESS, MAX_WORKER_LEASE, StartAnswer, StartReply, WorkerKey,
-    WorkerReport,
-};
+use crate::fleet::{Clock, MAX_LATENESS, StartAnswer, StartReply, WorkerKey, WorkerReport};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey};
 
-/// The longest time for which a run goes on without a renewal, whatever the lease in its order.
-pub(super) fn longest_lease() -> Duration {
-    MAX_WORKER_LEASE.mul_f64(MAX_CLOCK_SLOWDOWN)
-}
-
 impl Scheduler {
     /// Compares the incarnation in a worker's report with the known one. The runs of the
     /// former incarnation have ended; those that the report lists began after the restart.
@@ -27,24 +19,28 @@
         }
         if std::mem::take(&mut worker.restart_unreported) {
             worker.registration.incarnation = incarnation;
+            self.writes.mark_roster_changed();
             return;
         }
         let listed = self.listed_tasks(key, report);
         self.process_restart(key, incarnation, listed, "it has a new incarnation", now);
     }
 
-    /// Compares the incarnation in a worker's first report with the one that the former owner
-    /// knew. That owner gave leases by the clock of the earlier one: they may be far ahead.
-    pub(super) fn check_former_incarnation(
-        &mut self,
-        key: WorkerKey,
-        incarnation: u64,
-        now: Moment,
-    ) {
+    /// Processes a worker's first report to this owner: it follows no former owner any more. If
+    /// the former owner knew an earlier incarnation, it gave leases by that one's clock.
+    pub(super) fn end_former_orders(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
+        let longest = self.longest_lease;
         let worker = &mut self.workers[key];
+        let known = worker.leases;
         let former = worker.former_incarnation.take();
         if former.is_some_and(|known| incarnation > known) {
-            worker.lease_deadline = worker.lease_deadline.max(now + longest_lease());
+            worker.leases.prolong_overlong(now + longest);
+        }
+        if !std::mem::replace(&mut worker.was_heard, true) {
+            worker.leases.end_former_orders(now, longest);
+        }
+        if worker.leases != known {
+            self.writes.mark_roster_changed();
         }
     }
 
@@ -54,6 +50,7 @@
         let worker = &mut self.workers[key];
         if std::mem::take(&mut worker.restart_unreported) {
             worker.registration.incarnation = incarnation;
+            self.writes.mark_roster_changed();
             return;
         }
         let evidence = "the registry shows a new incarnation";
@@ -131,6 +128,9 @@
         worker.responsive = former.responsive;
         worker.poll_failed = former.poll_failed;
         worker.last_contact = former.last_contact;
+        if !former.synced {
+            self.await_restarted(key, now);
+        }
     }
 
     fn process_restart(
@@ -141,11 +141,10 @@
         evidence: &'static str,
         now: Moment,
     ) {
-        let renewed = self.workers[key].renewed;
-        let unanswered = renewed > self.workers[key].last_contact;
         for task in &listed {
             self.unassign(*task);
         }
+        let in_progress = self.newest_order(key, &listed, now);
         let mut open = Vec::new();
         let lost_open = self.lost_open_runs(key);
         let worker = &self.workers[key];
@@ -158,35 +157,28 @@
             }
             open = self.lose_ended(key, now);
         }
+        let leases = &self.workers[key].leases;
+        let leases = leases.restarted(in_progress, now, self.longest_lease);
         self.workers[key].registration.incarnation = incarnation;
         self.workers[key].reset(now);
         if known {
-            // The last orders gave a lease by the clock of the former incarnation, which may
-            // be far ahead of the new one.
-            self.workers[key].lease_deadline = now + longest_lease();
+            self.workers[key].leases = leases;
+            // A successor must know of the restart before the worker gets new tasks.
+            self.workers[key].in_roster = false;
+            self.writes.mark_roster_changed();
         }
-        // So did a poll that has no answer yet.
-        let last_renewal = if unanswered {
-            renewed + MAX_LATENESS
-        } else {
-            now
-        };
         let (begun, withdrawn) = (listed.len(), open.len() + lost_open.len());
         for task in listed {
-            self.ledger.tasks[task].outlives = last_renewal.max(now) + longest_lease();
             self.continue_run(key, task, now);
         }
         for task in open {
-            let last_start = self.ledger.tasks[task].last_copy + MAX_LATENESS;
-            let outlives = last_start.max(last_renewal).max(now) + longest_lease();
-            self.ledger.tasks[task].outlives = outlives;
             self.withdraw_open(key, task, now);
         }
         for run in lost_open {
             self.stop_unlisted(key, run, "the worker restarted", now);
         }
         self.record_worker_change(key, "restarted");
-        let leases_left = self.runs_end(key) - now;
+        let leases_left = self.workers[key].leases.end() - now;
         self.record(Event::WorkerRestarted {
             worker: self.worker_name(key),
             former,
@@ -247,12 +239,17 @@
         tasks.filter(is_listed).collect()
     }
 
-    /// By when all runs on a worker have ended, if it gets no further orders.
-    pub(super) fn runs_end(&self, key: WorkerKey) -> Moment {
+    /// When the newest order with a lease was sent that may still be carried out by the next
+    /// incarnation of a worker. The worker has answered the start orders of the `listed` tasks.
+    fn newest_order(&self, key: WorkerKey, listed: &[TaskKey], now: Moment) -> Option<Moment> {
         let worker = &self.workers[key];
-        let tasks = worker.tasks.values();
-        let late = tasks.map(|task| self.ledger.tasks[*task].outlives).max();
-        worker.lease_deadline.max(late.unwrap_or_default())
+        let tasks = worker.tasks.values().copied();
+        let open = tasks.filter(|task| !listed.contains(task) && self.may_arrive(*task, now));
+        let starts = open.map(|task| self.ledger.tasks[task].last_copy);
+        let renewed = worker.leases.renewed();
+        let renewal = (renewed > worker.last_contact).then_some(renewed);
+        let former = self.former_read.filter(|read| now < *read + MAX_LATENESS);
+        starts.chain(renewal).chain(former).max()
     }
 
     /// Whether a copy of a task's start order may be on its way to the new incarnation,
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -23,7 +23,9 @@
 use super::write::Writes;
 use super::{Event, Order, PeerShard};
 use crate::evacuation::ZoneStates;
-use crate::fleet::{Clock, HEARTBEAT_LEASE, RUN_LEASE, StopOrder, Worker, WorkerKey};
+use crate::fleet::{
+    Clock, HEARTBEAT_LEASE, Leases, MAX_WORKER_LEASE, RUN_LEASE, StopOrder, Worker, WorkerKey,
+};
 use crate::headroom::Headroom;
 use crate::interference::{Baseline, ImageKey, ImagePairs, Images};
 use crate::locality::{RackWaits, RemoteFactor};
@@ -136,6 +138,10 @@
     pub(super) peer_shards: Vec<PeerShard>,
     pub(super) moves: Moves,
     remote_factor: RemoteFactor,
+    /// The longest time for which a run goes on without a renewal, whatever the lease in its order.
+    pub(super) longest_lease: Duration,
+    /// When the state of the former owner was read, whose orders may still be carried out late.
+    pub(super) former_read: Option<Moment>,
     /// Which tasks wait for the rack of their data, as decided for the last pass.
     pub(super) rack_waits: RackWaits,
     pub(super) baselines: HashMap<ImageKey, Baseline>,
@@ -191,6 +197,8 @@
             peer_shards: Vec::new(),
             moves: Moves::default(),
             remote_factor: RemoteFactor::default(),
+            longest_lease: Leases::longest(MAX_WORKER_LEASE),
+            former_read: None,
             rack_waits: RackWaits::default(),
             baselines: HashMap::new(),
             confirmed: Moment::default(),
@@ -258,7 +266,7 @@
     /// at this revision. A former owner adds no job that was accepted after this
     /// owner's claim.
     pub(super) fn is_inherited(&self, revision: u64) -> bool {
-        self.recovering && revision < self.term.fence
+        (self.recovering || self.may_run_any()) && revision < self.term.fence
     }
 
     /// Cancels a job at the request of a caller.
@@ -290,6 +298,11 @@
         self.remote_factor = factor;
     }
 
+    /// Sets the longest lease that the workers grant.
+    pub fn set_longest_lease(&mut self, granted: Duration) {
+        self.longest_lease = Leases::longest(granted);
+    }
+
     /// Places all waiting tasks that fit and returns the orders to send. The store
     /// has confirmed this ownership in reply to a call sent at `confirmed`.
     pub fn plan(&mut self, confirmed: Moment, now: Moment) -> Vec<(WorkerKey, Order)> {
@@ -300,6 +313,7 @@
         self.record_zone_changes(now);
         self.close_silent(now);
         self.expire_leases(now);
+        self.forget_overlong_leases();
         self.finish_recovery(now);
         self.start_recurring(now);
         self.end_trials(now);
@@ -531,7 +545,6 @@
         self.ledger.tasks[key].run = run;
         self.ledger.tasks[key].lease_end = None;
         self.ledger.tasks[key].unanswered_copies = 0;
-        self.ledger.tasks[key].outlives = Moment::default();
         self.ledger.tasks[key].survived = Duration::ZERO;
         self.ledger.tasks[key].begun = false;
         self.ledger.set_stage(key, Stage::Starting(worker), now);
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -51,7 +51,7 @@
         // A repeated start keeps its lease, so that the lease of a silent worker ends.
         let until = task.lease_end.unwrap_or_else(|| self.lease_end(clock, now));
         let target = self.workers.get_mut(worker)?;
-        target.lease_deadline = target.lease_deadline.max(clock.latest_expiry(until));
+        target.leases.on_order(clock.latest_expiry(until));
         self.ledger.tasks[key].lease_end = Some(until);
         self.ledger.tasks[key].last_copy = now;
         let task = &self.ledger.tasks[key];
@@ -152,6 +152,10 @@
     ) -> Option<StopOrder> {
         self.starting_workflow(worker, key, run)?;
         self.ledger.tasks[key].unanswered_copies += 1;
+        let sent = self.ledger.tasks[key].last_copy;
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.leases.on_unanswered(sent);
+        }
         let reason = self.leaving_reason(worker)?;
         self.withdraw(key, reason, now)
     }
@@ -263,8 +267,7 @@
         let worker = self.workers.get_mut(key)?;
         let until = match worker.clock.zip(lease_end) {
             Some((clock, until)) if renews => {
-                worker.lease_deadline = worker.lease_deadline.max(clock.latest_expiry(until));
-                worker.renewed = now;
+                worker.leases.on_renewal(now, clock.latest_expiry(until));
                 Some(until)
             }
             _ => None,
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -22,6 +22,7 @@
 mod slow;
 mod slow_share;
 mod stored_state;
+mod successors;
 mod takeover;
 mod throttle;
 mod trials;
@@ -380,6 +381,7 @@
         zone: "a".to_owned(),
         closed,
         lease_left: None,
+        overlong_left: None,
         incarnation: None,
     }
 }
--- a/src/schedule/tests/stored_state.rs
+++ b/src/schedule/tests/stored_state.rs
@@ -193,6 +193,7 @@
         zone: String::new(),
         closed,
         lease_left: None,
+        overlong_left: None,
         incarnation: None,
     };
     for closed in [None, Some(vec![task])] {
--- a/src/schedule/tests/takeover.rs
+++ b/src/schedule/tests/takeover.rs
@@ -352,7 +352,7 @@
     shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
     shard.orders = shard.scheduler.plan(at(1_000), at(6_900));
     shard.confirm();
-    let lease_end = shard.scheduler.workers[shard.workers[0]].lease_deadline;
+    let lease_end = shard.scheduler.workers[shard.workers[0]].leases.end();
     assert!(lease_end <= limit, "{lease_end} for a start");
 }
 
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -113,7 +113,7 @@
             ..Batch::default()
         };
         if self.writes.roster == RosterState::Changed {
-            batch.roster = Some(self.roster());
+            batch.roster = Some(self.roster(now));
             batch.roster_version = self.writes.roster_version;
         }
         if full {
@@ -202,19 +202,21 @@
         })
     }
 
-    fn roster(&self) -> Vec<RosterEntry> {
+    fn roster(&self, now: Moment) -> Vec<RosterEntry> {
         let keys = self.workers.keys();
-        keys.map(|key| self.roster_entry(key)).collect()
+        keys.map(|key| self.roster_entry(key, now)).collect()
     }
 
-    pub(super) fn roster_entry(&self, key: WorkerKey) -> RosterEntry {
+    pub(super) fn roster_entry(&self, key: WorkerKey, now: Moment) -> RosterEntry {
         let registration = &self.workers[key].registration;
+        let overlong = self.workers[key].leases.overlong();
         RosterEntry {
             id: registration.id.clone(),
             address: registration.address.to_string(),
             zone: registration.zone.clone(),
             closed: self.closed_tasks(key),
             lease_left: None,
+            overlong_left: (overlong > now).then(|| (overlong - now).as_millis() as u64 + 1),
             incarnation: Some(registration.incarnation).filter(|incarnation| *incarnation > 0),
         }
     }
@@ -223,7 +225,7 @@
     /// is open.
     fn closed_tasks(&self, key: WorkerKey) -> Option<Vec<TaskName>> {
         if let Some(closed) = self.closed_workers.get(&key) {
-            return Some(closed.tasks.clone());
+            return closed.tasks().cloned();
         }
         let worker = &self.workers[key];
         let silent = worker.caught_up && !worker.in_roster && !worker.responsive;
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -117,9 +117,6 @@
     pub unanswered_copies: u32,
     /// When the last copy of that order was sent.
     pub last_copy: Moment,
-    /// By when a run has ended that a restarted worker began, or may begin, by such a copy: the
-    /// end of the lease in it is far ahead on the worker's new clock.
-    pub outlives: Moment,
     /// The last checkpoint of the task; empty if there is none.
     pub checkpoint: String,
     /// Since when the task has been in its stage.
@@ -362,7 +359,6 @@
                     lease_end: None,
                     unanswered_copies: 0,
                     last_copy: Moment::default(),
-                    outlives: Moment::default(),
                     checkpoint: String::new(),
                     since: now,
                     ready: now,
