The longest lease that a worker grants is a setting

Runs on a restarted worker were taken to last for up to 10 s, whatever the deployment says. A deployment that grants more would run tasks twice, and one that grants less lets tasks wait longer than needed after a worker restarted and was cut off. `longest_lease` in [fleet] is filled in from the platform's bound; without it the limit stays 10 s.

--- a/src/daemon/owned.rs
+++ b/src/daemon/owned.rs
@@ -108,6 +108,7 @@
         let mut scheduler = Scheduler::new(term);
         scheduler.on_heartbeat(claim.begun);
         scheduler.set_remote_factor(node.settings.remote_factor);
+        scheduler.set_longest_lease(node.settings.longest_lease);
         Self {
             write: Notify::new(),
             scheduler: Mutex::new(scheduler),
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -7,6 +7,7 @@
 
 use super::{Section, Source, form, overload};
 use crate::Result;
+use crate::fleet::MAX_WORKER_LEASE;
 use crate::locality::RemoteFactor;
 use crate::overload::OverloadSettings;
 
@@ -46,6 +47,8 @@
     pub overload: OverloadSettings,
     /// How many times as long a task takes on a rack other than that of its data.
     pub remote_factor: RemoteFactor,
+    /// The longest lease that a worker grants, by its own clock.
+    pub longest_lease: Duration,
 }
 
 impl Default for FleetSettings {
@@ -65,6 +68,7 @@
             call_timeout: Duration::from_millis(1500),
             overload: OverloadSettings::default(),
             remote_factor: RemoteFactor::default(),
+            longest_lease: MAX_WORKER_LEASE,
         }
     }
 }
@@ -138,6 +142,7 @@
         overload::read(&mut self.overload, &mut section);
         self.remote_factor =
             section.value("remote_factor", &form::REMOTE_FACTOR, self.remote_factor);
+        self.longest_lease = section.value("longest_lease", &form::DURATION, self.longest_lease);
         if !self.zones.contains(&self.zone) {
             section.report("zone", "must be one of zones");
         }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -2,6 +2,7 @@
 //! are kept in a snapshot.
 
 use std::path::Path;
+use std::time::Duration;
 
 use rstest::rstest;
 
@@ -99,6 +100,16 @@
     assert_eq!(settings.remote_factor, expected);
 }
 
+/// Guards against a bound on runs of restarted workers that is not the deployment's.
+#[rstest]
+#[case("", 10_000)]
+#[case("longest_lease = 6000ms", 6_000)]
+#[case("longest_lease = 20s", 20_000)]
+fn the_longest_lease_is_optional(#[case] line: &str, #[case] millis: u64) {
+    let settings = fleet_settings(line).unwrap();
+    assert_eq!(settings.longest_lease, Duration::from_millis(millis));
+}
+
 /// Guards against a value with which tasks would never wait for a rack, or never run
 /// elsewhere.
 #[rstest]
