Fuzz: workers that restart and are cut off soon after, while owners are replaced

Callers saw tasks that ran twice after their workers had restarted under their ids and were cut off soon after, while the owner of the shard changed. The fuzz of replaced owners drew a restart and a cut of the same worker beside a change of the owner seldom, its calls were at most 6 s late, and its runs ended after 8 s at the latest.

A second property test draws this class densely: rounds of a job whose tasks take 8 to 14 s, a restart of a worker under its id, a cut of that worker from all hosts up to 4 s later for 5 to 12 s, and up to two changes of the owner from 4 s before to some seconds after the restart; late calls, renewals among them, are carried out up to 12 s after they were sent, also by the next incarnation. Its world registers a worker when it starts; a variable of the environment delays the registration and cuts workers off from the store as well. The cases and seeds of the former test are unchanged.

--- a/src/schedule/tests/fuzz/calls.rs
+++ b/src/schedule/tests/fuzz/calls.rs
@@ -16,8 +16,8 @@
 const POLL_MARGIN: u64 = 500;
 /// The time after which a call to the store without an answer fails.
 const STORE_TIMEOUT: u64 = 500;
-/// The limit on how late a call is carried out.
-const MAX_LATENESS: u64 = 6_000;
+/// The limit on how late a write to the store takes effect.
+const MAX_WRITE_LATENESS: u64 = 6_000;
 /// The limit on the time that a stopped run takes to end.
 const MAX_STOP_TIME: u64 = 80;
 /// The silence after which the registry drops a worker.
@@ -139,7 +139,7 @@
             0 => Fate::Refused,
             1 => Fate::Lost,
             2 => Fate::AnswerLost,
-            _ => Fate::Late(ORDER_TIMEOUT + self.rng.below(MAX_LATENESS)),
+            _ => Fate::Late(ORDER_TIMEOUT + self.rng.below(self.max_lateness)),
         }
     }
 
@@ -341,6 +341,7 @@
 
     /// Ends a worker's process. Returns the worker's id, unless it was down.
     fn end_process(&mut self, slot: usize) -> Option<String> {
+        self.update_registry();
         let process = self.slots[slot].process.take()?;
         self.oracle.on_worker_lost(slot, self.now);
         let state = &mut self.slots[slot];
@@ -384,12 +385,21 @@
         }
     }
 
+    /// Applies what the workers have sent to the registry, if their start is distinguished from
+    /// their registration.
+    pub(super) fn update_registry(&mut self) {
+        if self.registers_after.is_some() {
+            self.registry();
+        }
+    }
+
     /// The workers that the registry lists.
     pub(super) fn registry(&mut self) -> Vec<Registration> {
         let now = self.now;
         for slot in 0..WORKER_COUNT {
             let state = &mut self.slots[slot];
-            if let Some(process) = state.process.as_ref().filter(|_| state.store_cut <= now) {
+            let registers = state.store_cut.max(state.registers_at) <= now;
+            if let Some(process) = state.process.as_ref().filter(|_| registers) {
                 state.silent_since = now;
                 state.entry = Some(Registration {
                     id: process.id.clone(),
@@ -418,7 +428,7 @@
             fate = match self.rng.below(4) {
                 0 => Fate::Lost,
                 1 => Fate::AnswerLost,
-                _ => Fate::Late(self.rng.below(MAX_LATENESS)),
+                _ => Fate::Late(self.rng.below(MAX_WRITE_LATENESS)),
             };
         }
         let latency = 1 + self.rng.below(10);
--- a/src/schedule/tests/fuzz/mod.rs
+++ b/src/schedule/tests/fuzz/mod.rs
@@ -10,6 +10,7 @@
 mod found;
 mod oracle;
 mod owner;
+mod restarts;
 mod step;
 mod store;
 mod worker;
--- a/src/schedule/tests/fuzz/step.rs
+++ b/src/schedule/tests/fuzz/step.rs
@@ -67,6 +67,10 @@
     Restore(usize),
     /// A worker lists many ends of runs of a job that is forgotten.
     Backlog(usize),
+    /// Submits a job with this number of tasks, each of which takes this time.
+    SubmitLasting(u32, u64),
+    /// A worker is cut off from the store.
+    CutWorkerStore(usize, u64),
 }
 
 pub(super) fn steps() -> impl Strategy<Value = Step> {
--- a/src/schedule/tests/fuzz/world.rs
+++ b/src/schedule/tests/fuzz/world.rs
@@ -28,6 +28,8 @@
 /// The kind of job whose tasks are long-running.
 const LONG_RUNNING_KIND: usize = 5;
 const SLOT_PORT: u16 = 1000;
+/// How late a call to a worker is carried out at most, unless a test sets it.
+const MAX_LATENESS: u64 = 6_000;
 
 /// A generator of random numbers that all depend on one seed.
 #[derive(Debug)]
@@ -87,6 +89,8 @@
     pub entry: Option<Registration>,
     pub silent_since: u64,
     pub store_cut: u64,
+    /// When the present process registers.
+    pub registers_at: u64,
     pub lease_watched: bool,
     pub names: u32,
     /// Whether the worker is lost for good.
@@ -120,6 +124,8 @@
     Lapse(usize, u64),
     /// A worker returns under this id.
     Return(usize, String),
+    /// A worker registers.
+    Register,
     /// A write takes effect; the owner gets the answer, if there is one.
     Commit(Option<usize>, u64, Write),
     Claim,
@@ -152,6 +158,12 @@
     pub guards: bool,
     /// Whether a restarted worker carries out late calls to its former incarnation.
     pub late_after_restart: bool,
+    /// How late a call to a worker is carried out at most, beside the time after which it counts
+    /// as unanswered.
+    pub max_lateness: u64,
+    /// The time from the start of a worker to its registration. Without it the registry shows
+    /// the workers that are up when it is read.
+    pub registers_after: Option<u64>,
     /// When the last crashed worker returns.
     pub disturbed_until: u64,
     vacant_since: Option<u64>,
@@ -166,6 +178,14 @@
     usize::from(address.port() - SLOT_PORT)
 }
 
+/// A step of tasks that take this time.
+fn lasting(millis: u64, count: u32) -> Step {
+    Step {
+        estimate: Duration::from_millis(millis),
+        ..step(count, 2)
+    }
+}
+
 /// The steps of a job of this kind.
 fn job_steps(kind: usize) -> Vec<Step> {
     let lasting = |millis, step| Step {
@@ -205,6 +225,7 @@
             entry: None,
             silent_since: 0,
             store_cut: 0,
+            registers_at: 0,
             lease_watched: false,
             names: 0,
             gone: false,
@@ -238,6 +259,8 @@
             group_size,
             guards,
             late_after_restart: false,
+            max_lateness: MAX_LATENESS,
+            registers_after: None,
             disturbed_until: 0,
             vacant_since: Some(0),
             traced: std::env::var_os("LYCHEELOCK_FUZZ_TRACE").is_some(),
@@ -293,7 +316,12 @@
                 self.trace(|| format!("w{slot} returns as {id}"));
                 let rate = 981 + self.rng.below(20);
                 self.slots[slot].process = Some(Process::new(id, rate, self.now));
+                if let Some(delay) = self.registers_after {
+                    self.slots[slot].registers_at = self.now + delay;
+                    self.after(delay, Action::Register);
+                }
             }
+            Action::Register => self.update_registry(),
             Action::Commit(owner, sent, write) => {
                 let commit = self.store.commit(&write);
                 self.trace(|| format!("store: {write:?} -> {commit:?}"));
@@ -491,6 +519,9 @@
         match *step {
             FuzzStep::Advance(span) => self.advance(span),
             FuzzStep::Submit(kind) => self.submit(kind % JOB_KINDS),
+            FuzzStep::SubmitLasting(count, span) => {
+                self.submit_steps(vec![lasting(span, count)]);
+            }
             FuzzStep::Cancel(index) => {
                 let id = WorkflowId(index as u64 + 1);
                 if self.store.jobs.contains_key(&id) {
@@ -532,6 +563,7 @@
             FuzzStep::CutLink(side, direction, worker, span) => {
                 self.cut_links(side, direction, worker, now + span);
             }
+            FuzzStep::CutWorkerStore(worker, span) => self.cut_worker_store(worker, now + span),
             FuzzStep::Partition(set, span) => self.partition(set, now + span),
             FuzzStep::Crash(worker, same, span) => self.crash(worker, same, span),
             FuzzStep::Gone(worker) => self.lose_worker(worker),
@@ -551,13 +583,17 @@
     }
 
     fn submit(&mut self, kind: usize) {
-        let id = WorkflowId(self.store.jobs.len() as u64 + 1);
         let mut steps = job_steps(kind);
         let lasting = self.oracle.specs.values();
         let lasting = lasting.filter(|spec| spec.steps[0].long_running).count();
         if steps[0].long_running && lasting >= 5 {
             steps = job_steps(0);
         }
+        self.submit_steps(steps);
+    }
+
+    fn submit_steps(&mut self, steps: Vec<Step>) {
+        let id = WorkflowId(self.store.jobs.len() as u64 + 1);
         let spec = Arc::new(Workflow {
             steps,
             ..Workflow::default()
@@ -597,11 +633,16 @@
             let side = if beside { Side::Others } else { Side::Owner };
             self.cut_links(side, Direction::Both, worker, until);
             if beside {
-                self.slots[worker].store_cut = until;
+                self.cut_worker_store(worker, until);
             }
         }
     }
 
+    fn cut_worker_store(&mut self, worker: usize, until: u64) {
+        self.update_registry();
+        self.slots[worker].store_cut = until;
+    }
+
     /// Checks that the long-running tasks of all jobs started again in time, if there is room
     /// for any of them twice over.
     fn check_restarts(&self, calm_since: u64) {
