Tests: a new owner counts on leases by a clock that began anew

A worker restarts, answers a start by the clock of its former incarnation within some milliseconds and then holds the run for 10 s; the owner is killed, the worker cut off, and the next owner starts the task elsewhere when its recovery ends: TWICE.

Not mended here.

--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -4,6 +4,18 @@
 use super::world::World;
 use super::{run_steps, run_world};
 
+/// Runs the steps with each of the seeds. Restarted workers register at once and carry out calls
+/// to their former incarnation, which may be late by up to `max_lateness` and a timeout.
+fn run_restarts(seeds: std::ops::Range<u64>, max_lateness: u64, steps: &[Step]) {
+    for seed in seeds {
+        let mut world = World::new(seed);
+        world.late_after_restart = true;
+        world.max_lateness = max_lateness;
+        world.registers_after = Some(0);
+        run_world(world, steps);
+    }
+}
+
 /// The owner before the former one is cut off from the store and renews leases for 6 s.
 #[test]
 fn a_takeover_of_a_takeover_waits_for_the_owner_before_the_former_one() {
@@ -137,3 +149,50 @@
         run_steps(seed, &steps);
     }
 }
+
+/// No order is late, and the owner is killed before it can record the restart.
+#[test]
+fn a_new_owner_waits_for_leases_by_the_clock_before_a_restart() {
+    let steps = [
+        Step::Crash(1, true, 50),
+        Step::Advance(150),
+        Step::SubmitLasting(3, 8_000),
+        Step::Advance(50),
+        Step::Kill(100),
+        Step::CutLink(Side::All, Direction::Both, 1, 11_000),
+        Step::Advance(7_000),
+    ];
+    run_restarts(0..40, 1, &steps);
+}
+
+/// The next owner adopts the run, and the worker is cut off before it answers a second time.
+#[test]
+fn a_planned_stop_tells_of_leases_by_the_clock_before_a_restart() {
+    let steps = [
+        Step::Crash(2, true, 50),
+        Step::Advance(476),
+        Step::SubmitLasting(2, 8_000),
+        Step::Advance(350),
+        Step::Stop,
+        Step::Advance(100),
+        Step::CutLink(Side::All, Direction::Both, 2, 7_000),
+        Step::Advance(7_000),
+    ];
+    run_restarts(0..40, 1, &steps);
+}
+
+/// The copy is carried out late, after the owner that sent it was killed.
+#[test]
+fn a_new_owner_waits_for_a_start_that_the_next_incarnation_carries_out_late() {
+    let steps = [
+        Step::CallFaults(27, 1_500),
+        Step::Advance(1_000),
+        Step::SubmitLasting(3, 8_000),
+        Step::Crash(1, true, 50),
+        Step::Advance(11),
+        Step::Kill(100),
+        Step::CutLink(Side::All, Direction::Both, 1, 10_000),
+        Step::Advance(6_000),
+    ];
+    run_restarts(0..50, 1, &steps);
+}
