Test: a late copy prolongs the lease of all runs of a restarted worker

The owner stays the same: it sees the restart and waits 10.2 s from then. 1.8 s later an open copy of an earlier start, by the clock of the former incarnation, is refused as superseded and yet prolongs the worker's lease to 10 s from then. A run that was started meanwhile counts as lost 1.2 s before its lease ends: TWICE.

Not mended here.

--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -196,3 +196,18 @@
     ];
     run_restarts(0..50, 1, &steps);
 }
+
+/// The owner stays the same; the late copy that is refused still prolongs the worker's lease.
+#[test]
+fn a_late_copy_prolongs_the_lease_of_all_runs_of_the_restarted_worker() {
+    let steps = [
+        Step::Advance(8_500),
+        Step::Submit(2),
+        Step::CallFaults(42, 50),
+        Step::Crash(2, true, 50),
+        Step::Advance(2_300),
+        Step::CutLink(Side::All, Direction::Both, 2, 9_000),
+        Step::Advance(8_500),
+    ];
+    run_restarts(0..60, 2_000, &steps);
+}
