Test: a stop order confirmed by the former incarnation ends no late copy

A start has one open copy and is withdrawn; the worker confirms the stop order and restarts before the owner has polled it again. The confirmation is kept for the next incarnation, which knows of no stop order; its first report does not list the run, so the task starts elsewhere, and the copy begins the run half a second later: TWICE.

Not mended here.

--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -211,3 +211,16 @@
     ];
     run_restarts(0..60, 2_000, &steps);
 }
+
+/// The former incarnation has confirmed the stop order; the next one does not know of it.
+#[test]
+fn a_confirmed_stop_order_keeps_no_late_copy_from_the_restarted_worker() {
+    let steps = [
+        Step::CallFaults(52, 1_000),
+        Step::Advance(200),
+        Step::SubmitLasting(4, 8_000),
+        Step::Advance(1_000),
+        Step::Crash(2, true, 50),
+    ];
+    run_restarts(0..100, 2_000, &steps);
+}
