Test: a late copy of the former owner begins an adopted run anew

The former owner's first copy of a start is on its way, a later one was answered; the next owner adopts the run. The worker restarts, and the registry tells the owner before a poll has reached the next incarnation, which follows no owner yet and carries out the copy. The owner counts the run as lost with the crash and starts the task elsewhere: TWICE.

Not mended here.

--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -224,3 +224,17 @@
     ];
     run_restarts(0..100, 2_000, &steps);
 }
+
+/// The former owner sent the copy; the run was adopted before the worker restarted.
+#[test]
+fn a_late_copy_of_the_former_owner_begins_an_adopted_run_anew_after_a_restart() {
+    let steps = [
+        Step::CallFaults(63, 50),
+        Step::SubmitLasting(1, 8_000),
+        Step::Advance(2),
+        Step::CutStore(2_000),
+        Step::Advance(1_500),
+        Step::Crash(3, true, 50),
+    ];
+    run_restarts(0..50, 2_000, &steps);
+}
