A stop order that a former incarnation confirmed is sent again

A start had a copy without an answer and was being taken back; the worker confirmed the stop order, restarted, and its next incarnation could carry out the copy. The owner took the confirmation for the new incarnation's: the next report, which did not list the run yet, released the task, and it ran elsewhere beside the late copy (TWICE). Found by the fuzz test of workers that restart. The stop is now unconfirmed again and sent to the new incarnation; the run counts as gone only after its answer.

--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::ends::live_runs;
-use super::{Event, Scheduler};
+use super::{Event, Order, Scheduler};
 use crate::fleet::{Clock, MAX_LATENESS, StartAnswer, StartReply, WorkerKey, WorkerReport};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey};
@@ -224,8 +224,13 @@
         // The end of the lease is a time on the clock of the former incarnation.
         self.ledger.tasks[task].lease_end = None;
         if self.ledger.tasks[task].stage != Stage::Stopping(key) {
-            self.stop(task, "the worker restarted", now);
+            return self.stop(task, "the worker restarted", now);
         }
+        // The new incarnation knows nothing of a stop order that the former one confirmed.
+        self.ledger.tasks[task].confirmed = false;
+        self.ledger.tasks[task].since = now;
+        let order = self.stop_order(task);
+        self.order(key, Order::Stop(order));
     }
 
     /// The tasks of a worker whose current run a report lists.
