An adopted run counts as open on a worker that restarts soon after the takeover

The former owner's start had a copy without an answer; the next owner adopted the run, the worker restarted, and the owner started the task elsewhere at once, as the runs of the former incarnation are over. The new incarnation has seen no fencing token and carried out the copy (TWICE). Found by the fuzz test of workers that restart. For as long as orders of former owners may arrive (12 s), an adopted run is withdrawn as one with an open copy: its task starts again once the new incarnation has confirmed the stop order, or once its leases have ended.

--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -262,6 +262,10 @@
     pub(super) fn may_arrive(&self, key: TaskKey, now: Moment) -> bool {
         let task = &self.ledger.tasks[key];
         let sent = task.unanswered_copies > 0 || (!task.confirmed && task.lease_end.is_some());
+        // Only the former owner knew whether all copies of an adopted run's order were answered.
+        let adopted = task.run > 0 && !self.is_own_run(task.run);
+        let former = self.former_read.filter(|_| adopted);
         sent && now < task.last_copy + MAX_LATENESS
+            || former.is_some_and(|read| now < read + MAX_LATENESS)
     }
 }
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -369,6 +369,11 @@
         self.first_run + self.run_count
     }
 
+    /// Whether this owner has started a run with this number.
+    pub(super) const fn is_own_run(&self, run: u64) -> bool {
+        run > self.first_run
+    }
+
     /// Unblocks steps whose predecessors are done, and queues all tasks that can
     /// start.
     pub(super) fn enqueue(&mut self, key: WorkflowKey, now: Moment) {
