A restarted worker is told to stop all runs of which a late copy may begin

A start had a copy without an answer; the run was taken back or had ended, and the worker restarted. Its next incarnation, which knows of no stop and of no end, carried out the copy, and the task ran twice. Only runs that were lost with the worker's leases were stopped there. A copy that arrives before that contact still begins its run.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -5,7 +5,7 @@
 
 use slotmap::new_key_type;
 
-use super::{Availability, Capacity, Clock, Leases, PriorityUse, Registration};
+use super::{Availability, Capacity, Clock, Leases, MAX_LATENESS, PriorityUse, Registration};
 use crate::interference::ImageKey;
 use crate::moment::Moment;
 use crate::workflow::{TaskKey, TaskName, WorkflowKey};
@@ -158,6 +158,9 @@
     /// Runs that are not the current ones of their tasks, and that must end before the
     /// worker gets new tasks, as what they use is not in `used`.
     pub unknown_runs: HashMap<(TaskName, u64), UnknownRun>,
+    /// When the last copy of each start order was sent of which a copy got no answer. The next
+    /// incarnation may carry it out, whatever became of the run on this one.
+    pub open_copies: HashMap<(TaskName, u64), Moment>,
     /// The last reading of the worker's clock; absent until the first answer.
     pub clock: Option<Clock>,
     /// By when the leases on the worker have ended.
@@ -218,6 +221,7 @@
             best_effort_cpu: 0,
             tasks: BTreeMap::new(),
             unknown_runs: HashMap::new(),
+            open_copies: HashMap::new(),
             clock: None,
             leases: Leases::new(now),
             last_contact: Moment::default(),
@@ -236,6 +240,14 @@
         }
     }
 
+    /// Records that a copy of a start order, sent at `sent`, got no answer.
+    pub fn on_unanswered_copy(&mut self, run: (TaskName, u64), sent: Moment) {
+        self.leases.on_unanswered(sent);
+        self.open_copies
+            .retain(|_, last| sent < *last + MAX_LATENESS);
+        self.open_copies.insert(run, sent);
+    }
+
     /// Forgets everything that belonged to a former incarnation.
     pub fn reset(&mut self, now: Moment) {
         *self = Self {
@@ -245,6 +257,7 @@
             in_roster: self.in_roster,
             was_heard: self.was_heard,
             former_incarnation: self.former_incarnation,
+            open_copies: std::mem::take(&mut self.open_copies),
             // The registry tells about the new incarnation.
             cold_until: self.cold_until,
             ..Self::new(self.registration.clone(), now)
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -1,12 +1,13 @@
 //! Processes the restart of a worker under its id.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::ends::live_runs;
 use super::{Event, Order, Scheduler};
 use crate::fleet::{Clock, MAX_LATENESS, StartAnswer, StartReply, WorkerKey, WorkerReport};
 use crate::moment::Moment;
-use crate::workflow::{Stage, TaskKey};
+use crate::workflow::{Stage, TaskKey, TaskName};
 
 impl Scheduler {
     /// Compares the incarnation in a worker's report with the known one. The runs of the
@@ -146,7 +147,7 @@
         }
         let in_progress = self.newest_order(key, &listed, now);
         let mut open = Vec::new();
-        let lost_open = self.lost_open_runs(key);
+        let settled = self.settled_open_runs(key, now);
         let worker = &self.workers[key];
         let former = worker.registration.incarnation;
         let known = worker.synced || !worker.tasks.is_empty();
@@ -167,14 +168,14 @@
             self.workers[key].in_roster = false;
             self.writes.mark_roster_changed();
         }
-        let (begun, withdrawn) = (listed.len(), open.len() + lost_open.len());
+        let (begun, withdrawn) = (listed.len(), open.len() + settled.len());
         for task in listed {
             self.continue_run(key, task, now);
         }
         for task in open {
             self.withdraw_open(key, task, now);
         }
-        for run in lost_open {
+        for run in settled {
             self.stop_unlisted(key, run, "the worker restarted", now);
         }
         self.record_worker_change(key, "restarted");
@@ -190,6 +191,21 @@
         });
     }
 
+    /// The runs that are not current on a worker, and of whose start orders the next incarnation
+    /// may carry out a copy: they ended, were taken back, or were lost with the worker's leases.
+    fn settled_open_runs(&self, key: WorkerKey, now: Moment) -> BTreeSet<(TaskName, u64)> {
+        let worker = &self.workers[key];
+        let copies = worker.open_copies.iter();
+        let open = copies.filter(|(_, sent)| now < **sent + MAX_LATENESS);
+        let mut runs: BTreeSet<(TaskName, u64)> = open.map(|(run, _)| *run).collect();
+        runs.extend(self.lost_open_runs(key));
+        let current = worker.tasks.values().map(|task| &self.ledger.tasks[*task]);
+        for task in current {
+            runs.remove(&(task.name, task.run));
+        }
+        runs
+    }
+
     /// Releases the tasks whose runs ended with the former incarnation. Returns those
     /// whose start may still reach the new one.
     fn lose_ended(&mut self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -152,9 +152,10 @@
     ) -> Option<StopOrder> {
         self.starting_workflow(worker, key, run)?;
         self.ledger.tasks[key].unanswered_copies += 1;
-        let sent = self.ledger.tasks[key].last_copy;
+        let task = &self.ledger.tasks[key];
+        let (name, sent) = (task.name, task.last_copy);
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.leases.on_unanswered(sent);
+            worker.on_unanswered_copy((name, run), sent);
         }
         let reason = self.leaving_reason(worker)?;
         self.withdraw(key, reason, now)
