A late report of a worker's former incarnation is ignored

The registry showed a restart, and an answer of the former incarnation that was still on its way arrived after it. It was taken for a further restart: the runs of the present incarnation counted as over and their tasks started elsewhere (TWICE). By reading; the test fails without the check. Reports of the incarnation that is known to have ended are dropped.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -134,6 +134,8 @@
     pub restart_unreported: bool,
     /// Whether an incarnation of the worker has answered this owner.
     pub was_heard: bool,
+    /// The incarnation before the present one, whose reports may arrive late; 0 if none is known.
+    pub ended_incarnation: u64,
     /// The incarnation that the former owner knew, until the worker's first report.
     pub former_incarnation: Option<u64>,
     /// Whether the worker is known to have ended: another one answers at its address.
@@ -211,6 +213,7 @@
             poll_failed: false,
             restart_unreported: false,
             was_heard: false,
+            ended_incarnation: 0,
             former_incarnation: None,
             replaced: false,
             synced: false,
@@ -256,6 +259,7 @@
             registered: self.registered,
             in_roster: self.in_roster,
             was_heard: self.was_heard,
+            ended_incarnation: self.ended_incarnation,
             former_incarnation: self.former_incarnation,
             open_copies: std::mem::take(&mut self.open_copies),
             // The registry tells about the new incarnation.
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -24,7 +24,11 @@
 impl Scheduler {
     /// Processes the report with which a worker answered a poll sent at `sent`.
     pub fn on_report(&mut self, key: WorkerKey, sent: Moment, report: &WorkerReport, now: Moment) {
-        if !self.workers.contains_key(key) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let ended = worker.ended_incarnation;
+        if ended > 0 && report.incarnation == ended {
             return;
         }
         self.check_incarnation(key, report, now);
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -160,6 +160,9 @@
         }
         let leases = &self.workers[key].leases;
         let leases = leases.restarted(in_progress, now, self.longest_lease);
+        if incarnation != former {
+            self.workers[key].ended_incarnation = former;
+        }
         self.workers[key].registration.incarnation = incarnation;
         self.workers[key].reset(now);
         if known {
--- a/src/schedule/tests/restarts.rs
+++ b/src/schedule/tests/restarts.rs
@@ -245,6 +245,29 @@
     );
 }
 
+/// Answers on different connections may overtake each other.
+#[test]
+fn a_late_report_of_the_former_incarnation_ends_the_runs_of_the_present_one() {
+    let (mut shard, worker, task, run) = start_one();
+    register(&mut shard, 2, 900);
+    shard.now = 1_000;
+    let name = shard.scheduler.ledger.tasks[task].name;
+    shard.report_with(0, 2, vec![live(name, run, 0)], &[]);
+    let report = WorkerReport {
+        clock: 1_000_900,
+        incarnation: 1,
+        ..WorkerReport::default()
+    };
+    shard
+        .scheduler
+        .on_report(worker, at(890), &report, at(1_100));
+    assert_eq!(
+        shard.scheduler.ledger.tasks[task].stage.worker(),
+        Some(worker)
+    );
+    assert_eq!(shard.scheduler.workers[worker].registration.incarnation, 2);
+}
+
 /// The former owner gave the lease of the run by the clock of an earlier incarnation.
 #[test]
 fn an_adopted_run_of_a_restarted_worker_starts_elsewhere_before_it_ends() {
