Runs on a restarted worker are over when another one answers at its address

A worker restarted, was cut off and crashed again behind the cut; another one answered at its address when the cut healed. A replaced worker's runs end with the leases by its present clock.

--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -50,6 +50,11 @@
         self.given.max(self.overlong)
     }
 
+    /// By when all leases by the clock of the present incarnation have ended.
+    pub const fn given(&self) -> Moment {
+        self.given
+    }
+
     /// By when all overlong leases have ended; the start of time if there is none.
     pub const fn overlong(&self) -> Moment {
         self.overlong
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -322,6 +322,15 @@
         };
     }
 
+    /// By when all runs on the worker have ended, if it gets no further orders. No order to former
+    /// incarnations reaches a worker at whose address another one answers.
+    pub fn runs_end(&self) -> Moment {
+        match self.replaced {
+            true => self.leases.given(),
+            false => self.leases.end(),
+        }
+    }
+
     /// Returns the tasks of which the worker may have a run, now or later.
     pub(crate) fn possible_tasks(&self) -> BTreeSet<TaskName> {
         let unknown = self.unknown_runs.keys().map(|(task, _)| *task);
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -131,7 +131,7 @@
         let expired = self.workers.iter().filter(|(_, worker)| {
             let silent = now > worker.last_contact + crate::fleet::RUN_LEASE;
             let used = worker.synced || !worker.tasks.is_empty();
-            used && silent && worker.leases.end() < self.confirmed
+            used && silent && worker.runs_end() < self.confirmed
         });
         let keys: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in keys {
@@ -156,7 +156,7 @@
     /// since, shows no restart.
     fn expired_tasks(&self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
         let worker = &self.workers[key];
-        let unread = self.registry_read <= worker.leases.end();
+        let unread = self.registry_read <= worker.runs_end();
         let has_expired = |task: &TaskKey| !(unread && self.may_arrive(*task, now));
         worker.tasks.values().copied().filter(has_expired).collect()
     }
--- a/src/schedule/recovery.rs
+++ b/src/schedule/recovery.rs
@@ -139,7 +139,7 @@
             return entry;
         }
         let mut tasks = worker.possible_tasks();
-        let mut leases_end = worker.leases.end();
+        let mut leases_end = worker.runs_end();
         match closed {
             Some(closed) => {
                 tasks.extend(closed.tasks().into_iter().flatten().copied());
--- a/src/schedule/tests/successors.rs
+++ b/src/schedule/tests/successors.rs
@@ -259,6 +259,17 @@
     assert!(roster.iter().all(|entry| entry.overlong_left.is_none()));
 }
 
+/// Guards against long-running tasks that wait for a worker that is known to have ended.
+#[test]
+fn the_tasks_of_a_restarted_worker_wait_although_another_one_answers_at_its_address() {
+    let (mut shard, task, _) = former_owner(Learned::ByAnswer);
+    let restarted = shard.workers[0];
+    shard.scheduler.on_replaced(restarted, at(shard.now));
+    let now = shard.now;
+    let start = start_time(&mut shard, task, 2);
+    assert!(start.is_some_and(|at| at < now + 5_500), "{start:?}");
+}
+
 /// The owner may be killed before the store has the roster that names the restart.
 #[test]
 fn a_restarted_worker_gets_a_task_before_its_restart_is_stored() {
