Tests: workers that a new owner waits for are forgotten with their registrations

When the recovery deadline has passed, remove_former removes each worker that is not registered and has not answered in its present incarnation. A worker that was cut off from the store, too, is no longer registered by then.

Not mended here.

--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -238,3 +238,39 @@
     ];
     run_restarts(0..50, 2_000, &steps);
 }
+
+/// The registration of the worker expires during the cut, before the leases have ended.
+#[test]
+fn a_new_owner_waits_for_a_restarted_worker_that_is_no_longer_registered() {
+    for end in [Step::Kill(100), Step::Stop] {
+        let steps = [
+            Step::Advance(4_898),
+            Step::Crash(0, true, 50),
+            Step::Advance(2_000),
+            Step::SubmitLasting(4, 8_000),
+            Step::Advance(31),
+            Step::CutLink(Side::All, Direction::Both, 0, 9_000),
+            Step::CutWorkerStore(0, 9_000),
+            end,
+            Step::Advance(9_000),
+        ];
+        run_restarts(0..10, 1, &steps);
+    }
+}
+
+/// The worker restarts after its run was adopted, and its registration expires before it answers.
+#[test]
+fn a_task_of_a_restarted_worker_that_is_no_longer_registered_starts_again() {
+    let steps = [
+        Step::SubmitLasting(3, 8_000),
+        Step::CutLink(Side::All, Direction::Both, 1, 11_000),
+        Step::CutStore(1_500),
+        Step::Advance(2_500),
+        Step::Crash(0, true, 50),
+        Step::Advance(1_000),
+        Step::CutLink(Side::All, Direction::Both, 0, 4_000),
+        Step::CutWorkerStore(0, 4_000),
+        Step::Advance(2_800),
+    ];
+    run_restarts(0..30, 1, &steps);
+}
