Tests: a task starts elsewhere while an earlier run of it may begin

The owner counts the newer run as lost with the restart and starts the task elsewhere at once, without a report of the new incarnation: TWICE.

Not mended here.

--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -274,3 +274,33 @@
     ];
     run_restarts(0..30, 1, &steps);
 }
+
+/// A copy for an earlier run of the task is on its way to the worker, from the former owner.
+#[test]
+fn a_late_copy_for_an_earlier_run_begins_it_on_the_restarted_worker() {
+    let steps = [
+        Step::StoreFaults(54, 1_500),
+        Step::CallFaults(14, 1_000),
+        Step::Advance(770),
+        Step::SubmitLasting(3, 8_000),
+        Step::Advance(2_000),
+        Step::Crash(2, true, 50),
+    ];
+    run_restarts(3..4, 3_000, &steps);
+}
+
+/// The worker restarts twice; the owner stops the earlier run and starts the task elsewhere at once.
+#[test]
+fn a_task_waits_until_an_earlier_run_of_it_is_stopped_on_the_restarted_worker() {
+    let steps = [
+        Step::Pause(1_000),
+        Step::Advance(900),
+        Step::CallFaults(68, 187),
+        Step::SubmitLasting(3, 8_000),
+        Step::Advance(250),
+        Step::Crash(1, true, 50),
+        Step::Advance(2_500),
+        Step::Crash(1, true, 1_000),
+    ];
+    run_restarts(17..18, 4_500, &steps);
+}
