--- a/src/schedule/tests/successors.rs
+++ b/src/schedule/tests/successors.rs
@@ -1,6 +1,8 @@
 //! Tests of owners that follow one whose workers have restarted: orders by the clock of a former
 //! incarnation give leases that last longer than the recovery of a shard.
 
+mod review;
+
 use super::*;
 use crate::fleet::StartAnswer;
 
