A worker that a new owner waits for is kept although it is not registered

A worker restarted and was cut off from owner and store; its entry left the registry. At the recovery deadline the new owner removed the workers that are neither registered nor have answered, and with this one the wait for its overlong leases: its tasks started elsewhere beside their runs (TWICE), or, if it had begun to stop runs there, waited without end (LOST). Such a worker is removed only when it is no longer waited for and has no tasks.

--- a/src/schedule/recovery.rs
+++ b/src/schedule/recovery.rs
@@ -4,7 +4,7 @@
 
 use super::closed::{ClosedWorker, MIN_RECOVERY, PossibleRuns};
 use super::{Event, RosterEntry, Scheduler};
-use crate::fleet::{MAX_LATENESS, WorkerKey};
+use crate::fleet::{MAX_LATENESS, Worker, WorkerKey};
 use crate::moment::Moment;
 use crate::workflow::{Stage, Task, TaskKey, TaskName};
 
@@ -180,10 +180,11 @@
     /// this owner.
     fn remove_former(&mut self) {
         self.former_workers.clear();
-        let unknown = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| !worker.listed && !worker.synced);
+        let is_unknown = |(key, worker): &(WorkerKey, &Worker)| {
+            let awaited = self.closed_workers.contains_key(key) || !worker.tasks.is_empty();
+            !worker.listed && !worker.synced && !awaited
+        };
+        let unknown = self.workers.iter().filter(is_unknown);
         let keys: Vec<WorkerKey> = unknown.map(|(key, _)| key).collect();
         for key in keys {
             self.remove_worker(key, "never answered");
