What the former owner knew of a worker's incarnation counts before the registry

The registry lagged behind the former owner, or no longer listed the worker: the new owner took the incarnation from it, so that the worker's first report looked like a restart and reset the leases that the roster had named, and its own roster lost the incarnation that its successor needs to see a restart. The newer of both incarnations counts, and a restart that this owner cannot judge keeps the leases.

--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -174,6 +174,10 @@
         worker.former_incarnation = entry.incarnation;
         let newest = worker.registered.max(worker.registration.incarnation);
         let restarted = entry.incarnation.is_some_and(|known| newest > known);
+        // The registry may lag behind the former owner, or not list the worker.
+        if let Some(known) = entry.incarnation.filter(|_| !worker.synced) {
+            worker.registration.incarnation = newest.max(known);
+        }
         if let Some(left) = entry.overlong_left {
             worker
                 .leases
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -158,15 +158,15 @@
             }
             open = self.lose_ended(key, now);
         }
-        let leases = &self.workers[key].leases;
-        let leases = leases.restarted(in_progress, now, self.longest_lease);
+        let former_leases = self.workers[key].leases;
+        let leases = former_leases.restarted(in_progress, now, self.longest_lease);
         if incarnation != former {
             self.workers[key].ended_incarnation = former;
         }
         self.workers[key].registration.incarnation = incarnation;
         self.workers[key].reset(now);
+        self.workers[key].leases = if known { leases } else { former_leases };
         if known {
-            self.workers[key].leases = leases;
             // A successor must know of the restart before the worker gets new tasks.
             self.workers[key].in_roster = false;
             self.writes.mark_roster_changed();
