Copies of starts that were stopped in progress count as open

A start was being sent when the restart of its worker showed, or when its run was stopped for another reason, and then got no answer. As the task was no longer starting, the copy was not recorded: a further restart of the worker let its task start elsewhere too early, and a restarted worker was not told to stop the run (TWICE).

--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -150,15 +150,24 @@
         run: u64,
         now: Moment,
     ) -> Option<StopOrder> {
+        self.record_open_copy(worker, key, run, now);
         self.starting_workflow(worker, key, run)?;
-        self.ledger.tasks[key].unanswered_copies += 1;
-        let task = &self.ledger.tasks[key];
-        let (name, sent) = (task.name, task.last_copy);
+        let reason = self.leaving_reason(worker)?;
+        self.withdraw(key, reason, now)
+    }
+
+    /// Records a copy of a start order without an answer, also if its run was stopped meanwhile.
+    fn record_open_copy(&mut self, worker: WorkerKey, key: TaskKey, run: u64, now: Moment) {
+        let Some(task) = self.ledger.tasks.get_mut(key) else {
+            return;
+        };
+        let current = task.run == run;
+        let sent = if current { task.last_copy } else { now };
+        task.unanswered_copies += u32::from(current);
+        let name = task.name;
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.on_unanswered_copy((name, run), sent);
         }
-        let reason = self.leaving_reason(worker)?;
-        self.withdraw(key, reason, now)
     }
 
     /// Processes a worker's refusal of a copy of a start order; this copy had no effect.
