A late report after a clock reset does not bring back the former clock

Only the worker's clock had shown a restart, and a report of the former incarnation arrived after that. While the new incarnation is not known, a report of the former one whose clock is more than a second beyond what the new clock can show is ignored.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -5,7 +5,9 @@
 
 use slotmap::new_key_type;
 
-use super::{Availability, Capacity, Clock, Leases, MAX_LATENESS, PriorityUse, Registration};
+use super::{
+    Availability, Capacity, Clock, Leases, MAX_LATENESS, PriorityUse, Registration, WorkerReport,
+};
 use crate::interference::ImageKey;
 use crate::moment::Moment;
 use crate::workflow::{TaskKey, TaskName, WorkflowKey};
@@ -26,6 +28,8 @@
 const QUARANTINE_FAILURES: usize = 3;
 /// The length of the first quarantine; each further one is twice as long.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(2);
+/// By how much a worker's clock may be ahead of what its last reading leads to expect.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(1);
 /// The limit on the length of a quarantine.
 const MAX_QUARANTINE: Duration = Duration::from_secs(30);
 
@@ -298,6 +302,18 @@
         self.evacuated || self.registration.availability == Availability::Draining
     }
 
+    /// Whether a report is one of the former incarnation that has arrived late. If only the clock
+    /// has shown the restart, the former incarnation's clock is beyond what the new one can show.
+    pub(crate) fn is_outdated(&self, report: &WorkerReport, now: Moment) -> bool {
+        let incarnation = report.incarnation;
+        if incarnation > 0 && incarnation == self.ended_incarnation {
+            return true;
+        }
+        let former = self.restart_unreported && incarnation == self.registration.incarnation;
+        let limit = self.clock.map(|clock| clock.lease_end(now, MAX_CLOCK_LEAD));
+        former && limit.is_some_and(|limit| report.clock > limit)
+    }
+
     /// Whether the known capacity and labels are those of the present incarnation. A worker may
     /// come back under its id as another kind.
     const fn has_current_registration(&self) -> bool {
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -27,8 +27,7 @@
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        let ended = worker.ended_incarnation;
-        if ended > 0 && report.incarnation == ended {
+        if worker.is_outdated(report, now) {
             return;
         }
         self.check_incarnation(key, report, now);
