Copies of earlier runs and of former owners hold up a task on a restarted worker

A task's last run was on a worker that restarted, and a copy of the start of an earlier run of it was still on its way there, from this owner or from the former one. The owner took the last run for the only one: as its start had been answered, the task started elsewhere at once, and the new incarnation began the earlier run (TWICE). Such a task waits until the new incarnation has confirmed a stop order, which refuses all earlier runs, or until its leases have ended.

--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -213,9 +213,16 @@
     /// whose start may still reach the new one.
     fn lose_ended(&mut self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
         let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
-        let (open, ended): (Vec<TaskKey>, Vec<TaskKey>) = tasks
-            .into_iter()
-            .partition(|task| self.may_arrive(*task, now));
+        let copies = &self.workers[key].open_copies;
+        let is_open = |task: &TaskKey| {
+            let name = self.ledger.tasks[*task].name;
+            // A copy of an earlier run's order begins that run.
+            let earlier = copies
+                .iter()
+                .any(|((of, _), sent)| *of == name && now < *sent + MAX_LATENESS);
+            earlier || self.may_arrive(*task, now)
+        };
+        let (open, ended): (Vec<TaskKey>, Vec<TaskKey>) = tasks.into_iter().partition(is_open);
         for task in &open {
             self.unassign(*task);
             self.ledger.tasks[*task].restart_gate = now;
@@ -281,9 +288,9 @@
     pub(super) fn may_arrive(&self, key: TaskKey, now: Moment) -> bool {
         let task = &self.ledger.tasks[key];
         let sent = task.unanswered_copies > 0 || (!task.confirmed && task.lease_end.is_some());
-        // Only the former owner knew whether all copies of an adopted run's order were answered.
-        let adopted = task.run > 0 && !self.is_own_run(task.run);
-        let former = self.former_read.filter(|_| adopted);
+        // Only the former owner knew whether all copies of its orders were answered.
+        let inherited = task.former_run || (task.run > 0 && !self.is_own_run(task.run));
+        let former = self.former_read.filter(|_| inherited);
         sent && now < task.last_copy + MAX_LATENESS
             || former.is_some_and(|read| now < read + MAX_LATENESS)
     }
