Leases are not renewed after a poll without an answer

A worker that restarts takes the poll after the one that failed, by way of the kernel's backlog or of a repeated opening packet, and with it a lease by the clock of its former incarnation, which holds for the longest lease there.

--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -265,7 +265,12 @@
         }
         let settles = self.awaits_report(key);
         let worker = self.workers.get(key)?;
-        let renews = renew && worker.synced && now - worker.last_contact < MAX_RENEWAL_SILENCE;
+        // The worker may have restarted since a poll that failed. Its next incarnation would take a
+        // lease by the former clock for the longest one, so a report comes first.
+        let renews = renew
+            && worker.synced
+            && !worker.poll_failed
+            && now - worker.last_contact < MAX_RENEWAL_SILENCE;
         let wait = if !renews || settles {
             Duration::ZERO
         } else if self.has_full_leases(now) {
--- a/src/schedule/tests/restarts.rs
+++ b/src/schedule/tests/restarts.rs
@@ -245,6 +245,23 @@
     );
 }
 
+/// The poll may wait in the kernel until the worker's next incarnation reads it.
+#[test]
+fn leases_are_renewed_by_the_known_clock_after_a_poll_without_an_answer() {
+    let (mut shard, worker, ..) = start_one();
+    let renewal = |shard: &mut Shard| {
+        let order = shard.scheduler.poll_order(worker, true, at(shard.now));
+        order.and_then(|order| order.lease_end)
+    };
+    shard.now = 500;
+    assert!(renewal(&mut shard).is_some());
+    shard.scheduler.on_poll_failed(worker, false);
+    shard.now = 750;
+    assert_eq!(renewal(&mut shard), None);
+    shard.report(0, &[], &[]);
+    assert!(renewal(&mut shard).is_some());
+}
+
 /// Answers on different connections may overtake each other.
 #[test]
 fn a_late_report_of_the_former_incarnation_ends_the_runs_of_the_present_one() {
