Tests: workers with real sockets restart and are cut off while the owner changes (fails)

Callers saw tasks that ran twice after workers had restarted under their ids and were cut off soon after, while the owner changed and no order was late. No test had real connections to workers that are down: the stand-in restarted in one moment, behind connections that stayed open, and granted leases of any length.

A crash and the new start are two moments; whether a late order survives them is a choice of the test. A door in front of the worker closes open connections or lets them go silent, and refuses new ones, leaves them in the backlog until the next incarnation reads them, or fills the backlog, so that the kernel drops opening packets and the client's kernel repeats them.

The test draws from a seed: a third of nine workers is down for 0.2 to 2 s while tasks of 8 to 14 s run and others start, the owner is killed or stopped up to 4 s after their new start, and they are cut off 0.3 to 4 s after it for 5 to 12 s. LYCHEELOCK_FLEET_SEED and _COUNT play further seeds.

It fails on the present code.

--- a/tests/common/fleet/deployment.rs
+++ b/tests/common/fleet/deployment.rs
@@ -4,7 +4,7 @@
 use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -13,6 +13,7 @@
 use lycheelock::server::RunningServer;
 use serde_json::{Value, json};
 
+use crate::door::{Door, Shut};
 use crate::faults::Faults;
 use crate::ports::free_address;
 use crate::relay::Relay;
@@ -85,6 +86,11 @@
     pub cores: &'a str,
     /// Whether connections to the store and to workers lead through relays.
     pub relayed: bool,
+    /// Whether connections to workers lead through doors.
+    pub doors: bool,
+    /// Readings, in milliseconds, and rates of the clocks of the first workers; the other
+    /// clocks begin at 0.
+    pub clocks: &'a [(u64, f64)],
     /// The limit on the body of a caller's request, in bytes.
     pub body: u64,
 }
@@ -97,6 +103,8 @@
             zones: &["a"],
             cores: "1",
             relayed: false,
+            doors: false,
+            clocks: &[],
             body: 65_536,
         }
     }
@@ -123,6 +131,10 @@
     pub store_relays: Vec<Relay>,
     /// Relays to the workers, if there are any.
     pub worker_relays: Vec<Relay>,
+    /// Doors of the workers, if there are any.
+    worker_doors: Vec<Door>,
+    /// Availability zones, which the workers are in by turns.
+    zones: Vec<String>,
     /// One for each entry daemon.
     _store_servers: Vec<RunningServer>,
 }
@@ -146,6 +158,8 @@
             zones,
             cores,
             relayed,
+            doors,
+            clocks,
             body,
         } = *parts;
         static COUNT: AtomicU32 = AtomicU32::new(0);
@@ -165,11 +179,15 @@
             store_relays.extend(relay);
         }
         let mut running = Vec::new();
+        let mut worker_doors = Vec::new();
         let journal = Arc::new(Journal::default());
         let faults = Arc::new(Faults::default());
         for number in 0..workers {
             let id = format!("w{number}");
             let worker = Worker::new(&id, free_address(), &journal, &faults, TASK_DURATION);
+            if let Some((reading, rate)) = clocks.get(number) {
+                worker.set_clock(*reading, *rate);
+            }
             let server = worker.serve().await;
             let mut entry = worker.roster_entry();
             entry["zone"] = json!(zones[number % zones.len()]);
@@ -178,6 +196,11 @@
                 entry["address"] = json!(relay.address.to_string());
                 worker_relays.push(relay);
             }
+            if doors {
+                let door = Door::open_at(free_address(), worker.address());
+                entry["address"] = json!(door.address.to_string());
+                worker_doors.push(door);
+            }
             store.put(&format!("servers/{id}"), &entry);
             running.push((worker, server));
         }
@@ -197,6 +220,8 @@
             workers: running,
             store_relays,
             worker_relays,
+            worker_doors,
+            zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
             _store_servers: store_servers,
         };
         for (number, platform) in platforms.into_iter().enumerate() {
@@ -363,6 +388,33 @@
         self.workers.insert(worker, (moved, server));
     }
 
+    /// Returns a worker.
+    pub fn worker(&self, worker: usize) -> &Worker {
+        &self.workers[worker].0
+    }
+
+    /// Opens the door of a worker, or shuts it.
+    pub fn set_door(&self, worker: usize, shut: Option<Shut>) {
+        self.worker_doors[worker].set(shut);
+    }
+
+    /// Writes the registry's entry of a worker that is behind a door.
+    pub fn register(&self, worker: usize) {
+        let mut entry = self.worker(worker).roster_entry();
+        entry["address"] = json!(self.worker_doors[worker].address.to_string());
+        entry["zone"] = json!(self.zones[worker % self.zones.len()]);
+        self.store.put(&self.registry_key(worker), &entry);
+    }
+
+    /// Removes the registry's entry of a worker.
+    pub fn unregister(&self, worker: usize) {
+        self.store.delete(&self.registry_key(worker));
+    }
+
+    fn registry_key(&self, worker: usize) -> String {
+        format!("servers/{}", self.worker(worker).id)
+    }
+
     /// Kills an entry daemon and waits for its process to exit.
     pub fn kill(&mut self, entry: usize) {
         self.entries[entry].signal("KILL");
@@ -384,6 +436,16 @@
             .await
     }
 
+    /// Submits a job to a daemon that may be down. Returns the status, 0 if there is none.
+    pub async fn try_submit(&self, entry: usize, id: &str, payload: &str, steps: &Value) -> u16 {
+        let url = format!("http://{}/q/{id}", self.front_addresses[entry]);
+        let body = json!({"spec": payload, "steps": steps}).to_string();
+        let request = self.client.post(url).header("host", "jobs.example");
+        let request = request.body(body).timeout(Duration::from_secs(2));
+        let response = request.send().await;
+        response.map_or(0, |response| response.status().as_u16())
+    }
+
     /// Returns the status of the answer to a request for the queue of a path prefix.
     pub async fn queue_status(&self, entry: usize, prefix: &str) -> u16 {
         let url = format!("http://{}{prefix}", self.front_addresses[entry]);
@@ -438,6 +500,16 @@
     }
 }
 
+impl Deployment {
+    /// Copies the logs of the daemons to a folder, under names that begin with a prefix.
+    pub fn keep_logs(&self, folder: &Path, prefix: &str) {
+        for entry in 0..self.entries.len() {
+            let name = format!("{prefix}-e{entry}.log");
+            fs::copy(self.log(entry), folder.join(name)).expect("logs can be copied");
+        }
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.entries.clear();
--- a/tests/common/fleet/workers.rs
+++ b/tests/common/fleet/workers.rs
@@ -4,7 +4,7 @@
 use std::future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lycheelock::server::{self, RunningServer};
 use rocket::serde::json::Json;
@@ -25,6 +25,8 @@
 const OVERLAP_TOLERANCE: Duration = Duration::from_millis(5);
 /// Run time of a brief task.
 const BRIEF_DURATION: Duration = Duration::from_millis(50);
+/// The longest lease that a worker grants (`hold_max_ms`).
+const MAX_LEASE_MS: u64 = 10_000;
 
 /// One run of a task, as its worker recorded it.
 #[derive(Debug, Clone)]
@@ -200,13 +202,53 @@
     lapsed: bool,
 }
 
+/// A worker's steady clock.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    started: Instant,
+    /// Reading when it started, in milliseconds.
+    base: u64,
+    /// Its rate; up to 2% slow.
+    rate: f64,
+}
+
+impl Clock {
+    fn new(base: u64, rate: f64) -> Self {
+        let started = Instant::now();
+        Self {
+            started,
+            base,
+            rate,
+        }
+    }
+
+    fn read(&self) -> u64 {
+        self.base + self.started.elapsed().mul_f64(self.rate).as_millis() as u64
+    }
+
+    /// When the clock shows a reading, at the earliest when it started.
+    fn shows(&self, reading: u64) -> Instant {
+        let since = Duration::from_millis(reading.saturating_sub(self.base));
+        self.started + since.div_f64(self.rate)
+    }
+}
+
+/// What becomes of an order whose execution is due in a later incarnation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AfterRestart {
+    /// It is lost with the incarnation that received it.
+    #[default]
+    Lost,
+    /// The later incarnation executes it.
+    Executed,
+}
+
 /// What one incarnation of a worker knows.
 #[derive(Debug)]
 struct Inner {
-    /// Number of the incarnation.
+    /// The Unix millisecond of the incarnation's start.
     born: u64,
-    /// Start of the incarnation, from which its clock counts.
-    started: Instant,
+    clock: Clock,
     /// Highest fencing token seen.
     fence: u64,
     /// End of the lease of all runs in milliseconds of the worker's clock.
@@ -220,13 +262,16 @@
     reach: Reach,
     /// Highest fencing token seen when `reach` was set.
     reached_fence: u64,
+    /// Whether the worker has crashed and not started again.
+    down: bool,
+    after_restart: AfterRestart,
 }
 
 impl Inner {
-    fn new(born: u64) -> Self {
+    fn new(born: u64, clock: Clock) -> Self {
         Self {
             born,
-            started: Instant::now(),
+            clock,
             fence: 0,
             lease_end: 0,
             active: BTreeMap::new(),
@@ -235,12 +280,15 @@
             last_end: 0,
             reach: Reach::Everyone,
             reached_fence: 0,
+            down: false,
+            after_restart: AfterRestart::Lost,
         }
     }
 
     /// Whether a call with this fencing token reaches the worker.
     fn is_reached(&self, fence: u64) -> bool {
         match self.reach {
+            _ if self.down => false,
             Reach::Everyone => true,
             Reach::PresentOwner => fence <= self.reached_fence,
             Reach::LaterOwners => fence > self.reached_fence,
@@ -248,16 +296,31 @@
         }
     }
 
-    fn clock(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+    fn begin_incarnation(&mut self) {
+        let clock = Clock::new(0, self.clock.rate);
+        *self = Self {
+            reach: self.reach,
+            reached_fence: self.reached_fence,
+            after_restart: self.after_restart,
+            ..Self::new(unix_ms().max(self.born + 1), clock)
+        };
+    }
+
+    /// Extends the lease of all runs, as far as the worker grants it.
+    fn extend_lease(&mut self, until: u64) {
+        let longest = self.clock.read() + MAX_LEASE_MS;
+        self.lease_end = self.lease_end.max(until.min(longest));
     }
 
     fn refuse(&self, reason: &str) -> Reply {
-        json_answer(409, &json!({"clock_ms": self.clock(), "reason": reason}))
+        json_answer(
+            409,
+            &json!({"clock_ms": self.clock.read(), "reason": reason}),
+        )
     }
 
     fn accept(&self) -> Reply {
-        json_answer(200, &json!({"clock_ms": self.clock()}))
+        json_answer(200, &json!({"clock_ms": self.clock.read()}))
     }
 }
 
@@ -274,8 +337,9 @@
 }
 
 impl Worker {
-    /// Creates a worker whose tasks take `task_duration`, or less if their payload is
-    /// `brief`, or never end if it is `endless`.
+    /// Creates a worker whose tasks take as many milliseconds as their payload says, or
+    /// `task_duration` if it says nothing, or less if it is `brief`, or never end if it is
+    /// `endless`.
     pub fn new(
         id: &str,
         address: SocketAddr,
@@ -289,10 +353,21 @@
             journal: journal.clone(),
             faults: faults.clone(),
             task_duration,
-            inner: Mutex::new(Inner::new(1)),
+            inner: Mutex::new(Inner::new(unix_ms(), Clock::new(0, 1.0))),
         })
     }
 
+    /// Sets the reading of the clock of this incarnation, in milliseconds, and the rate of
+    /// the clock in this one and later ones.
+    pub fn set_clock(&self, reading: u64, rate: f64) {
+        self.update(|inner| inner.clock = Clock::new(reading, rate));
+    }
+
+    /// Sets what becomes of late orders when the worker restarts.
+    pub fn set_after_restart(&self, after_restart: AfterRestart) {
+        self.update(|inner| inner.after_restart = after_restart);
+    }
+
     /// Serves the worker's interface.
     pub async fn serve(self: &Arc<Self>) -> RunningServer {
         let rocket = server::build(self.address, SHUTDOWN_TIMEOUT, MAX_BODY_BYTES)
@@ -329,22 +404,40 @@
     /// Ends all runs and begins a new incarnation that knows nothing of the former one.
     pub fn restart(&self) {
         self.update(|inner| {
-            let now = Instant::now();
-            for active in inner.active.values() {
-                self.journal.end(active.index, now, "crashed");
-            }
-            // The owner may never learn of these ends, and then has to repeat the tasks.
-            for end in &inner.ends {
-                self.journal.mark_unreported(end.index);
-            }
-            *inner = Inner {
-                reach: inner.reach,
-                reached_fence: inner.reached_fence,
-                ..Inner::new(inner.born + 1)
-            };
+            self.end_incarnation(inner);
+            inner.begin_incarnation();
         });
     }
 
+    /// Ends all runs. The worker is down until it starts again.
+    pub fn crash(&self) {
+        self.update(|inner| self.end_incarnation(inner));
+    }
+
+    /// Begins a new incarnation that knows nothing of the former one.
+    pub fn start_again(&self) {
+        self.update(Inner::begin_incarnation);
+    }
+
+    fn end_incarnation(&self, inner: &mut Inner) {
+        let now = Instant::now();
+        for active in inner.active.values() {
+            self.journal.end(active.index, now, "crashed");
+        }
+        // The owner may never learn of these ends, and then has to repeat the tasks.
+        for end in &inner.ends {
+            self.journal.mark_unreported(end.index);
+        }
+        inner.active.clear();
+        inner.ends.clear();
+        inner.down = true;
+    }
+
+    /// Ends the runs that are due, as a call would.
+    pub fn settle(&self) {
+        self.update(|_| ());
+    }
+
     /// Ends due runs, then applies a change.
     fn update<T>(&self, change: impl FnOnce(&mut Inner) -> T) -> T {
         let mut inner = self.inner.lock().unwrap();
@@ -355,7 +448,7 @@
     /// Ends the runs that are done or whose leases have expired.
     fn end_due_runs(&self, inner: &mut Inner) {
         let now = Instant::now();
-        let lease_end = inner.started + Duration::from_millis(inner.lease_end);
+        let lease_end = inner.clock.shows(inner.lease_end);
         let due = inner.active.iter().filter_map(|(run, active)| {
             let (at, outcome) = match active.finish_at {
                 Some(finish_at) if finish_at <= lease_end => (finish_at, "done"),
@@ -401,18 +494,29 @@
                 future::pending().await
             }
             Fate::Unavailable => json_answer(503, &json!({})),
-            Fate::NoRoom => self.update(|inner| inner.refuse("room")),
+            Fate::NoRoom => self.update(|inner| {
+                if order.fence < inner.fence {
+                    return inner.refuse("fence");
+                }
+                inner.fence = order.fence;
+                inner.extend_lease(order.until_ms);
+                inner.refuse("room")
+            }),
         }
     }
 
-    /// Executes an order after a delay, unless the worker has restarted by then.
+    /// Executes an order after a delay. An incarnation that has ended by then has lost it,
+    /// or the next one executes it, at the earliest when it has started.
     fn execute_later(self: &Arc<Self>, kind: OrderKind, order: Order, delay: Duration) {
         let worker = self.clone();
         let born = self.inner.lock().unwrap().born;
         tokio::spawn(async move {
             sleep(delay).await;
+            while worker.update(|inner| inner.down) {
+                sleep(POLL_INTERVAL).await;
+            }
             worker.update(|inner| {
-                if inner.born == born {
+                if inner.born == born || inner.after_restart == AfterRestart::Executed {
                     worker.execute(inner, kind, &order);
                 }
             });
@@ -441,7 +545,7 @@
 
     fn start(&self, inner: &mut Inner, order: &Order) -> Reply {
         let run = (order.task.clone(), order.run);
-        inner.lease_end = inner.lease_end.max(order.until_ms);
+        inner.extend_lease(order.until_ms);
         if inner.active.contains_key(&run) {
             return inner.accept();
         }
@@ -449,7 +553,7 @@
         if order.run <= closed_run.unwrap_or_default() {
             return inner.refuse("old");
         }
-        if order.until_ms <= inner.clock() {
+        if order.until_ms <= inner.clock.read() {
             return inner.refuse("late");
         }
         let started = Instant::now();
@@ -466,7 +570,10 @@
         let finish_at = match order.spec.as_str() {
             "endless" => None,
             "brief" => Some(started + BRIEF_DURATION),
-            _ => Some(started + self.task_duration),
+            spec => {
+                let ms = spec.parse().map(Duration::from_millis);
+                Some(started + ms.unwrap_or(self.task_duration))
+            }
         };
         inner.active.insert(run, ActiveRun { index, finish_at });
         inner.accept()
@@ -524,7 +631,7 @@
             worker.journal.acknowledge(end.index);
         }
         inner.ends.retain(|end| end.number > body.last_seen);
-        inner.lease_end = inner.lease_end.max(body.until_ms.unwrap_or_default());
+        inner.extend_lease(body.until_ms.unwrap_or_default());
         Ok(inner.born)
     });
     let born = match applied {
@@ -561,8 +668,13 @@
     json_answer(
         200,
         &json!({
-            "clock_ms": inner.clock(), "born": inner.born,
+            "clock_ms": inner.clock.read(), "born": inner.born,
             "running": running, "finished": finished,
         }),
     )
 }
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.expect("the system's clock is set").as_millis() as u64
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,12 +5,15 @@
 #[allow(dead_code, reason = "the overload tests use the rest of it")]
 #[path = "../common/fleet/deployment.rs"]
 mod deployment;
+#[path = "../common/fleet/door.rs"]
+mod door;
 mod evacuation;
 #[path = "../common/fleet/faults.rs"]
 mod faults;
 mod odd;
 #[path = "../common/ports.rs"]
 mod ports;
+mod recuts;
 #[allow(dead_code, reason = "the process tests use the rest of it")]
 #[path = "../common/relay.rs"]
 mod relay;
--- a/tests/overload/main.rs
+++ b/tests/overload/main.rs
@@ -7,6 +7,9 @@
 
 mod crowd;
 #[allow(dead_code, reason = "the fleet tests use the rest of it")]
+#[path = "../common/fleet/door.rs"]
+mod door;
+#[allow(dead_code, reason = "the fleet tests use the rest of it")]
 #[path = "../common/fleet/faults.rs"]
 mod faults;
 #[allow(dead_code, reason = "the fleet tests use the rest of it")]
