Tests: starts on closed connections, in the backlog and with dropped packets

Shown on real sockets with WorkerApi:

- A start whose connection is closed after it was read, on a new connection or a pooled one, arrives once and counts as unanswered. 200 starts on connections that are closed meanwhile arrive at most once each.
The library repeats only requests that it has not begun to write.
- A start that the backlog holds for a process that does not accept arrives after the client has given it up, and counts as unanswered.
- A start that is given up while the opening packet is dropped never arrives.

--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -1,5 +1,6 @@
 mod connections;
 mod mutated;
+mod sockets;
 
 use std::time::Duration;
 
