--- a/src/schedule/tests/successors/review.rs
+++ b/src/schedule/tests/successors/review.rs
@@ -208,3 +208,50 @@
         shard.orders()
     );
 }
+
+/// A write of the roster is in progress when the worker restarts.
+#[test]
+fn a_roster_from_before_a_restart_opens_the_restarted_worker() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    let added = shard.scheduler.on_registry(registrations(1), at(0));
+    shard.workers.extend(added);
+    let batch = shard.scheduler.collect(true, at(0));
+    assert!(batch.roster.is_some());
+    shard.now = 100;
+    shard.report_with(0, 2, Vec::new(), &[]);
+    shard.scheduler.on_written(&batch);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+}
+
+/// The owner goes on for 14 s after the restart, and is then killed. Its successor counts the time
+/// that the roster names anew.
+#[test]
+fn a_successor_waits_anew_for_leases_that_a_former_owner_has_waited_for() {
+    let (mut former, task, _) = former_owner(Learned::ByRegistry);
+    let mut stored = killed(former_owner(Learned::ByRegistry).0).roster;
+    while former.now < 15_000 {
+        former.now += 100;
+        former.report(1, &[], &[]);
+        if former.now.is_multiple_of(900) {
+            let now = at(former.now);
+            former.scheduler.on_registry(registrations(2), now);
+        }
+        former.plan();
+        let batch = former.scheduler.collect(true, at(former.now));
+        former.scheduler.on_written(&batch);
+        stored = batch.roster.unwrap_or(stored);
+    }
+    let stored = Stored {
+        roster: stored,
+        registered: 2,
+    };
+    let mut next = next_owner(stored, 15_500);
+    let start = start_time(&mut next, task, 2);
+    let end = STARTED + MAX_LATENESS + LONGEST_LEASE;
+    assert!(
+        start.is_some_and(|at| at > end && at < end + 1_000),
+        "{start:?}, last run ended at {end}"
+    );
+}
