--- a/src/schedule/tests/successors/review.rs
+++ b/src/schedule/tests/successors/review.rs
@@ -255,3 +255,39 @@
         "{start:?}, last run ended at {end}"
     );
 }
+
+/// While the recovery waits for the first worker, the second restarts and leaves the registry.
+#[test]
+fn a_worker_with_a_withdrawn_start_is_removed_as_one_that_never_answered() {
+    let (former, ..) = former_owner(Learned::ByRegistry);
+    let mut next = next_owner(killed(former), ENDED + 500);
+    next.write();
+    next.submit(active_workflow(2, vec![step(1, 1)], 2 * FENCE + 1, 0));
+    next.plan();
+    let second = next.workers[1];
+    let start = next.orders.iter().find_map(|(worker, order)| match order {
+        Order::Start { task, run } if *worker == second => Some((*task, *run)),
+        _ => None,
+    });
+    let (task, run) = start.expect("the new job starts on the second worker");
+    let now = at(next.now);
+    assert!(next.scheduler.start_order(second, task, run, now).is_some());
+    next.scheduler.on_start_unanswered(second, task, run, now);
+    let mut entries = registrations(2);
+    entries[1].incarnation = 2;
+    next.now += 500;
+    next.scheduler.on_registry(entries.clone(), at(next.now));
+    assert_eq!(
+        next.scheduler.ledger.tasks[task].stage,
+        Stage::Stopping(second)
+    );
+    entries.truncate(1);
+    next.scheduler.on_registry(entries, at(next.now + 500));
+    next.now += RECOVERY;
+    next.plan();
+    assert!(
+        next.scheduler.workers.contains_key(second),
+        "{:?} on a removed worker",
+        next.scheduler.ledger.tasks[task].stage
+    );
+}
