--- a/src/schedule/tests/successors/review.rs
+++ b/src/schedule/tests/successors/review.rs
@@ -208,3 +208,86 @@
         shard.orders()
     );
 }
+
+/// A write of the roster is in progress when the worker restarts.
+#[test]
+fn a_roster_from_before_a_restart_opens_the_restarted_worker() {
+    let mut shard = Shard::first_owner(&["w0"]);
+    let added = shard.scheduler.on_registry(registrations(1), at(0));
+    shard.workers.extend(added);
+    let batch = shard.scheduler.collect(true, at(0));
+    assert!(batch.roster.is_some());
+    shard.now = 100;
+    shard.report_with(0, 2, Vec::new(), &[]);
+    shard.scheduler.on_written(&batch);
+    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+}
+
+/// The owner goes on for 14 s after the restart, and is then killed. Its successor counts the time
+/// that the roster names anew.
+#[test]
+fn a_successor_waits_anew_for_leases_that_a_former_owner_has_waited_for() {
+    let (mut former, task, _) = former_owner(Learned::ByRegistry);
+    let mut stored = killed(former_owner(Learned::ByRegistry).0).roster;
+    while former.now < 15_000 {
+        former.now += 100;
+        former.report(1, &[], &[]);
+        if former.now.is_multiple_of(900) {
+            let now = at(former.now);
+            former.scheduler.on_registry(registrations(2), now);
+        }
+        former.plan();
+        let batch = former.scheduler.collect(true, at(former.now));
+        former.scheduler.on_written(&batch);
+        stored = batch.roster.unwrap_or(stored);
+    }
+    let stored = Stored {
+        roster: stored,
+        registered: 2,
+    };
+    let mut next = next_owner(stored, 15_500);
+    let start = start_time(&mut next, task, 2);
+    let end = STARTED + MAX_LATENESS + LONGEST_LEASE;
+    assert!(
+        start.is_some_and(|at| at > end && at < end + 1_000),
+        "{start:?}, last run ended at {end}"
+    );
+}
+
+/// While the recovery waits for the first worker, the second restarts and leaves the registry.
+#[test]
+fn a_worker_with_a_withdrawn_start_is_removed_as_one_that_never_answered() {
+    let (former, ..) = former_owner(Learned::ByRegistry);
+    let mut next = next_owner(killed(former), ENDED + 500);
+    next.write();
+    next.submit(active_workflow(2, vec![step(1, 1)], 2 * FENCE + 1, 0));
+    next.plan();
+    let second = next.workers[1];
+    let start = next.orders.iter().find_map(|(worker, order)| match order {
+        Order::Start { task, run } if *worker == second => Some((*task, *run)),
+        _ => None,
+    });
+    let (task, run) = start.expect("the new job starts on the second worker");
+    let now = at(next.now);
+    assert!(next.scheduler.start_order(second, task, run, now).is_some());
+    next.scheduler.on_start_unanswered(second, task, run, now);
+    let mut entries = registrations(2);
+    entries[1].incarnation = 2;
+    next.now += 500;
+    next.scheduler.on_registry(entries.clone(), at(next.now));
+    assert_eq!(
+        next.scheduler.ledger.tasks[task].stage,
+        Stage::Stopping(second)
+    );
+    entries.truncate(1);
+    next.scheduler.on_registry(entries, at(next.now + 500));
+    next.now += RECOVERY;
+    next.plan();
+    assert!(
+        next.scheduler.workers.contains_key(second),
+        "{:?} on a removed worker",
+        next.scheduler.ledger.tasks[task].stage
+    );
+}
