A roster that was being written at a restart does not open the restarted worker

The owner may give a restarted worker tasks once the store has the roster that tells of the restart. A write that had begun before was taken for it, so an owner killed after the next start left its successor without word of the restart. Each restart notes the first version of the roster that tells of it.

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -130,6 +130,8 @@
     pub evacuated: bool,
     /// Whether the stored roster says that this owner may start tasks on the worker.
     pub in_roster: bool,
+    /// The first version of the roster that tells of the worker's last restart; 0 before one.
+    pub roster_version: u64,
     /// Whether the worker answered recently; the roster marks one that did not as closed.
     pub responsive: bool,
     /// Whether the last poll failed, so that the worker may have restarted since.
@@ -213,6 +215,7 @@
             listed: true,
             evacuated: false,
             in_roster: false,
+            roster_version: 0,
             responsive: true,
             poll_failed: false,
             restart_unreported: false,
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -168,8 +168,9 @@
         self.workers[key].leases = if known { leases } else { former_leases };
         if known {
             // A successor must know of the restart before the worker gets new tasks.
-            self.workers[key].in_roster = false;
             self.writes.mark_roster_changed();
+            self.workers[key].in_roster = false;
+            self.workers[key].roster_version = self.writes.roster_version();
         }
         let (begun, withdrawn) = (listed.len(), open.len() + settled.len());
         for task in listed {
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// The version of the roster that the next write has.
+    pub const fn roster_version(&self) -> u64 {
+        self.roster_version
+    }
+
     pub fn mark_roster_read(&mut self) {
         self.roster = RosterState::Changed;
     }
@@ -234,8 +239,10 @@
 
     fn on_roster_written(&mut self, roster: &[RosterEntry], version: u64) {
         for entry in roster.iter().filter(|entry| entry.closed.is_none()) {
-            if let Some(key) = self.by_id.get(&entry.id) {
-                self.workers[*key].in_roster = true;
+            let worker = self.by_id.get(&entry.id).map(|key| &mut self.workers[*key]);
+            // A write that was in progress at a restart does not tell of it.
+            if let Some(worker) = worker.filter(|worker| worker.roster_version <= version) {
+                worker.in_roster = true;
             }
         }
         let is_recorded = |(key, worker): (WorkerKey, &Worker)| {
