The roster is renewed while it names overlong leases

A successor counts the time that is left of such leases from when it reads the roster. While the roster names such leases it goes along with a write that is due anyway, at most once a second, and it no longer names those of a replaced worker.

--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -14,6 +14,10 @@
 /// other shards' owners is read.
 pub const PAIRS_INTERVAL: Duration = Duration::from_secs(3);
 
+/// The interval at which the roster is written again while it names overlong leases: a successor
+/// counts the time that is left of them from when it reads the roster.
+const OVERLONG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The changes that are not written yet.
 #[derive(Debug, Default)]
 pub(super) struct Writes {
@@ -26,6 +30,8 @@
     roster: RosterState,
     /// The version of the roster; shows whether it changed during a write.
     roster_version: u64,
+    /// When the roster was last collected for a write.
+    roster_collected: Moment,
     /// Whether the store has the mark that no former owner gives orders any more.
     recovery_written: bool,
     /// The number of pending jobs in each queue, as last written.
@@ -117,7 +123,8 @@
             moves: self.move_records(),
             ..Batch::default()
         };
-        if self.writes.roster == RosterState::Changed {
+        if self.writes.roster == RosterState::Changed || (full && self.has_old_overlong(now)) {
+            self.writes.roster_collected = now;
             batch.roster = Some(self.roster(now));
             batch.roster_version = self.writes.roster_version;
         }
@@ -207,6 +214,15 @@
         })
     }
 
+    /// Whether the stored roster names overlong leases and was written some time ago. They go
+    /// along with writes that are due anyway.
+    fn has_old_overlong(&self, now: Moment) -> bool {
+        let is_old = now - self.writes.roster_collected >= OVERLONG_INTERVAL;
+        let stored = self.writes.roster == RosterState::Written;
+        let mut workers = self.workers.values();
+        stored && is_old && workers.any(|worker| worker.leases.overlong() > now)
+    }
+
     fn roster(&self, now: Moment) -> Vec<RosterEntry> {
         let keys = self.workers.keys();
         keys.map(|key| self.roster_entry(key, now)).collect()
@@ -214,7 +230,12 @@
 
     pub(super) fn roster_entry(&self, key: WorkerKey, now: Moment) -> RosterEntry {
         let registration = &self.workers[key].registration;
-        let overlong = self.workers[key].leases.overlong();
+        let worker = &self.workers[key];
+        // No order to former incarnations reaches a replaced worker.
+        let overlong = match worker.replaced {
+            true => Moment::default(),
+            false => worker.leases.overlong(),
+        };
         RosterEntry {
             id: registration.id.clone(),
             address: registration.address.to_string(),
