Own protocol: a restarted worker starts nothing by a ticket of its former process

Callers saw: a task can run twice at the same time. Shown in the fuzz world, not seen in a run with real processes.

Cause: tickets are numbered by each process of a worker, and a call named the ticket only. Two late calls of a former owner that reach the next process one after the other get it to issue ticket 1 and then to accept the ticket 1 that the former process had issued. The start in the second call has a new lease, however long after the recovery delay it arrives.

The call names the process that issued the ticket, and a worker accepts tickets only for itself. So an order that was meant for one process starts and renews nothing in another.

--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -30,7 +30,7 @@
 };
 use crate::placement::{Placement, Policy};
 use crate::platform::{HostState, ListedHost, StoreOp, StoreReply};
-use crate::workers::{RequestState, SyncRequest, Ticket};
+use crate::workers::{BootId, RequestState, SyncRequest, Ticket};
 
 /// Settings of the decision logic.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -135,6 +135,8 @@
     /// Ticket of the last report; `None` before the first report of the epoch from
     /// this address.
     ticket: Option<Ticket>,
+    /// Process that sent this report.
+    boot: Option<BootId>,
 }
 
 /// The state of one entry host and the decisions on it.
--- a/src/entry/core/sync.rs
+++ b/src/entry/core/sync.rs
@@ -39,6 +39,7 @@
                 epoch,
                 number: state.number,
                 ticket: state.ticket,
+                boot: state.boot,
                 lease_ms: lease.as_millis() as u64,
                 starts: commands.starts,
                 stops: commands.stops,
@@ -88,6 +89,7 @@
             return;
         }
         state.ticket = Some(report.ticket);
+        state.boot = Some(report.boot);
         let me = self.ownership.me();
         let resolved = self.placement.on_report(key, &report, me, now);
         for each in resolved {
--- a/src/standins/tasks.rs
+++ b/src/standins/tasks.rs
@@ -135,9 +135,9 @@
         if let Some(refusal) = self.check_order(request) {
             return SyncReply::Refused(refusal);
         }
-        let valid_ticket = request
-            .ticket
-            .is_some_and(|ticket| self.accepts_ticket(ticket, now));
+        let valid_ticket = request.ticket.is_some_and(|ticket| {
+            request.boot == Some(self.boot) && self.accepts_ticket(ticket, now)
+        });
         if valid_ticket {
             self.renew_leases(request, now);
         }
--- a/src/workers/messages.rs
+++ b/src/workers/messages.rs
@@ -30,6 +30,9 @@
     /// The ticket of the last report, required for starts and lease renewals; `None`
     /// while the owner has none.
     pub ticket: Option<Ticket>,
+    /// The process that issued the ticket. The next one may issue a ticket with the same
+    /// number, so it accepts none that names another process; `None` without a ticket.
+    pub boot: Option<BootId>,
     /// The lease of each task: how long it keeps running without a further call, in
     /// milliseconds.
     pub lease_ms: u64,
--- a/tests/fuzz/found.rs
+++ b/tests/fuzz/found.rs
@@ -114,3 +114,22 @@
         Step::StoreDown(false),
     ]);
 }
+
+/// A worker carried out a start that was meant for its former process, as both had issued
+/// a ticket with the same number.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+fn a_ticket_of_a_former_process_starts_nothing(#[case] owner: usize) {
+    let cut = [0, 1];
+    let mut steps: Vec<Step> = cut.map(Step::WorkerRestart).to_vec();
+    steps.push(Step::Advance(1200));
+    steps.extend(cut.map(|worker| Step::WorkerSilent(worker, true)));
+    steps.push(Step::Advance(1000));
+    steps.extend([Step::Submit(owner, 3, 2), Step::Advance(18_000)]);
+    steps.extend(cut.map(Step::WorkerRestart));
+    steps.extend(cut.map(|worker| Step::WorkerSilent(worker, false)));
+    steps.push(Step::Advance(1000));
+    run_steps(&steps);
+}
