Own protocol: a worker refuses requests that were meant for its former process

Callers saw: a request that was answered as "not run", or that a second worker has run, runs later. Shown in the fuzz world, not seen in a run with real processes.

Cause: after `not_run` a worker refuses the id, but its next process does not know that. An attempt that was delayed on the way and arrives there runs, and the request named no process.

Why the tests missed it: the fuzz world dropped attempts in transit when their worker restarted and their sender had given up. They now arrive at the next process, as `sync` calls already did.

The request names the process that the owner knows (`lycheelock-boot`), and a worker refuses any other, so what a former process reported stays true after a restart.

--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -564,6 +564,8 @@
     pub shard: ShardId,
     /// Epoch under which this host owns the shard.
     pub epoch: Epoch,
+    /// Process of the worker that the attempt is meant for; another one refuses it.
+    pub boot: BootId,
     /// Address of the worker.
     pub address: String,
 }
--- a/src/entry/core/requests.rs
+++ b/src/entry/core/requests.rs
@@ -97,6 +97,7 @@
         let found = self.placement.get(worker)?;
         let shard = found.shard;
         let address = found.address.clone();
+        let boot = found.boot?;
         let epoch = self.ownership.acting_epoch(shard, now)?;
         self.next_request += 1;
         let id = RequestId {
@@ -108,6 +109,7 @@
             id,
             shard,
             epoch,
+            boot,
             address,
         })
     }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -438,6 +438,7 @@
         id: attempt.id,
         shard: attempt.shard,
         epoch: attempt.epoch,
+        boot: attempt.boot,
         method: call.method.clone(),
         path: format!("{}{}", call.service, call.path),
         headers: call.headers.clone(),
--- a/src/load/direct.rs
+++ b/src/load/direct.rs
@@ -14,6 +14,7 @@
 use super::cluster::{Cluster, ClusterSettings};
 use crate::configuration::{Configuration, Service, Team, Zone};
 use crate::settings::WorkerSettings;
+use crate::workers::BootId;
 use crate::{Result, logs, table};
 
 /// The settings of the comparison.
@@ -79,6 +80,7 @@
 struct Bench {
     http: reqwest::Client,
     worker: SocketAddr,
+    boot: BootId,
     owner: SocketAddr,
     non_owner: SocketAddr,
     next_request: AtomicU64,
@@ -168,6 +170,7 @@
         worker: worker
             .parse()
             .expect("a worker stand-in lists a valid address"),
+        boot: cluster.workers[0].boot(),
         owner: cluster.addresses[owner],
         non_owner: cluster.addresses[non_owner],
         next_request: AtomicU64::new(1),
@@ -184,7 +187,8 @@
                 .http
                 .get(format!("http://{}/serve/svc/bytes/{bytes}", self.worker))
                 .header("lycheelock-request", format!("0000000000000001-{number}"))
-                .header("lycheelock-epoch", "s999/1"),
+                .header("lycheelock-epoch", "s999/1")
+                .header("lycheelock-boot", self.boot.0),
             Route::Owner => self
                 .http
                 .get(format!("http://{}/svc/svc/bytes/{bytes}", self.owner)),
--- a/src/standins/tasks.rs
+++ b/src/standins/tasks.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Returns the id of the worker process.
+    pub const fn boot(&self) -> BootId {
+        self.boot
+    }
+
     /// Executes one `sync` call. `running` lists the interactive requests in progress,
     /// and `ended` returns whether a request ran to its end.
     pub fn sync(
@@ -158,9 +163,12 @@
         SyncReply::Report(self.report(running, resolved, now))
     }
 
-    /// Returns whether an interactive request may run: its epoch is not outdated, and
-    /// it was not reported to the owner as not run.
-    pub fn admits(&mut self, id: RequestId, shard: ShardId, epoch: Epoch) -> bool {
+    /// Returns whether an interactive request may run: it is meant for this process, its
+    /// epoch is not outdated, and it was not reported to the owner as not run.
+    pub fn admits(&mut self, id: RequestId, shard: ShardId, epoch: Epoch, boot: BootId) -> bool {
+        if boot != self.boot {
+            return false;
+        }
         let last_call = self.last_calls.entry(shard).or_default();
         last_call.raise_epoch(epoch);
         epoch == last_call.epoch && !self.fenced.contains(&id)
--- a/src/standins/worker.rs
+++ b/src/standins/worker.rs
@@ -23,8 +23,8 @@
 use crate::server::{self, METHODS, RunningServer, answer};
 use crate::settings::WorkerSettings;
 use crate::workers::{
-    BootId, EPOCH_HEADER, HeaderLine, NOT_RUN_HEADER, REQUEST_HEADER, SyncReply, SyncRequest,
-    TICKET_LIFETIME,
+    BOOT_HEADER, BootId, EPOCH_HEADER, HeaderLine, NOT_RUN_HEADER, REQUEST_HEADER, SyncReply,
+    SyncRequest, TICKET_LIFETIME,
 };
 
 /// Header with the mark that a caller gives a request, by which the audit matches
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Returns the id of this run of the worker's process.
+    pub fn boot(&self) -> BootId {
+        self.lock().model.boot()
+    }
+
     /// Replaces the simulated faults.
     pub fn set_faults(&self, faults: WorkerFaults) {
         let mut inner = self.lock();
@@ -190,7 +195,10 @@
         if inner.faults.refuses {
             return Err("refusing");
         }
-        if !inner.model.admits(call.id, call.shard, call.epoch) {
+        if !inner
+            .model
+            .admits(call.id, call.shard, call.epoch, call.boot)
+        {
             return Err("old");
         }
         if inner.running.len() >= self.settings.slots as usize {
@@ -241,6 +249,7 @@
     id: RequestId,
     shard: ShardId,
     epoch: Epoch,
+    boot: BootId,
     mark: String,
     line: String,
 }
@@ -254,6 +263,7 @@
             id: headers.get_one(REQUEST_HEADER)?.parse().ok()?,
             shard: ShardId(shard.strip_prefix('s')?.parse().ok()?),
             epoch: Epoch(epoch.parse().ok()?),
+            boot: BootId(headers.get_one(BOOT_HEADER)?.parse().ok()?),
             mark: headers.get_one(MARK_HEADER).unwrap_or_default().to_owned(),
             line: format!("{} {}", request.method(), request.uri()),
         })
--- a/src/workers/client.rs
+++ b/src/workers/client.rs
@@ -7,8 +7,8 @@
 use reqwest::redirect::Policy;
 use reqwest::{Client, Method, Response};
 
-use super::messages::{SyncReply, SyncRequest};
-use super::{DEADLINE_HEADER, EPOCH_HEADER, NOT_RUN_HEADER, REQUEST_HEADER};
+use super::messages::{BootId, SyncReply, SyncRequest};
+use super::{BOOT_HEADER, DEADLINE_HEADER, EPOCH_HEADER, NOT_RUN_HEADER, REQUEST_HEADER};
 use crate::bounded::read_bounded;
 use crate::ids::{Epoch, RequestId, ShardId};
 use crate::overload::Charge;
@@ -42,6 +42,8 @@
     pub shard: ShardId,
     /// The epoch of the shard's owner.
     pub epoch: Epoch,
+    /// The process of the worker that the request is meant for.
+    pub boot: BootId,
     /// The HTTP method.
     pub method: String,
     /// The service name, path and query string, without a leading slash.
@@ -232,6 +234,7 @@
 fn worker_headers(request: &WorkerRequest) -> HeaderMap {
     let mut map = HeaderMap::new();
     let own = [
+        (BOOT_HEADER, request.boot.0.to_string()),
         (REQUEST_HEADER, request.id.to_string()),
         (EPOCH_HEADER, format!("{}/{}", request.shard, request.epoch)),
         (DEADLINE_HEADER, request.deadline.as_millis().to_string()),
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -25,6 +25,8 @@
 pub const REQUEST_HEADER: &str = "lycheelock-request";
 /// Header with the shard and the epoch of the sender.
 pub const EPOCH_HEADER: &str = "lycheelock-epoch";
+/// Header with the process of the worker that a request is meant for.
+pub const BOOT_HEADER: &str = "lycheelock-boot";
 /// Header with the time left until the deadline, in milliseconds.
 pub const DEADLINE_HEADER: &str = "lycheelock-deadline-ms";
 /// Header of an answer: the worker started nothing; its value is the reason.
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use super::{AttemptOutcome, REQUEST_HEADER, WorkerClient, WorkerRequest, http_client};
+use super::{AttemptOutcome, BootId, REQUEST_HEADER, WorkerClient, WorkerRequest, http_client};
 use crate::ids::{Epoch, HostId, RequestId, ShardId};
 use crate::overload::{Gate, OverloadSettings, write_event};
 
@@ -48,6 +48,7 @@
         id: ID,
         shard: ShardId(0),
         epoch: Epoch(1),
+        boot: BootId(1),
         method: "POST".to_owned(),
         path: "fit/bookings".to_owned(),
         headers: Vec::new(),
--- a/tests/fuzz/found.rs
+++ b/tests/fuzz/found.rs
@@ -133,3 +133,20 @@
     steps.push(Step::Advance(1000));
     run_steps(&steps);
 }
+
+/// A worker ran a request that its former process had reported as not run.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+fn a_request_that_a_former_process_reported_as_not_run_does_not_run(#[case] host: usize) {
+    let mut steps: Vec<Step> = (0..WORKER_COUNT)
+        .map(|worker| Step::WorkerDelay(worker, 15_000))
+        .collect();
+    steps.push(Step::Request(host, true, 2));
+    steps.extend((0..WORKER_COUNT).map(|worker| Step::WorkerDelay(worker, 0)));
+    steps.push(Step::Advance(8000));
+    steps.extend((0..WORKER_COUNT).map(Step::WorkerRestart));
+    steps.push(Step::Advance(10_000));
+    run_steps(&steps);
+}
--- a/tests/fuzz/world/requests.rs
+++ b/tests/fuzz/world/requests.rs
@@ -63,9 +63,10 @@
 
 impl SentAttempt {
     /// Whether the attempt stays in the simulation when a worker restarts. One that
-    /// was running there never ends, so it stays until its sender times out.
-    pub const fn survives_restart(&self, worker: usize) -> bool {
-        self.worker != worker || !self.abandoned
+    /// was running there never ends, so it stays until its sender times out. One that is in
+    /// transit arrives at the next process.
+    pub fn survives_restart(&self, worker: usize) -> bool {
+        self.worker != worker || !self.abandoned || self.stage == Stage::InTransit
     }
 }
 
@@ -199,8 +200,8 @@
         if sent.stage != Stage::InTransit || now < sent.arrives_at || worker.silent {
             return;
         }
-        let (shard, epoch) = (sent.attempt.shard, sent.attempt.epoch);
-        if !worker.model.admits(id, shard, epoch) {
+        let (shard, epoch, boot) = (sent.attempt.shard, sent.attempt.epoch, sent.attempt.boot);
+        if !worker.model.admits(id, shard, epoch, boot) {
             sent.stage = Stage::Refused;
             return;
         }
