Fuzz of the own protocol: workers that restart amid late calls

`invariants_hold_while_workers_restart` draws workers that restart and are cut off soon after, or restart behind the cut, and requests that arrive late, beside takeovers and planned stops.

--- a/tests/fuzz/main.rs
+++ b/tests/fuzz/main.rs
@@ -7,13 +7,15 @@
 mod found;
 mod world;
 
+use std::marker::PhantomData;
+
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 use world::World;
 use world::oracle::Oracle;
-use world::step::{Step, steps};
+use world::step::{Step, restart_steps, steps};
 
 const DEFAULT_CASES: u32 = 256;
 const DEFAULT_SEED: u64 = 20_261_204;
@@ -52,11 +54,32 @@
     fn apply((): (), _: &Step) {}
 }
 
-struct EntryHostsTest;
+/// The same with steps in which workers often restart.
+struct RestartSteps;
 
-impl StateMachineTest for EntryHostsTest {
+impl ReferenceStateMachine for RestartSteps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        restart_steps()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct EntryHostsTest<Steps>(PhantomData<Steps>);
+
+impl<Steps> StateMachineTest for EntryHostsTest<Steps>
+where
+    Steps: ReferenceStateMachine<State = (), Transition = Step>,
+{
     type SystemUnderTest = World;
-    type Reference = StatelessSteps;
+    type Reference = Steps;
 
     fn init_test((): &()) -> World {
         World::new()
@@ -77,5 +100,9 @@
     #![proptest_config(config())]
 
     #[test]
-    fn invariants_hold_under_random_steps(sequential 1..60 => EntryHostsTest);
+    fn invariants_hold_under_random_steps(sequential 1..60 => EntryHostsTest<StatelessSteps>);
+
+    /// Guards against orders to a former process of a worker that its next one carries out.
+    #[test]
+    fn invariants_hold_while_workers_restart(sequential 1..60 => EntryHostsTest<RestartSteps>);
 }
--- a/tests/fuzz/world/step.rs
+++ b/tests/fuzz/world/step.rs
@@ -45,6 +45,12 @@
     /// Calls arrive at a worker after a delay.
     WorkerDelay(usize, u64),
     WorkerRestart(usize),
+    /// A worker restarts, and after a time calls no longer arrive there.
+    RestartThenCut(usize, u64),
+    /// A worker restarts and gets the calls that did not arrive before.
+    RestartBehindCut(usize),
+    /// Requests arrive at a host, and its calls for them at the workers after a delay.
+    LateRequest(usize, bool, u32, u64),
     /// Tasks fail on a worker, or no longer do.
     WorkerFails(usize, bool),
     /// The host list shows a worker as leaving.
@@ -88,6 +94,35 @@
     .boxed()
 }
 
+/// Steps in which workers often restart while calls to them are held back or delayed, and
+/// owners are replaced.
+pub fn restart_steps() -> BoxedStrategy<Step> {
+    let host = 0..HOST_COUNT;
+    let worker = 0..WORKER_COUNT;
+    prop_oneof![
+        10 => (50_u64..1500).prop_map(Step::Advance),
+        2 => (10_000_u64..20_000).prop_map(Step::Advance),
+        5 => (host.clone(), 0_usize..4, 1_u32..4).prop_map(|(h, c, t)| Step::Submit(h, c, t)),
+        2 => (host.clone(), any::<bool>(), 1_u32..4).prop_map(|(h, o, n)| Step::Request(h, o, n)),
+        4 => (host.clone(), any::<bool>(), 1_u32..4, 4_000_u64..20_000)
+            .prop_map(|(h, o, n, d)| Step::LateRequest(h, o, n, d)),
+        1 => host.clone().prop_map(Step::Pause),
+        2 => host.clone().prop_map(Step::Resume),
+        1 => host.clone().prop_map(Step::Replace),
+        1 => host.clone().prop_map(Step::Stop),
+        1 => (host.clone(), any::<bool>()).prop_map(|(h, u)| Step::StoreUnreachable(h, u)),
+        1 => (host.clone(), host).prop_map(|(a, b)| Step::BlockLink(a, b)),
+        1 => Just(Step::UnblockLinks),
+        2 => (worker.clone(), any::<bool>()).prop_map(|(w, s)| Step::WorkerSilent(w, s)),
+        4 => (worker.clone(), 200_u64..2000).prop_map(|(w, a)| Step::RestartThenCut(w, a)),
+        4 => worker.clone().prop_map(Step::RestartBehindCut),
+        1 => (worker.clone(), 0_u64..30_000).prop_map(|(w, d)| Step::WorkerDelay(w, d)),
+        2 => worker.clone().prop_map(|w| Step::WorkerDelay(w, 0)),
+        3 => worker.prop_map(Step::WorkerRestart),
+    ]
+    .boxed()
+}
+
 impl World {
     pub fn apply(&mut self, step: &Step) {
         let millis = Duration::from_millis;
@@ -101,6 +136,7 @@
                     self.request(host, once);
                 }
             }
+            Step::LateRequest(host, once, count, ms) => self.late_request(host, once, count, ms),
             Step::Publish(operator, wait) => self.publish(operator, millis(wait)),
             Step::Pause(host) => self.hosts[host].paused = true,
             Step::Resume(host) => self.hosts[host].paused = false,
@@ -119,6 +155,15 @@
             Step::WorkerSilent(worker, silent) => self.workers[worker].silent = silent,
             Step::WorkerDelay(worker, ms) => self.workers[worker].delay = millis(ms),
             Step::WorkerRestart(worker) => self.restart_worker(worker),
+            Step::RestartThenCut(worker, ms) => {
+                self.restart_worker(worker);
+                self.advance(millis(ms));
+                self.workers[worker].silent = true;
+            }
+            Step::RestartBehindCut(worker) => {
+                self.restart_worker(worker);
+                self.workers[worker].silent = false;
+            }
             Step::WorkerFails(worker, fails) => self.workers[worker].model.fails = fails,
             Step::WorkerLeaves(worker) => self.mark_leaving(worker),
             Step::WorkerReturns(worker) => self.mark_live(worker),
@@ -126,6 +171,19 @@
         }
     }
 
+    fn late_request(&mut self, host: usize, once: bool, count: u32, ms: u64) {
+        let delays: Vec<Duration> = self.workers.iter().map(|worker| worker.delay).collect();
+        for worker in &mut self.workers {
+            worker.delay = Duration::from_millis(ms);
+        }
+        for _ in 0..count {
+            self.request(host, once);
+        }
+        for (worker, delay) in self.workers.iter_mut().zip(delays) {
+            worker.delay = delay;
+        }
+    }
+
     fn mark_leaving(&mut self, worker: usize) {
         self.workers[worker].listing.state = HostState::Leaving;
     }
