--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 //! because the reports of the shard's workers contain all of it.
 
 mod account;
+mod apply;
 mod change;
 mod keys;
 mod ledger;
@@ -14,6 +15,7 @@
 mod report;
 mod roster;
 mod run;
+mod snapshot;
 mod submit;
 mod task;
 #[cfg(test)]
