Ownership: what is known of peers in a file of its own

Heartbeats of peers, their slots and their revisions are read and kept in `peers.rs`. Only moved: apart from imports and the `impl` line the lines are the same, with `ensure_peer` visible in the folder. 30 tests of `ownership` and `entry` pass.

--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -19,6 +19,7 @@
 mod machine;
 mod messages;
 mod opening;
+mod peers;
 mod promise;
 mod rate_limiter;
 mod session;
@@ -29,9 +30,9 @@
 
 pub use log::{EntryBody, LogEntry, log_key, log_prefix};
 pub use machine::{
-    Action, CallId, GainedShard, HostRevision, HostSummary, Ownership, OwnershipSettings,
-    ShardStatus,
+    Action, CallId, GainedShard, HostSummary, Ownership, OwnershipSettings, ShardStatus,
 };
 pub use messages::{Announcement, OwnedShard, PeerMessage};
+pub use peers::HostRevision;
 pub use promise::{Promises, View};
 pub use session::SessionRecord;
