Entry core: its messages and the writing of logs in files of their own

`messages.rs` has the effects and steps that the core returns, `log.rs` appends the changes of the ledgers and applies what ownership decides. Only moved: apart from imports, links in doc comments and `impl` lines the lines are the same, with `flush` and `run_actions` visible in the folder.

--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -6,10 +6,16 @@
 
 mod batch;
 mod evacuation;
+mod log;
+mod messages;
 mod requests;
 mod sync;
 
 pub use evacuation::EvacuationView;
+pub use messages::{
+    ArrivedRequest, Effect, LogResult, NextStep, PendingChange, RequestAttempt, ShardOwner,
+    SyncCall, TaskCounts,
+};
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -20,17 +26,14 @@
 use crate::configuration::{Configuration, CurrentConfiguration, Size};
 use crate::dispatch::Dispatch;
 use crate::drain::{EvacuatedZones, LeavingWorkers, ZoneState};
-use crate::ids::{Epoch, HostId, JobId, RequestId, RequestKey, ShardId, WorkerKey, mix};
-use crate::jobs::{Change, Ledger, LedgerSettings, PendingMove, WallClock};
+use crate::ids::{Epoch, HostId, JobId, ShardId, WorkerKey, mix};
+use crate::jobs::{Ledger, LedgerSettings, WallClock};
 use crate::kind::{ErrorKind, Refusal, RetryReason};
 use crate::moment::Moment;
-use crate::ownership::{
-    Action, Announcement, CallId, GainedShard, HostSummary, Ownership, OwnershipSettings,
-    PeerMessage,
-};
+use crate::ownership::{Announcement, HostSummary, Ownership, OwnershipSettings, PeerMessage};
 use crate::placement::{Placement, Policy};
-use crate::platform::{HostState, ListedHost, StoreOp, StoreReply};
-use crate::workers::{BootId, RequestState, SyncRequest, Ticket};
+use crate::platform::{HostState, ListedHost};
+use crate::workers::{BootId, Ticket};
 
 /// Settings of the decision logic.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -43,85 +46,6 @@
     pub policy: Policy,
 }
 
-/// Identifies a change whose log result a task waits for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum PendingChange {
-    /// Acceptance of a job.
-    Job(JobId),
-    /// Cancellation of a job.
-    Cancel(JobId),
-    /// Intent record of a request with an idempotency key (shard, hash of the key).
-    Key(ShardId, u64),
-}
-
-/// Whether a change was written to the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LogResult {
-    /// The log contains the change.
-    Logged,
-    /// The log may contain the change; the result of the write is unknown.
-    Unknown,
-    /// The log certainly does not contain the change.
-    NotLogged,
-}
-
-/// An action that the caller of [`Core`] must execute.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Effect {
-    /// Call the store and pass the reply to [`Core::on_store`].
-    Store {
-        /// Id of the call.
-        call: CallId,
-        /// Operation to execute.
-        op: StoreOp,
-    },
-    /// Send a message to another entry host.
-    Send {
-        /// Recipient.
-        to: HostId,
-        /// Message to send.
-        message: PeerMessage,
-    },
-    /// Wake a request that waits for a slot.
-    Wake(RequestKey),
-    /// Notify the tasks that wait for the log result of a change.
-    Logged(PendingChange, LogResult),
-    /// Notify the task that waits to know whether a request with a lost answer ran.
-    Resolved(RequestId, RequestState),
-    /// Send a `sync` call to this worker without delay.
-    Sync(WorkerKey),
-    /// Submit moved tasks to their new shard.
-    Move {
-        /// Shard that the tasks leave.
-        from: ShardId,
-        /// Submission to the new shard.
-        pending: PendingMove,
-    },
-    /// Log that a zone is evacuated, or may be used again.
-    ZoneChanged {
-        /// Name of the zone.
-        zone: String,
-        /// Whether the zone is evacuated now.
-        evacuated: bool,
-    },
-    /// Log and count that this host claimed a shard.
-    Claimed {
-        /// Claimed shard.
-        shard: ShardId,
-        /// Whether the former owner had not released the shard.
-        takeover: bool,
-    },
-}
-
-/// A `sync` call to a worker.
-#[derive(Debug, Clone, PartialEq)]
-pub struct SyncCall {
-    /// Address of the worker.
-    pub address: String,
-    /// Body of the call.
-    pub request: SyncRequest,
-}
-
 /// The last `sync` call to one worker and its ticket for the next one.
 #[derive(Debug, Default)]
 struct SyncState {
@@ -274,109 +198,6 @@
         }
     }
 
-    /// Appends the pending changes of the ledgers to the logs of their shards.
-    fn flush(&mut self, now: Moment) {
-        for (shard, ledger) in &mut self.ledgers {
-            self.retries.extend(ledger.take_retries());
-            let changes = ledger.take_changes();
-            if !changes.is_empty() {
-                self.ownership.append(*shard, changes);
-            }
-        }
-        self.ownership.tick(now);
-        self.run_actions(now);
-    }
-
-    fn run_actions(&mut self, now: Moment) {
-        while let Some(action) = self.ownership.next_action() {
-            match action {
-                Action::Store { call, op } => self.effects.push_back(Effect::Store { call, op }),
-                Action::Send { to, message } => {
-                    self.effects.push_back(Effect::Send { to, message });
-                }
-                Action::Gained(gained) => self.on_gained(gained, now),
-                Action::Committed { shard, changes } => self.on_committed(shard, &changes),
-                Action::Lost {
-                    shard,
-                    unconfirmed,
-                    dropped,
-                } => self.on_lost(shard, &unconfirmed, &dropped),
-                Action::TakeSnapshot { shard } => {
-                    let ledger = self.ledgers.get(&shard);
-                    let changes = ledger.map(Ledger::snapshot).unwrap_or_default();
-                    self.ownership.snapshot(shard, changes);
-                }
-            }
-        }
-    }
-
-    fn on_gained(&mut self, gained: GainedShard, now: Moment) {
-        let shard = gained.shard;
-        self.placement.reset_shard(shard);
-        let settings = self.settings.ledger.clone();
-        let ledger = Ledger::replay(shard, gained.epoch, &gained.changes, settings, now);
-        for worker in ledger.roster() {
-            match self.placement.find(&worker.name) {
-                // Its tasks run where the former owner called it.
-                Some(key) => {
-                    if let Some(known) = self.placement.get_mut(key) {
-                        known.move_to(&worker.address);
-                    }
-                }
-                None => {
-                    self.placement.add(&worker.name, &worker.address, shard);
-                }
-            }
-        }
-        self.ledgers.insert(shard, ledger);
-        for key in self.placement.of_shard(shard) {
-            self.effects.push_back(Effect::Sync(*key));
-        }
-        self.effects.push_back(Effect::Claimed {
-            shard,
-            takeover: gained.takeover,
-        });
-    }
-
-    fn on_committed(&mut self, shard: ShardId, changes: &[Change]) {
-        if let Some(ledger) = self.ledgers.get_mut(&shard) {
-            ledger.commit(changes);
-        }
-        self.report_log_result(shard, changes, LogResult::Logged);
-    }
-
-    fn on_lost(&mut self, shard: ShardId, unconfirmed: &[Change], dropped: &[Change]) {
-        self.report_log_result(shard, unconfirmed, LogResult::Unknown);
-        self.report_log_result(shard, dropped, LogResult::NotLogged);
-        if let Some(mut ledger) = self.ledgers.remove(&shard) {
-            let unsent = ledger.take_changes();
-            self.report_log_result(shard, &unsent, LogResult::NotLogged);
-        }
-        self.placement.reset_shard(shard);
-    }
-
-    /// Notifies the tasks that wait for these changes.
-    fn report_log_result(&mut self, shard: ShardId, changes: &[Change], result: LogResult) {
-        for change in changes {
-            let pending = match change {
-                Change::Accepted(record) => PendingChange::Job(record.id),
-                Change::Redirected { job, .. } => PendingChange::Job(*job),
-                Change::Cancelled { job } => PendingChange::Cancel(*job),
-                Change::KeyIntent { key, .. } => PendingChange::Key(shard, *key),
-                _ => continue,
-            };
-            self.effects.push_back(Effect::Logged(pending, result));
-        }
-    }
-
-    /// Handles a reply of the store, `None` if it was lost.
-    pub fn on_store(&mut self, call: CallId, reply: Option<StoreReply>, now: Moment) {
-        self.ownership.on_reply(call, reply, now);
-        self.run_actions(now);
-        self.ownership.tick(now);
-        self.run_actions(now);
-    }
-
     /// Handles a message of another entry host.
     pub fn on_peer_message(&mut self, from: HostId, message: PeerMessage, now: Moment) {
         if let PeerMessage::Heartbeat { leaving, .. } = &message
@@ -526,74 +347,6 @@
     }
 }
 
-/// An interactive request that was accepted for dispatch.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ArrivedRequest {
-    /// Key of the request in [`Dispatch`].
-    pub key: RequestKey,
-    /// First step of the request.
-    pub next: NextStep,
-}
-
-/// The next step of a request; the slot that it needs is already taken.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum NextStep {
-    /// Send the request to a worker.
-    Send {
-        /// Worker that was chosen.
-        worker: WorkerKey,
-        /// Time after which the attempt is given up.
-        timeout: Duration,
-        /// Attempt, which occupies a slot of the worker.
-        attempt: RequestAttempt,
-    },
-    /// Forward the request to this entry host.
-    Forward(HostId),
-    /// Wait until the request is woken, at most until this moment.
-    Wait(Moment),
-    /// Answer the request with a refusal of this kind.
-    Refuse(ErrorKind),
-}
-
-/// An attempt to run a request on a worker, with its slot taken.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RequestAttempt {
-    /// Id of the attempt, unique per entry host process.
-    pub id: RequestId,
-    /// Shard of the worker.
-    pub shard: ShardId,
-    /// Epoch under which this host owns the shard.
-    pub epoch: Epoch,
-    /// Process of the worker that the attempt is meant for; another one refuses it.
-    pub boot: BootId,
-    /// Address of the worker.
-    pub address: String,
-}
-
-/// The host that serves a shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ShardOwner {
-    /// This host.
-    Local,
-    /// Another entry host.
-    Peer(HostId),
-    /// No host that can be reached and may act for the shard.
-    Unreachable,
-}
-
-/// Counts of batch tasks, summed over the ledgers of the owned shards.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TaskCounts {
-    /// Number of task starts.
-    pub started: u64,
-    /// Number of tasks that finished.
-    pub finished: u64,
-    /// Number of tasks that were evicted.
-    pub evicted: u64,
-    /// Number of starts that were withdrawn because their zone is evacuated.
-    pub withdrawn: u64,
-}
-
 /// Returns the shards of all zones that are not evacuated with a live worker that a
 /// task of this size fits on.
 fn fitting_shards(
