Process tests: wait until each shard's owner is known and lasting

What callers saw: `evacuation::an_evacuated_zone_gets_no_work_and_empties` failed now and then, some 1.2 s to 2 s after its start, because a submission was refused: `owner_unavailable`, "no entry host that owns shard s5 can be reached", `run: no`.

Cause: the fixture began the test when the workers were usable. That says nothing of shards that have no workers (a zone of this test has three shards and two workers) nor of what host 0 has heard. A submission with a key goes to the home shard of the key, whichever zone that is in, and is refused as documented, with a retry delay, while no owner is known.

Evidence: a trial that printed the state of all hosts at the refusal (1 failure in 20 runs, shard s2): s2 had been claimed by a host of the same zone for the first time (epoch 1) and that host acted for it, but host 0 had not heard of it; it reached the owner some 180 ms later by itself. Another trial printed the owners at the start of the test: in 1 of 9 runs one host of a zone had claimed all shards at first, and s5 had just moved to the other (epoch 2). No failure was traced to such a move, but a submission during one is refused in the same way, so the fixture waits for both.

Why it works: the fixture waits until every shard has an acting owner, no host owns two more than another of its zone (the difference at which one is handed over), and each host gets the answer `unknown_job` for a job that nobody submitted from the owner of every shard. No checked request is repeated, and no check is changed.

--- a/tests/common/processes.rs
+++ b/tests/common/processes.rs
@@ -1,5 +1,6 @@
 //! A test deployment of separate processes, with a relay that can cut connections.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -108,6 +109,9 @@
 /// all zones.
 pub const ZONE: &str = "gt-a";
 
+/// Number of shards of each zone in [`QUESTIONNAIRE`].
+const SHARDS_PER_ZONE: usize = 3;
+
 /// Questionnaire of the test deployment, with services and classes of Nombrario.
 const QUESTIONNAIRE: &str = "[deployment]\nname = test\nzones = gt-a\nshards = 3\n\n\
     [service:shortlist]\nlatency_target = 250ms\nnon_idempotent = POST /trademark\n\n\
@@ -116,12 +120,13 @@
     [team:linguists]\ntoken = linguists-demo\nrequests = 400\ntasks = 200\n";
 
 impl Deployment {
-    /// Starts every process in one zone and waits until every worker is usable.
+    /// Starts every process in one zone and waits until every worker is usable, the shards
+    /// are balanced and every host reaches the owner of each.
     pub async fn start(name: &str, size: DeploymentSize) -> Self {
         Self::start_in(name, size, &[ZONE]).await
     }
 
-    /// Starts every process, in these zones, and waits until every worker is usable.
+    /// Starts every process, in these zones, and waits as [`Deployment::start`] does.
     pub async fn start_in(name: &str, size: DeploymentSize, zones: &[&str]) -> Self {
         Self::start_parts(name, size, zones, "").await
     }
@@ -257,6 +262,60 @@
             self.usable_workers().await >= workers
         })
         .await;
+        self.wait_for("every shard has its lasting owner", || async {
+            self.shards_balanced().await
+        })
+        .await;
+        self.wait_for("every host reaches the owner of each shard", || async {
+            self.all_owners_reached().await
+        })
+        .await;
+    }
+
+    /// Whether every shard has an acting owner, and the hosts of a zone own so evenly many
+    /// that none hands one over for balance. A host that claims before the others of its zone
+    /// connect can own all at first.
+    async fn shards_balanced(&self) -> bool {
+        let mut counts: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+        for entry in 0..self.entries.len() {
+            let Some(status) = self.status(entry).await else {
+                return false;
+            };
+            let acting = status.shards.iter().filter(|shard| shard.acting).count();
+            counts.entry(status.zone).or_default().push(acting);
+        }
+        counts.values().all(|owned| {
+            let (most, fewest) = (owned.iter().max(), owned.iter().min());
+            let difference = most.unwrap_or(&0) - fewest.unwrap_or(&0);
+            owned.iter().sum::<usize>() == SHARDS_PER_ZONE && difference < 2
+        })
+    }
+
+    /// Whether each entry host reaches the owner of each shard of every zone. Usable workers
+    /// do not imply it: a shard may have no workers, and each host learns of its first owner
+    /// from a heartbeat.
+    async fn all_owners_reached(&self) -> bool {
+        let shards = SHARDS_PER_ZONE * self.zones.len();
+        for entry in 0..self.entries.len() {
+            for shard in 0..shards {
+                if !self.reaches_owner(entry, shard).await {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// Whether the owner of a shard answers an entry host that a job, which nobody submitted,
+    /// is not known.
+    async fn reaches_owner(&self, entry: usize, shard: usize) -> bool {
+        let url = format!("http://{}/v1/jobs/s{shard}-0", self.entries[entry]);
+        let call = self.http.get(url).bearer_auth(OPERATOR_TOKEN);
+        let Ok(answer) = call.send().await else {
+            return false;
+        };
+        let kind = answer.headers().get("lycheelock-error");
+        kind.is_some_and(|kind| kind == "unknown_job")
     }
 
     /// Returns what an entry host shows of an evacuated zone; absent if it shows that the
