Bodies hold what is charged for them: large ones get pages of their own

What operators saw: 1,000 clients with chunks of 1,000 bytes brought a host of 160 MB to a peak of 157 MB. On a host of 64 MB (the least that the settings accept) 400 clients that send 1 MB in such chunks brought the process over the memory of its host.

Cause: a body over 128 KB got a heap block of 1 MB, of which it was charged 64 KB at a time. A fresh block of that size is mapped by the system only as far as it is used. Once glibc has freed one such block it raises its mmap threshold and hands out used blocks, whose pages are resident, so a body held its whole capacity.

A body over 16 KB is now received into an anonymous map (memmap2, which has a safe call for that). Its pages come as bytes are written and go with the body, whatever the allocator does.

The test was written and its crowd and bounds (56 MiB of 64) fixed before the change.

--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::body::Bytes;
 use rocket::http::{Header, Method};
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome};
@@ -220,7 +221,7 @@
     Err(Refusal::new(ErrorKind::TooLarge, message))
 }
 
-async fn read_body(request: &Request<'_>, limit: u64) -> Result<Vec<u8>, Refusal> {
+async fn read_body(request: &Request<'_>, limit: u64) -> Result<Bytes, Refusal> {
     let read = server::read_body(request, limit).await;
     read.map_err(|error| error.refusal(format!("the body exceeds the limit of {limit} bytes")))
 }
--- a/src/front/services.rs
+++ b/src/front/services.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::body::Bytes;
 use rocket::http::HeaderMap;
 use rocket::response::Response;
 use rocket::route::{Handler, Outcome};
@@ -60,7 +61,7 @@
             method: target.method.clone(),
             path: target.path.clone(),
             headers: forwarded_headers(headers),
-            body: body.into(),
+            body,
             deadline_ms: admitted.deadline.as_millis() as u64,
             once: admitted.once,
             forwarded: false,
@@ -113,7 +114,7 @@
         })
     }
 
-    async fn read_body(&self, request: &Request<'_>) -> Result<Vec<u8>, Refusal> {
+    async fn read_body(&self, request: &Request<'_>) -> Result<Bytes, Refusal> {
         let limit = self.0.settings.limits.body;
         let read = server::read_body(request, limit).await;
         read.map_err(|error| match error {
--- a/src/server/exchange.rs
+++ b/src/server/exchange.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use super::buffer::BodyBuffer;
 use super::link::Link;
 use crate::kind::{ErrorKind, Refusal};
 use crate::overload::Charge;
@@ -22,11 +23,6 @@
 const DOUBLED_BYTES: u64 = 128 << 10;
 /// The steps of the reservation after that, in bytes.
 const STEP_BYTES: u64 = 64 << 10;
-/// The least capacity of a body that is larger, in bytes. The system maps memory of this
-/// size only as far as it is used, and moves it without a copy, so many growing bodies do
-/// not leave the heap fragmented.
-const LARGE_CAPACITY: u64 = 1 << 20;
-
 /// Why the body of a request was not read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum BodyError {
@@ -97,9 +93,9 @@
         incoming.take().filter(|body| !body.is_end_stream())
     }
 
-    async fn read_body(&self, limit: u64) -> Result<Vec<u8>, BodyError> {
+    async fn read_body(&self, limit: u64) -> Result<Bytes, BodyError> {
         let Some(mut incoming) = self.take_unread() else {
-            return Ok(Vec::new());
+            return Ok(Bytes::new());
         };
         let read = self.fill(&mut incoming, limit).await;
         if read.is_err() {
@@ -110,15 +106,15 @@
         read
     }
 
-    async fn fill(&self, incoming: &mut Incoming, limit: u64) -> Result<Vec<u8>, BodyError> {
-        let mut body = Vec::new();
+    async fn fill(&self, incoming: &mut Incoming, limit: u64) -> Result<Bytes, BodyError> {
+        let mut body = BodyBuffer::new();
         let mut reserved = 0;
         if let Some(length) = incoming.size_hint().exact() {
             if length > limit {
                 return Err(BodyError::TooLarge);
             }
             self.charge_body(length)?;
-            body.reserve_exact(length as usize);
+            make_room(&mut body, length, length)?;
             reserved = length;
         }
         self.0.link.on_body();
@@ -138,21 +134,12 @@
                 };
                 let next = next.max(length).min(limit);
                 self.charge_body(next - reserved)?;
+                make_room(&mut body, next, limit)?;
                 reserved = next;
-                let capacity = body.capacity() as u64;
-                if next > capacity {
-                    let least = if next > DOUBLED_BYTES {
-                        LARGE_CAPACITY
-                    } else {
-                        next
-                    };
-                    let capacity = least.max(capacity * 2).min(limit);
-                    body.reserve_exact(capacity as usize - body.len());
-                }
             }
-            body.extend_from_slice(&bytes);
+            body.push(&bytes);
         }
-        Ok(body)
+        Ok(body.into_bytes())
     }
 
     /// Reserves bytes of the budget before they are received.
@@ -165,15 +152,21 @@
     }
 }
 
+/// Makes room for `size` bytes of a body. A system that provides none is out of memory.
+fn make_room(body: &mut BodyBuffer, size: u64, limit: u64) -> Result<(), BodyError> {
+    let made = body.reserve(size as usize, limit as usize);
+    made.map_err(|_| BodyError::NoBudget)
+}
+
 /// Reads the body of a request, of at most `limit` bytes.
 ///
 /// # Errors
 ///
 /// Fails if the body is too large, ended early, or does not fit into the budget.
-pub(crate) async fn read_body(request: &Request<'_>, limit: u64) -> Result<Vec<u8>, BodyError> {
+pub(crate) async fn read_body(request: &Request<'_>, limit: u64) -> Result<Bytes, BodyError> {
     match Exchange::of(request) {
         Some(exchange) => exchange.read_body(limit).await,
-        None => Ok(Vec::new()),
+        None => Ok(Bytes::new()),
     }
 }
 
@@ -195,7 +188,7 @@
 /// The body of a request, for routes with a data guard. Its limit is Rocket's limit for
 /// JSON.
 #[derive(Debug)]
-pub(crate) struct RequestBody(Result<Vec<u8>, BodyError>);
+pub(crate) struct RequestBody(Result<Bytes, BodyError>);
 
 impl RequestBody {
     /// Parses the body as JSON.
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -5,6 +5,7 @@
 //! listener limits neither its buffers nor the time for headers, and cannot close a
 //! connection. Stand-ins use Rocket's listener.
 
+mod buffer;
 mod connection;
 mod dispatch;
 mod exchange;
--- a/src/server/tests.rs
+++ b/src/server/tests.rs
@@ -43,7 +43,7 @@
             "/slow" => sleep(Duration::from_millis(300)).await,
             _ => {}
         }
-        Outcome::Success(direct_answer(request, 200, &[], body))
+        Outcome::Success(direct_answer(request, 200, &[], body.into()))
     }
 }
 
--- a/tests/common/fleet/deployment.rs
+++ b/tests/common/fleet/deployment.rs
@@ -87,6 +87,8 @@
     pub relayed: bool,
     /// The limit on the body of a caller's request, in bytes.
     pub body: u64,
+    /// Further lines of the daemons' settings.
+    pub settings: &'a str,
 }
 
 impl Default for Parts<'_> {
@@ -98,6 +100,7 @@
             cores: "1",
             relayed: false,
             body: 65_536,
+            settings: "",
         }
     }
 }
@@ -147,6 +150,7 @@
             cores,
             relayed,
             body,
+            settings,
         } = *parts;
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let number = COUNT.fetch_add(1, Ordering::Relaxed);
@@ -202,7 +206,7 @@
         for (number, platform) in platforms.into_iter().enumerate() {
             let zone = zones[number % zones.len()];
             let place = format!(
-                "zone = {zone}\nzones = {}\ncores = {cores}\n",
+                "zone = {zone}\nzones = {}\ncores = {cores}\n{settings}",
                 zones.join(",")
             );
             deployment.add_entry(number, platform, &place);
--- a/tests/overload/main.rs
+++ b/tests/overload/main.rs
@@ -32,10 +32,12 @@
 mod writes;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crowd::{Client, Crowd, Framing, Script};
 use rstest::rstest;
 use serde_json::json;
+use tokio::time::sleep;
 use usage::Usage;
 
 /// The limit on the body of a request in these deployments, in bytes.
@@ -60,6 +62,17 @@
 /// Bound on the descriptors that remain open beside one for each client.
 const MORE_DESCRIPTORS: u64 = 128;
 
+/// The limit on the body of a request on a small host, in bytes.
+const SMALL_HOST_BODY: u64 = 1 << 20;
+/// The memory of that host, in MiB.
+const SMALL_HOST_MEMORY: u64 = 64;
+/// The number of clients that send bodies to it.
+const SMALL_HOST_CLIENTS: usize = 400;
+/// Bound on the peak of resident memory there, in MiB: an eighth of the memory stays free.
+const SMALL_HOST_PEAK: u64 = SMALL_HOST_MEMORY - SMALL_HOST_MEMORY / 8;
+/// The time after which memory that nobody uses has been returned.
+const RETURN_TIME: Duration = Duration::from_secs(10);
+
 /// A daemon of one of the two protocols.
 enum Daemon {
     Fleet(Box<fleet::Deployment>),
@@ -86,6 +99,26 @@
         Self::Own(Box::new(deployment))
     }
 
+    /// Starts a daemon with these limits: `settings` holds lines of its settings.
+    async fn start_limited(own: bool, body: u64, settings: &str) -> Self {
+        if own {
+            let size = processes::DeploymentSize {
+                entries: 1,
+                workers: 2,
+            };
+            let limits = format!("[limits]\nbody = {body}\nanswer = {body}\n{settings}");
+            let deployment = processes::Deployment::start_with("overload", size, &limits).await;
+            return Self::Own(Box::new(deployment));
+        }
+        let parts = fleet::Parts {
+            body,
+            settings,
+            ..fleet::Parts::default()
+        };
+        let deployment = fleet::Deployment::start_parts("overload", &parts).await;
+        Self::Fleet(Box::new(deployment))
+    }
+
     fn front(&self) -> SocketAddr {
         match self {
             Self::Fleet(deployment) => deployment.front_addresses[0],
@@ -265,3 +298,46 @@
     let mut daemon = deployment;
     withstand(&mut daemon, client, PEER_CLIENTS, LARGE_GROWTH).await;
 }
+
+/// Lets a crowd send bodies to a small host and leave. Returns what the daemon used before,
+/// and a while after the crowd has left.
+async fn visit_small_host(own: bool, framing: Framing) -> (Usage, Usage) {
+    let settings = format!("memory = {SMALL_HOST_MEMORY}MB\n");
+    let mut daemon = Daemon::start_limited(own, SMALL_HOST_BODY, &settings).await;
+    let before = Usage::read(daemon.process());
+    let script = Script::Body {
+        head: daemon.head(),
+        bytes: SMALL_HOST_BODY as usize,
+        framing,
+    };
+    let client = Client::new(daemon.front(), script);
+    drop(Crowd::send(client, SMALL_HOST_CLIENTS).await);
+    sleep(RETURN_TIME).await;
+    let after = Usage::read(daemon.process());
+    eprintln!(
+        "resident before {} MiB, peak {} MiB, after {} MiB, descriptors {} and {}",
+        before.resident >> 20,
+        after.peak >> 20,
+        after.resident >> 20,
+        before.descriptors,
+        after.descriptors
+    );
+    assert!(daemon.is_running());
+    assert!(daemon.is_answered().await, "after the overload");
+    (before, after)
+}
+
+/// Guards against bodies that hold more memory than is charged for them.
+#[rstest]
+#[case::whole(Framing::Whole)]
+#[case::small_chunks(Framing::Chunks(1000))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_peak_stays_under_the_memory_of_a_small_host(
+    #[case] framing: Framing,
+    #[values(false, true)] own: bool,
+) {
+    let (before, after) = visit_small_host(own, framing).await;
+    let peak = after.peak >> 20;
+    assert!(peak < SMALL_HOST_PEAK, "peak {peak} MiB");
+    assert!(after.descriptors < before.descriptors + MORE_DESCRIPTORS);
+}
