A body without progress loses its reserved bytes to a request that needs them

What callers saw: while 200 clients announced 7 MB each and sent nothing, a body of 4 MB was refused (503) for some 6 s, until the announcing connections were closed as stalled.

Cause: an announced length is reserved at once, so that honest bodies don't starve each other in the middle, and stays reserved for `stall` whether or not bytes arrive. A large response meets the same: the request runs, and its answer is replaced by `answer_too_large` (502), as the test showed once its body had found room.

A request or response that the budget does not allow now takes the bytes of bodies that have moved less than the check of `stall` asks of them, over a second or more, if that suffices. Those are refused as not run (503, `overloaded`) and their connections close; the request waits up to 500 ms for their bytes. Bodies with progress keep theirs.

Test: 16 clients announce 4 MiB each, more than the budget of 40 MB, in a deployment with a `stall` of 60 s; a caller that tries 20 times gets a body of 4 MiB served.

Not changed: the answer of another entry host (`forward`) reserves without taking.

--- a/src/overload/budget.rs
+++ b/src/overload/budget.rs
@@ -47,6 +47,14 @@
         fits
     }
 
+    /// Returns how many bytes must be given back before `more` bytes can be reserved for
+    /// a request that holds `own`; absent if the request is too large for the budget.
+    pub fn missing(&self, own: u64, more: u64) -> Option<u64> {
+        let size = own.checked_add(more)?;
+        let limit = self.limit(size);
+        (size <= limit).then(|| self.held.saturating_add(more).saturating_sub(limit))
+    }
+
     /// Gives bytes back.
     pub const fn release(&mut self, bytes: u64) {
         self.held = self.held.saturating_sub(bytes);
--- a/src/overload/connections.rs
+++ b/src/overload/connections.rs
@@ -12,6 +12,10 @@
 /// The longest time in which all bytes that a request or response holds must have moved, so
 /// that a slow client cannot hold a large part of the budget for hours.
 const MAX_TRANSFER: Duration = Duration::from_secs(60);
+/// The time after which a body without enough progress can lose its bytes to another
+/// request. A host with a small share of a processor may itself be late by several hundred
+/// milliseconds.
+const LEAST_PERIOD: Duration = Duration::from_secs(1);
 /// How long a connection without a request is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
 
@@ -71,6 +75,8 @@
     held: u64,
     /// Whether it is already being closed for another.
     evicted: bool,
+    /// Whether its body has lost its bytes to another request.
+    displaced: bool,
 }
 
 /// The open connections from callers.
@@ -130,6 +136,7 @@
             moved: 0,
             held: 0,
             evicted: false,
+            displaced: false,
         });
         match closed {
             None => Admission::Open(opened),
@@ -162,6 +169,7 @@
             found.since = now;
             found.progress = now;
             found.moved = 0;
+            found.displaced = false;
         }
     }
 
@@ -180,6 +188,45 @@
         }
     }
 
+    /// Returns the bodies that lose their bytes so that another request, on connection
+    /// `taker` if on one, gets `missing` bytes: those that have made too little progress for
+    /// [`check`](Self::check), over a second or more; the largest first. Returns none if
+    /// that does not suffice.
+    pub fn displace(
+        &mut self,
+        taker: Option<ConnectionKey>,
+        missing: u64,
+        now: Moment,
+    ) -> Vec<ConnectionKey> {
+        let candidates = self.all.iter().filter(|(key, each)| {
+            let period = now - each.since;
+            Some(*key) != taker
+                && each.stage == Stage::Receiving
+                && !each.evicted
+                && !each.displaced
+                && period >= LEAST_PERIOD
+                && each.moved < least_progress(each.held, period)
+        });
+        let mut found: Vec<_> = candidates.map(|(key, each)| (each.held, key)).collect();
+        found.sort_unstable_by(|one, other| other.cmp(one));
+        let mut sum = 0;
+        let enough = found.iter().position(|(held, _)| {
+            sum += held;
+            sum >= missing
+        });
+        let count = enough.map_or(0, |place| place + 1);
+        let displaced: Vec<_> = found[..count].iter().map(|(_, key)| *key).collect();
+        for key in &displaced {
+            self.all[*key].displaced = true;
+        }
+        displaced
+    }
+
+    /// Whether the body on a connection has lost its bytes to another request.
+    pub fn is_displaced(&self, key: ConnectionKey) -> bool {
+        self.all.get(key).is_some_and(|found| found.displaced)
+    }
+
     /// Checks whether a connection has made enough progress. Call it at the moment that
     /// the check before gave.
     pub fn check(&mut self, key: ConnectionKey, now: Moment) -> Check {
--- a/src/overload/gate.rs
+++ b/src/overload/gate.rs
@@ -1,5 +1,6 @@
 //! Shares the decisions between the tasks of a process.
 
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use serde::Serialize;
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use super::{
     Admission, Budget, Check, ConnectionKey, Connections, OverloadSettings, Reason, Refusals, Stage,
@@ -18,6 +20,10 @@
 /// Writes a log line about a number of refusals of one reason.
 type WriteLine = fn(Reason, u64);
 
+/// The longest time that a request waits for the bytes of bodies without progress. Their
+/// tasks only have to run once.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(500);
+
 #[derive(Serialize)]
 struct RefusedLine {
     event: &'static str,
@@ -45,11 +51,22 @@
     budget: Mutex<Budget>,
     refusals: Mutex<Refusals>,
     write: WriteLine,
+    /// Tells requests that wait for bytes that some were given back.
+    released: Notify,
+}
+
+/// What a connection is told.
+#[derive(Debug, Default)]
+struct Signal {
+    /// It is closed for another connection.
+    evicted: Notify,
+    /// Its body loses its bytes to another request.
+    displaced: Notify,
 }
 
 #[derive(Debug, Default)]
 struct Signals {
-    by_key: SecondaryMap<ConnectionKey, Arc<Notify>>,
+    by_key: SecondaryMap<ConnectionKey, Arc<Signal>>,
 }
 
 /// Admits connections and bytes. The gates of one process share its budget; each
@@ -73,6 +90,7 @@
             budget: Mutex::new(Budget::new(settings.budget())),
             refusals: Mutex::default(),
             write,
+            released: Notify::new(),
         });
         Self::with_connections(shared, settings, settings.connection_limit())
     }
@@ -104,7 +122,7 @@
             Admission::Replace { opened, closed } => {
                 self.refuse(Reason::Connections);
                 if let Some(signal) = lock(&self.signals).by_key.get(closed) {
-                    signal.notify_one();
+                    signal.evicted.notify_one();
                 }
                 opened
             }
@@ -113,19 +131,20 @@
                 return None;
             }
         };
-        let evicted = Arc::new(Notify::new());
-        lock(&self.signals).by_key.insert(key, evicted.clone());
+        let signal = Arc::new(Signal::default());
+        lock(&self.signals).by_key.insert(key, signal.clone());
         Some(OpenConnection {
             gate: self.clone(),
             key,
-            evicted,
+            signal,
         })
     }
 
     /// Creates a charge without bytes.
-    pub fn charge(&self) -> Charge {
+    pub fn charge(self: &Arc<Self>) -> Charge {
         Charge {
-            shared: self.shared.clone(),
+            gate: self.clone(),
+            connection: None,
             bytes: AtomicU64::new(0),
         }
     }
@@ -168,7 +187,7 @@
 pub struct OpenConnection {
     gate: Arc<Gate>,
     key: ConnectionKey,
-    evicted: Arc<Notify>,
+    signal: Arc<Signal>,
 }
 
 impl OpenConnection {
@@ -208,7 +227,27 @@
 
     /// Waits until the connection has to be closed for another one.
     pub async fn wait_evicted(&self) {
-        self.evicted.notified().await;
+        self.signal.evicted.notified().await;
+    }
+
+    /// Waits until the body that is being received has lost its bytes to another request.
+    pub async fn wait_displaced(&self) {
+        loop {
+            self.signal.displaced.notified().await;
+            // A signal for a body that ended meanwhile is left over.
+            if lock(&self.gate.connections).is_displaced(self.key) {
+                return;
+            }
+        }
+    }
+
+    /// Creates a charge without bytes for a request of this connection.
+    pub fn charge(&self) -> Charge {
+        Charge {
+            gate: self.gate.clone(),
+            connection: Some(self.key),
+            bytes: AtomicU64::new(0),
+        }
     }
 }
 
@@ -222,7 +261,9 @@
 /// The bytes that a request and its response hold; given back when it is dropped.
 #[derive(Debug)]
 pub struct Charge {
-    shared: Arc<Shared>,
+    gate: Arc<Gate>,
+    /// The connection of the request, if it came on one.
+    connection: Option<ConnectionKey>,
     bytes: AtomicU64,
 }
 
@@ -239,25 +280,73 @@
     /// assert!(!charge.grow(1 << 30));
     /// ```
     pub fn grow(&self, more: u64) -> bool {
-        let mut budget = lock(&self.shared.budget);
+        let reserved = self.try_grow(more);
+        if !reserved {
+            self.gate.shared.refuse(Reason::Budget);
+        }
+        reserved
+    }
+
+    fn try_grow(&self, more: u64) -> bool {
+        let mut budget = lock(&self.gate.shared.budget);
         let own = self.bytes.load(Ordering::Relaxed);
         let reserved = budget.reserve(own, more);
         if reserved {
             self.bytes.store(own + more, Ordering::Relaxed);
+        }
+        reserved
+    }
+
+    /// Reserves further bytes like [`grow`](Self::grow). If the budget does not allow them,
+    /// bodies that make too little progress lose theirs.
+    pub async fn reserve(&self, more: u64) -> bool {
+        if self.try_grow(more) {
             return true;
         }
-        drop(budget);
-        self.shared.refuse(Reason::Budget);
+        if self.displace(more) {
+            let reserved = async {
+                loop {
+                    let mut released = pin!(self.gate.shared.released.notified());
+                    released.as_mut().enable();
+                    if self.try_grow(more) {
+                        return;
+                    }
+                    released.await;
+                }
+            };
+            if timeout(ROOM_TIMEOUT, reserved).await.is_ok() {
+                return true;
+            }
+        }
+        self.gate.refuse(Reason::Budget);
         false
     }
 
+    /// Takes what a request lacks from bodies without progress. Returns whether that is
+    /// enough.
+    fn displace(&self, more: u64) -> bool {
+        let missing = lock(&self.gate.shared.budget).missing(self.bytes(), more);
+        let Some(missing) = missing else {
+            return false;
+        };
+        let displaced =
+            lock(&self.gate.connections).displace(self.connection, missing, Moment::now());
+        let signals = lock(&self.gate.signals);
+        for signal in displaced.iter().filter_map(|key| signals.by_key.get(*key)) {
+            signal.displaced.notify_one();
+        }
+        !displaced.is_empty() || missing == 0
+    }
+
     /// Gives back the bytes beyond `bytes`.
     pub fn shrink(&self, bytes: u64) {
-        let mut budget = lock(&self.shared.budget);
+        let mut budget = lock(&self.gate.shared.budget);
         let own = self.bytes.load(Ordering::Relaxed);
         if bytes < own {
             budget.release(own - bytes);
             self.bytes.store(bytes, Ordering::Relaxed);
+            drop(budget);
+            self.gate.shared.released.notify_waiters();
         }
     }
 
@@ -269,6 +358,13 @@
         bytes <= own || self.grow(bytes - own)
     }
 
+    /// Resizes like [`resize`](Self::resize), and reserves like [`reserve`](Self::reserve).
+    pub async fn fit(&self, bytes: u64) -> bool {
+        let own = self.bytes();
+        self.shrink(bytes);
+        bytes <= own || self.reserve(bytes - own).await
+    }
+
     /// The bytes that are reserved.
     pub fn bytes(&self) -> u64 {
         self.bytes.load(Ordering::Relaxed)
@@ -277,6 +373,6 @@
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        lock(&self.shared.budget).release(self.bytes());
+        self.shrink(0);
     }
 }
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -123,6 +123,33 @@
     assert_eq!(connections.len(), 8);
 }
 
+/// Guards against bodies with progress that lose their bytes to another request, and against
+/// bodies that lose them although that does not suffice.
+#[test]
+fn only_bodies_without_enough_progress_lose_their_bytes() {
+    let mut connections = Connections::new(8, STALL);
+    let [announced, trickling, moving, handled, taker] = [0; 5].map(|ms| {
+        let key = open(&mut connections, ms);
+        connections.enter(key, Stage::Receiving, at(0));
+        connections.set_held(key, 6 << 20);
+        key
+    });
+    connections.record_moved(trickling, 1 << 10, at(900));
+    connections.record_moved(moving, 128 << 10, at(900));
+    connections.enter(handled, Stage::Handling, at(0));
+    let taker = Some(taker);
+    assert_eq!(connections.displace(taker, 1, at(999)), []);
+    assert_eq!(connections.displace(taker, (12 << 20) + 1, at(1000)), []);
+    let displaced = connections.displace(taker, 1, at(1000));
+    let rest = connections.displace(taker, 1, at(1000));
+    let mut both = [displaced, rest].concat();
+    both.sort();
+    assert_eq!(both, [announced, trickling]);
+    assert!(connections.is_displaced(announced));
+    connections.enter(announced, Stage::Receiving, at(1100));
+    assert!(!connections.is_displaced(announced));
+}
+
 /// Guards against ordinary callers that find no place while stopped ones hold it.
 #[test]
 fn stopped_connections_are_replaced_before_the_table_is_full() {
--- a/src/server/dispatch.rs
+++ b/src/server/dispatch.rs
@@ -58,7 +58,7 @@
         Box::pin(async move {
             Ok(answered.await.unwrap_or_else(|_| {
                 let refusal = Refusal::new(ErrorKind::Internal, "the handler failed");
-                let charge = Arc::new(link.connection.gate().charge());
+                let charge = Arc::new(link.connection.charge());
                 build(refusal_parts(&refusal, None), charge, &link)
             }))
         })
@@ -110,7 +110,7 @@
         let charge = exchange.charge();
         let body = match exchange.take_answer() {
             Some(body) if body.len() <= FREE_BYTES => Some(body),
-            Some(body) => charge.resize(body.len() as u64).then_some(body),
+            Some(body) => charge.fit(body.len() as u64).await.then_some(body),
             None => read_answer(&mut response, charge).await,
         };
         match body {
@@ -161,7 +161,7 @@
 /// not allow it.
 async fn read_answer(response: &mut LocalResponse<'_>, charge: &Charge) -> Option<Vec<u8>> {
     let size = response.body().preset_size().unwrap_or_default();
-    if size > FREE_BYTES && !charge.resize(size as u64) {
+    if size > FREE_BYTES && !charge.fit(size as u64).await {
         return None;
     }
     let mut body = Vec::with_capacity(size);
@@ -169,7 +169,7 @@
         let capacity = body.capacity();
         if body.len() == capacity {
             let doubled = (capacity * 2).max(FREE_BYTES);
-            if doubled > FREE_BYTES && size == 0 && !charge.resize(doubled as u64) {
+            if doubled > FREE_BYTES && size == 0 && !charge.fit(doubled as u64).await {
                 return None;
             }
             body.reserve_exact(doubled - body.len());
--- a/src/server/exchange.rs
+++ b/src/server/exchange.rs
@@ -15,7 +15,7 @@
 use super::buffer::BodyBuffer;
 use super::link::Link;
 use crate::kind::{ErrorKind, Refusal};
-use crate::overload::Charge;
+use crate::overload::{Charge, Reason};
 
 /// The first reservation for a body whose length is not given, in bytes.
 const FIRST_BYTES: u64 = 8 << 10;
@@ -48,6 +48,9 @@
     }
 }
 
+/// A part of a body, or why there are no more.
+type Received = Result<Frame<Bytes>, hyper::Error>;
+
 /// The part of a request and its response that does not pass through Rocket. Bodies are
 /// read when the handler asks for them, so a request that is refused by its headers
 /// holds nothing.
@@ -64,7 +67,7 @@
 
 impl Exchange {
     pub fn new(link: Arc<Link>, incoming: Incoming) -> Self {
-        let charge = Arc::new(link.connection.gate().charge());
+        let charge = Arc::new(link.connection.charge());
         Self(Arc::new(Inner {
             link,
             charge,
@@ -113,12 +116,12 @@
             if length > limit {
                 return Err(BodyError::TooLarge);
             }
-            self.charge_body(length)?;
+            self.charge_body(length).await?;
             make_room(&mut body, length, length)?;
             reserved = length;
         }
         self.0.link.on_body();
-        while let Some(frame) = incoming.frame().await {
+        while let Some(frame) = self.next_frame(incoming).await? {
             let frame = frame.map_err(|error| BodyError::EndedEarly(error.to_string()))?;
             let Ok(bytes) = frame.into_data() else {
                 continue;
@@ -133,7 +136,7 @@
                     _ => reserved + STEP_BYTES,
                 };
                 let next = next.max(length).min(limit);
-                self.charge_body(next - reserved)?;
+                self.charge_body(next - reserved).await?;
                 make_room(&mut body, next, limit)?;
                 reserved = next;
             }
@@ -142,9 +145,21 @@
         Ok(body.into_bytes())
     }
 
+    /// Waits for the next part of the body, unless another request gets its bytes.
+    async fn next_frame(&self, incoming: &mut Incoming) -> Result<Option<Received>, BodyError> {
+        tokio::select! {
+            biased;
+            frame = incoming.frame() => Ok(frame),
+            () = self.0.link.connection.wait_displaced() => {
+                self.0.link.connection.gate().refuse(Reason::Stalled);
+                Err(BodyError::NoBudget)
+            }
+        }
+    }
+
     /// Reserves bytes of the budget before they are received.
-    fn charge_body(&self, more: u64) -> Result<(), BodyError> {
-        if !self.0.charge.grow(more) {
+    async fn charge_body(&self, more: u64) -> Result<(), BodyError> {
+        if !self.0.charge.reserve(more).await {
             return Err(BodyError::NoBudget);
         }
         self.0.link.connection.set_held(self.0.charge.bytes());
--- a/src/workers/client.rs
+++ b/src/workers/client.rs
@@ -187,7 +187,7 @@
         if length > self.max_bytes {
             return AttemptOutcome::TooLarge;
         }
-        if !charge.grow(length) {
+        if !charge.reserve(length).await {
             return AttemptOutcome::NoBudget;
         }
         let mut body = Vec::with_capacity(length as usize);
@@ -203,7 +203,7 @@
             }
             if needed > body.capacity() {
                 let doubled = needed.max(body.capacity() * 2);
-                if !charge.grow((doubled - body.capacity()) as u64) {
+                if !charge.reserve((doubled - body.capacity()) as u64).await {
                     return AttemptOutcome::NoBudget;
                 }
                 body.reserve_exact(doubled - body.len());
--- a/tests/overload/main.rs
+++ b/tests/overload/main.rs
@@ -62,6 +62,17 @@
 /// Bound on the descriptors that remain open beside one for each client.
 const MORE_DESCRIPTORS: u64 = 128;
 
+/// The number of clients that announce a body of the greatest legal size and send none of
+/// it. Together they announce more than the default budget.
+const ANNOUNCING_CLIENTS: usize = 16;
+/// The time without progress after which a connection is closed in their deployment: longer
+/// than the tries of an ordinary caller last, so that none is served by waiting.
+const LONG_STALL: &str = "stall = 60s\n";
+/// The tries of an ordinary caller whose request is refused as not run.
+const TRIES: usize = 20;
+/// The pause between them.
+const TRY_PAUSE: Duration = Duration::from_millis(200);
+
 /// The limit on the body of a request on a small host, in bytes.
 const SMALL_HOST_BODY: u64 = 1 << 20;
 /// The memory of that host, in MiB.
@@ -170,6 +181,32 @@
         }
     }
 
+    /// Sends an ordinary request with a body of the greatest legal size. Returns the status.
+    async fn send_large_body(&self) -> u16 {
+        match self {
+            Self::Fleet(deployment) => {
+                let steps = json!([{"count": 1, "cpu": 100, "mem_mb": 10, "est_ms": 300}]);
+                let mut body = json!({"spec": "once", "steps": steps})
+                    .to_string()
+                    .into_bytes();
+                body.resize(BODY_BYTES as usize, b' ');
+                deployment.post(0, "/q/00000000000000fe", body).await
+            }
+            Self::Own(deployment) => {
+                let mark = "m".repeat(BODY_BYTES as usize);
+                let url = format!("http://{}/svc/shortlist/echo", deployment.entries[0]);
+                let call = deployment
+                    .http
+                    .post(url)
+                    .header("lycheelock-team", processes::TEAM);
+                let call = call.header("lycheelock-deadline-ms", "20000").body(mark);
+                call.send()
+                    .await
+                    .map_or(0, |answer| answer.status().as_u16())
+            }
+        }
+    }
+
     async fn is_answered(&self) -> bool {
         match self {
             Self::Fleet(deployment) => {
@@ -302,6 +339,27 @@
     withstand(&mut daemon, client, PEER_CLIENTS, LARGE_GROWTH).await;
 }
 
+/// Guards against bodies that are only announced and keep honest large bodies out.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_body_is_served_while_others_are_only_announced(#[values(false, true)] own: bool) {
+    let mut daemon = Daemon::start_limited(own, BODY_BYTES, LONG_STALL).await;
+    let head = format!("{}content-length: {BODY_BYTES}\r\n\r\n", daemon.head());
+    let client = Client::new(daemon.front(), Script::Bytes(head.into_bytes()));
+    let crowd = Crowd::send(client, ANNOUNCING_CLIENTS).await;
+    let mut statuses = Vec::new();
+    while !statuses.contains(&200) && statuses.len() < TRIES {
+        if !statuses.is_empty() {
+            sleep(TRY_PAUSE).await;
+        }
+        statuses.push(daemon.send_large_body().await);
+    }
+    drop(crowd);
+    assert!(statuses.contains(&200), "{statuses:?}");
+    assert!(daemon.is_running());
+    assert!(daemon.is_answered().await, "after the overload");
+}
+
 /// Lets a crowd send bodies to a small host and leave. Returns what the daemon used before,
 /// and a while after the crowd has left.
 async fn visit_small_host(own: bool, framing: Framing) -> (Usage, Usage) {
