Smaller send buffers: all that callers can hold fits the smallest host

Cause: the kernel's buffers were bounded for each connection (32 KB to receive, 64 KB to send as Linux counts), but what they add up to at the limit of 1,024 connections was not weighed: 96 MB. With the budget (40 MB), the connections (40 MB) and the process at rest (18 MB) that is 194 MB of the smallest host's 160.

The figures are bounds by size; a case with every buffer full was not played.

--- a/src/server/listener.rs
+++ b/src/server/listener.rs
@@ -20,8 +20,9 @@
 /// The kernel's receive buffer of each connection, in bytes: what a client can send
 /// ahead counts towards the memory of the host. Linux reserves twice as much.
 const RECEIVE_BUFFER: u32 = 16 << 10;
-/// The kernel's send buffer of each connection, in bytes.
-const SEND_BUFFER: u32 = 32 << 10;
+/// The kernel's send buffer of each connection, in bytes. At 32 KB the buffers of all
+/// connections and the budget together exceeded the memory of the smallest host.
+const SEND_BUFFER: u32 = 12 << 10;
 /// The connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// The pause after a failed accept, as when all descriptors are in use.
