Overload tests: measure a default host under 1,000 clients

An ignored test, to be run alone on a release build; its bound is the memory of the smallest host, 160 MB.

--- a/tests/overload/main.rs
+++ b/tests/overload/main.rs
@@ -73,6 +73,13 @@
 /// The pause between them.
 const TRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// The number of clients in the measurement of a default host.
+const MANY_CLIENTS: usize = 1000;
+/// What each of them sends of a body, in bytes.
+const MANY_BODY: u64 = 8 << 20;
+/// The memory of the smallest host, which is the default, in MiB.
+const DEFAULT_MEMORY: u64 = 160;
+
 /// The limit on the body of a request on a small host, in bytes.
 const SMALL_HOST_BODY: u64 = 1 << 20;
 /// The memory of that host, in MiB.
@@ -416,3 +423,32 @@
     let rest = after.resident.saturating_sub(before.resident) >> 20;
     assert!(rest < SMALL_HOST_REST, "{rest} MiB more remain");
 }
+
+/// Measures a daemon with its default limits under many clients; for release builds:
+/// `cargo test --release --test overload many_clients -- --ignored --test-threads 1
+/// --nocapture`.
+#[rstest]
+#[case::whole(Framing::Whole)]
+#[case::small_chunks(Framing::Chunks(1000))]
+#[ignore = "a measurement of a minute a case, to be run alone"]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_clients(#[case] framing: Framing, #[values(false, true)] own: bool) {
+    let mut daemon = Daemon::start_limited(own, MANY_BODY, "").await;
+    let before = Usage::read(daemon.process());
+    let script = Script::Body {
+        head: daemon.head(),
+        bytes: MANY_BODY as usize,
+        framing,
+    };
+    let client = Client::new(daemon.front(), script);
+    let crowd = Crowd::send(client, MANY_CLIENTS).await;
+    let during = Usage::read(daemon.process());
+    let answered = daemon.is_answered().await;
+    drop(crowd);
+    sleep(2 * RETURN_TIME).await;
+    let after = Usage::read(daemon.process());
+    eprintln!("before {before:?}\nduring {during:?}, answered: {answered}\nafter {after:?}");
+    assert!(daemon.is_running());
+    assert!(answered && daemon.is_answered().await);
+    assert!(after.peak >> 20 < DEFAULT_MEMORY);
+}
