Submitted jobs: lists are refused at the first entry over the limit

What callers saw: a process on the users' platform whose memory grew by gigabytes, so that the host ended it, while callers sent jobs with too many steps.

Cause: the body was decoded whole before the number of its steps was checked. A step of 4 bytes (`[1],`) became two structures of over 100 bytes each; the budget counts the bytes of the body only. The numbers of earlier steps (`after`), 2 bytes each, had no limit at all.

The lists are decoded by a visitor that refuses the first entry over 1,000, so what is decoded at once has a bound. A step can depend on at most 999 earlier steps, each named once, so no legal job meets the limit.

--- a/src/platform/fleet/job.rs
+++ b/src/platform/fleet/job.rs
@@ -1,12 +1,15 @@
 //! The bodies of submitted jobs and of the answers about jobs.
 
+use std::fmt;
+use std::marker::PhantomData;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::decode::{DecodeError, MAX_SPAN, amount, span};
 use crate::fleet::Capacity;
-use crate::workflow::{Recurrence, Step, Workflow, WorkflowState};
+use crate::workflow::{MAX_STEPS, Recurrence, Step, Workflow, WorkflowState};
 
 /// The header with the time that the caller waits for the answer, in milliseconds.
 pub const DEADLINE_HEADER: &str = "X-Lycheelock-Deadline-Ms";
@@ -20,6 +23,7 @@
     /// Opaque text that is passed to every task at its start.
     #[serde(default)]
     spec: String,
+    #[serde(deserialize_with = "step_list")]
     steps: Vec<StepRow>,
     #[serde(default)]
     times: f64,
@@ -41,7 +45,7 @@
     gpu: f64,
     #[serde(default)]
     est_ms: f64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "step_list")]
     after: Vec<usize>,
     #[serde(default)]
     checkpoint: bool,
@@ -73,6 +77,38 @@
     may_miss: u32,
 }
 
+/// A list of steps, or of their numbers. It is refused at the first entry over the limit:
+/// an entry of a few bytes may need a hundred times as much memory once it is decoded.
+struct StepList<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for StepList<T> {
+    type Value = Vec<T>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a list")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Vec<T>, A::Error> {
+        let mut list = Vec::new();
+        while let Some(entry) = entries.next_element()? {
+            if list.len() == MAX_STEPS {
+                let message = format!("a list of steps: give at most {MAX_STEPS} entries");
+                return Err(A::Error::custom(message));
+            }
+            list.push(entry);
+        }
+        Ok(list)
+    }
+}
+
+fn step_list<'de, T, D>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    T: Deserialize<'de>,
+    D: Deserializer<'de>,
+{
+    deserializer.deserialize_seq(StepList(PhantomData))
+}
+
 /// Decodes a submitted job.
 ///
 /// # Errors
--- a/src/platform/fleet/tests.rs
+++ b/src/platform/fleet/tests.rs
@@ -147,6 +147,31 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Guards against lists of any length that are decoded before they are refused: what follows
+/// the first entry over the limit is not JSON.
+#[rstest]
+#[case::steps(r#"{"steps":["#, r#"{"count":1},"#)]
+#[case::dependencies(r#"{"steps":[{"count":1},{"count":1,"after":["#, "0,")]
+fn a_list_of_steps_is_refused_at_the_first_entry_over_the_limit(
+    #[case] before: &str,
+    #[case] entry: &str,
+) {
+    let body = format!("{before}{}!", entry.repeat(1001));
+    let message = read_workflow(body.as_bytes()).unwrap_err();
+    assert!(message.contains("give at most 1000 entries"), "{message}");
+}
+
+/// Guards against a limit on lists that a job of legal size meets.
+#[test]
+fn a_job_with_as_many_steps_and_dependencies_as_allowed_is_accepted() {
+    let first = r#"{"count":1},"#.repeat(999);
+    let after: Vec<String> = (0..999).map(|step| step.to_string()).collect();
+    let after = after.join(",");
+    let body = format!(r#"{{"steps":[{first}{{"count":1,"after":[{after}]}}]}}"#);
+    let workflow = read_workflow(body.as_bytes()).unwrap();
+    assert_eq!(workflow.steps[999].after.len(), 999);
+}
+
 /// Describes the only queue of a configuration, or why the configuration is ignored.
 fn configured(fields: &str) -> String {
     let route = format!(r#"{{"name":"q","host":"h","prefix":"/","backend":"p"{fields}}}"#);
--- a/src/workflow/mod.rs
+++ b/src/workflow/mod.rs
@@ -19,4 +19,5 @@
 };
 pub use name::{ParseNameError, TaskName, WorkflowId};
 pub use progress::{MovedJob, Progress, TaskRecord};
+pub(crate) use spec::MAX_STEPS;
 pub use spec::{Recurrence, Step, Workflow, WorkflowState};
--- a/src/workflow/spec.rs
+++ b/src/workflow/spec.rs
@@ -11,7 +11,7 @@
 /// The limit on the tasks of one step.
 const MAX_STEP_TASKS: u32 = 10_000;
 /// The limit on the steps of one job.
-const MAX_STEPS: usize = 1000;
+pub(crate) const MAX_STEPS: usize = 1000;
 /// The limit on the tasks of all steps and occurrences of one job.
 const MAX_JOB_TASKS: u64 = 100_000;
 /// The limit on the estimated run time of a task.
--- a/tests/overload/main.rs
+++ b/tests/overload/main.rs
@@ -12,6 +12,7 @@
 #[allow(dead_code, reason = "the fleet tests use the rest of it")]
 #[path = "../common/fleet/deployment.rs"]
 mod fleet;
+mod jobs;
 #[path = "../common/ports.rs"]
 mod ports;
 #[allow(dead_code, reason = "the process tests use the rest of it")]
