Refusals are not lost when a short body arrives after them

What callers saw: a reset connection in place of a refusal, when the refusal was decided by the headers and the body of up to 16 KB arrived after it.

Cause: only bodies over 16 KB, and bodies that a handler had begun to read, were discarded before the connection closed. For a shorter one hyper takes what has arrived and closes the connection otherwise; what arrives later resets it.

Before, the writes failed with a broken pipe, both with nothing and with half of the body sent ahead.

The connection now remembers that its last request was answered before its body was read, and what the caller still sends is discarded for 1 s and 32 MB at most, as for long bodies. A connection that hyper keeps open is not affected. A body that begins later than 1 s after the refusal still resets the connection.

--- a/src/server/connection.rs
+++ b/src/server/connection.rs
@@ -48,7 +48,7 @@
         .header_read_timeout(None)
         .serve_connection(io, dispatcher);
     match drive(&mut connection, &link, stopping).await {
-        Some(Ok(())) if link.discards() => {
+        Some(Ok(())) if link.is_unread() => {
             let stream = connection.into_parts().io.into_inner().into_inner();
             tokio::select! {
                 () = discard(stream) => {}
--- a/src/server/dispatch.rs
+++ b/src/server/dispatch.rs
@@ -57,6 +57,7 @@
         let link = self.link.clone();
         Box::pin(async move {
             Ok(answered.await.unwrap_or_else(|_| {
+                link.set_unread(true);
                 let refusal = Refusal::new(ErrorKind::Internal, "the handler failed");
                 let charge = Arc::new(link.connection.gate().charge());
                 build(refusal_parts(&refusal, None), charge, &link)
@@ -77,6 +78,7 @@
             }
         };
         let unread = exchange.take_unread();
+        self.link.set_unread(unread.is_some());
         if unread.is_some_and(|body| is_long(&body)) {
             self.link.set_discards();
         }
--- a/src/server/link.rs
+++ b/src/server/link.rs
@@ -25,6 +25,7 @@
     counter: RequestCounter,
     state: Mutex<State>,
     discards: AtomicBool,
+    unread: AtomicBool,
 }
 
 impl Link {
@@ -39,6 +40,7 @@
                 taken: 0,
             }),
             discards: AtomicBool::new(false),
+            unread: AtomicBool::new(false),
         }
     }
 
@@ -109,6 +111,17 @@
         self.discards.load(Ordering::Relaxed)
     }
 
+    /// Records whether the last request was answered before its body was read. hyper closes
+    /// the connection then, unless it has received all of the body.
+    pub fn set_unread(&self, unread: bool) {
+        self.unread.store(unread, Ordering::Relaxed);
+    }
+
+    /// Whether the caller may still send a part of the last request.
+    pub fn is_unread(&self) -> bool {
+        self.discards() || self.unread.load(Ordering::Relaxed)
+    }
+
     pub fn stage(&self) -> Stage {
         self.state().stage
     }
--- a/src/server/tests.rs
+++ b/src/server/tests.rs
@@ -16,6 +16,7 @@
 use super::{RunningServer, build, direct_answer, read_body};
 use crate::drain::RequestCounter;
 use crate::front::refusal_answer;
+use crate::kind::{ErrorKind, Refusal};
 use crate::overload::{Gate, OverloadSettings};
 
 /// The limit on the body of a request, in bytes.
@@ -24,13 +25,17 @@
 /// The budget of the servers: one body of the greatest legal size fits, two do not.
 const BUDGET: u64 = 2 << 20;
 
-/// Echoes the body; panics or waits first under some paths.
+/// Echoes the body; panics, waits or refuses first under some paths.
 #[derive(Clone)]
 struct Echo;
 
 #[rocket::async_trait]
 impl Handler for Echo {
     async fn handle<'r>(&self, request: &'r Request<'_>, _: Data<'r>) -> Outcome<'r> {
+        if request.uri().path() == "/refused" {
+            let refusal = Refusal::new(ErrorKind::Overloaded, "by its headers");
+            return Outcome::Success(refusal_answer(&refusal, None));
+        }
         let body = match read_body(request, LIMIT).await {
             Ok(body) => body,
             Err(error) => {
@@ -225,6 +230,31 @@
     );
 }
 
+/// Guards against a refusal that is lost as the connection is reset when the rest of a short
+/// body arrives.
+#[rstest]
+#[case::whole(0)]
+#[case::part(5000)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_refused_before_its_body_arrives_does_not_reset(#[case] early: usize) {
+    let server = Server::small().await;
+    let body = vec![b'x'; 10_000];
+    let mut stream = server.send(&head("/refused", 10_000)).await;
+    stream.write_all(&body[..early]).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    for piece in body[early..].chunks(1000) {
+        stream.write_all(piece).await.unwrap();
+        sleep(Duration::from_millis(5)).await;
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    let answer = answer.to_ascii_lowercase();
+    for part in ["http/1.1 503", "lycheelock-run: no", "connection: close"] {
+        assert!(answer.contains(part), "{part} in {answer}");
+    }
+    server.wait_for("connections_open", 0).await;
+}
+
 /// Guards against bytes that a panic leaves reserved.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_panic_is_answered_and_gives_its_bytes_back() {
