Malformed requests and headers over the limit are refused with their kind

What callers saw: an empty answer (400 or 431) without the error kind, what is known of the run and when to retry, which docs/INTERFACES.md promises with every answer that isn't a worker's own; for headers that were still being sent a reset connection in place of any answer.

Cause: hyper answers requests that it cannot parse by itself, and the connection was closed without reading what the caller still sent.

The stream of the connection recognizes an error that hyper writes while no response was passed to it and does not send it. The connection sends the refusal instead (`bad_request`, or `too_large` for headers) and discards the rest for 1 s and 32 MB at most. Headers over the limit have the status 413 of their kind, as headers that a handler refuses; hyper's was 431.

--- a/src/server/connection.rs
+++ b/src/server/connection.rs
@@ -17,11 +17,15 @@
 use super::link::Link;
 use super::listener::wait_stopping;
 use super::stream::TrackedStream;
+use crate::front::refusal_parts;
+use crate::kind::{ErrorKind, Refusal};
 use crate::moment::Moment;
 use crate::overload::{Check, Reason, Stage};
 
 /// The limit on hyper's read buffer, and so on the headers of a request, in bytes.
 const BUFFER_BYTES: usize = 32 << 10;
+/// The limit on the header lines of a request: hyper's own.
+const MAX_HEADERS: usize = 100;
 /// How long the rest of a refused request is read and discarded, so that the caller
 /// gets the refusal instead of a reset connection.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
@@ -47,21 +51,56 @@
         // `OpenConnection::check` has the time limit for headers.
         .header_read_timeout(None)
         .serve_connection(io, dispatcher);
-    match drive(&mut connection, &link, stopping).await {
-        Some(Ok(())) if link.is_unread() => {
-            let stream = connection.into_parts().io.into_inner().into_inner();
-            tokio::select! {
-                () = discard(stream) => {}
-                () = link.connection.wait_evicted() => {}
+    let ended = drive(&mut connection, &link, stopping).await;
+    let refusal = match ended {
+        Some(Ok(())) if link.is_unread() => Vec::new(),
+        Some(Err(error)) => {
+            if error.is_parse_too_large() {
+                link.connection.gate().refuse(Reason::Headers);
             }
+            if !link.is_malformed() {
+                return;
+            }
+            encode_refusal(&malformed(&error))
         }
-        Some(Err(error)) if error.is_parse_too_large() => {
-            link.connection.gate().refuse(Reason::Headers);
-        }
-        _ => {}
+        _ => return,
+    };
+    let stream = connection.into_parts().io.into_inner().into_inner();
+    tokio::select! {
+        () = close(stream, &refusal) => {}
+        () = link.connection.wait_evicted() => {}
     }
 }
 
+/// Returns the refusal of a request that hyper cannot parse.
+fn malformed(error: &hyper::Error) -> Refusal {
+    if error.is_parse_too_large() {
+        let message = format!("the headers have over {BUFFER_BYTES} bytes or {MAX_HEADERS} lines");
+        return Refusal::new(ErrorKind::TooLarge, message);
+    }
+    Refusal::new(
+        ErrorKind::BadRequest,
+        format!("not an HTTP request: {error}"),
+    )
+}
+
+/// Encodes a refusal as the last response of a connection.
+fn encode_refusal(refusal: &Refusal) -> Vec<u8> {
+    let (status, headers, body) = refusal_parts(refusal, None);
+    let reason = hyper::StatusCode::from_u16(status)
+        .ok()
+        .and_then(|status| status.canonical_reason());
+    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason.unwrap_or_default());
+    for line in headers {
+        head += &format!("{}: {}\r\n", line.name, line.value);
+    }
+    head += &format!(
+        "content-length: {}\r\nconnection: close\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), &body].concat()
+}
+
 /// Drives a connection to its end. Returns `None` if it has to be closed before.
 async fn drive(
     connection: &mut Connection,
@@ -109,11 +148,14 @@
     Pin::new(connection).graceful_shutdown();
 }
 
-/// Reads and discards what the caller still sends, within limits.
-async fn discard(mut stream: TcpStream) {
-    let _ = stream.shutdown().await;
+/// Sends the last bytes of a connection, then reads and discards what the caller still sends,
+/// within limits.
+async fn close(mut stream: TcpStream, last: &[u8]) {
     let mut buffer = vec![0; DISCARD_PIECE];
     let rest = async {
+        if stream.write_all(last).await.is_err() || stream.shutdown().await.is_err() {
+            return;
+        }
         let mut left = DISCARD_BYTES;
         while let Ok(read) = stream.read(&mut buffer).await {
             left = left.saturating_sub(read);
--- a/src/server/link.rs
+++ b/src/server/link.rs
@@ -26,6 +26,7 @@
     state: Mutex<State>,
     discards: AtomicBool,
     unread: AtomicBool,
+    malformed: AtomicBool,
 }
 
 impl Link {
@@ -41,6 +42,7 @@
             }),
             discards: AtomicBool::new(false),
             unread: AtomicBool::new(false),
+            malformed: AtomicBool::new(false),
         }
     }
 
@@ -122,6 +124,21 @@
         self.discards() || self.unread.load(Ordering::Relaxed)
     }
 
+    /// Records that hyper writes an error. Returns whether it is hyper's own, that is, about a
+    /// malformed request, as no response was passed to hyper.
+    pub fn on_error_written(&self) -> bool {
+        let own = self.state().unsent.is_empty();
+        if own {
+            self.malformed.store(true, Ordering::Relaxed);
+        }
+        own
+    }
+
+    /// Whether hyper wrote an error of its own.
+    pub fn is_malformed(&self) -> bool {
+        self.malformed.load(Ordering::Relaxed)
+    }
+
     pub fn stage(&self) -> Stage {
         self.state().stage
     }
--- a/src/server/stream.rs
+++ b/src/server/stream.rs
@@ -15,6 +15,11 @@
 /// soon as a read fills it, so it would hold 32 KiB for each connection with a body.
 const READ_BYTES: usize = (8 << 10) - 1;
 
+/// Whether bytes are the head of a response of the class 4xx.
+fn is_error_head(bytes: &[u8]) -> bool {
+    bytes.starts_with(b"HTTP/1.") && bytes.get(9) == Some(&b'4')
+}
+
 /// A TCP stream that reports its progress to the state of its connection.
 #[derive(Debug)]
 pub(super) struct TrackedStream {
@@ -31,6 +36,12 @@
         self.stream
     }
 
+    /// Whether hyper writes an error of its own, which is not sent: it has neither a kind nor
+    /// a body.
+    fn drops(&self, bytes: &[u8]) -> bool {
+        is_error_head(bytes) && self.link.on_error_written()
+    }
+
     fn record(&self, written: &io::Result<usize>) {
         if let Ok(bytes) = written {
             self.link.on_written(*bytes);
@@ -62,6 +73,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if self.drops(bytes) {
+            return Poll::Ready(Ok(bytes.len()));
+        }
         let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
         self.record(&written);
         Poll::Ready(written)
@@ -72,6 +86,9 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        if parts.first().is_some_and(|part| self.drops(part)) {
+            return Poll::Ready(Ok(parts.iter().map(|part| part.len()).sum()));
+        }
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, parts));
         self.record(&written);
         Poll::Ready(written)
--- a/src/server/tests.rs
+++ b/src/server/tests.rs
@@ -307,6 +307,82 @@
     server.wait_for("connections_open", 0).await;
 }
 
+/// Guards against answers to malformed requests that name no kind, and that a reset of the
+/// connection loses.
+#[rstest]
+#[case::headers_too_large(
+    "GET / HTTP/1.1\r\n",
+    "x-filler: ffffffffffffffffffffff\r\n",
+    4000,
+    413
+)]
+#[case::too_many_headers("GET / HTTP/1.1\r\n", "x-filler: f\r\n", 101, 413)]
+#[case::path_too_long("GET /", "ffffffffffffffffffffffffffffffff", 3000, 413)]
+#[case::header_name("GET / HTTP/1.1\r\n", "not a name: f\r\n", 1, 400)]
+#[case::method("G@T / HTTP/1.1\r\n", "host: a\r\n", 1, 400)]
+#[case::version("GET / HTTP/9.1\r\n", "host: a\r\n", 1, 400)]
+#[case::lengths(
+    "POST / HTTP/1.1\r\ncontent-length: 1\r\n",
+    "content-length: 2\r\n",
+    1,
+    400
+)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_malformed_request_is_refused_with_its_kind(
+    #[case] start: &str,
+    #[case] line: &str,
+    #[case] lines: usize,
+    #[case] status: u16,
+    #[values("", "GET / HTTP/1.1\r\nhost: a\r\n\r\n")] before: &str,
+) {
+    let server = Server::small().await;
+    let mut stream = server.send(before).await;
+    if !before.is_empty() {
+        stream.readable().await.unwrap();
+        while !server.counter.is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let request = format!("{start}{}\r\n", line.repeat(lines));
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream.shutdown().await.unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    let answer = text.rfind("HTTP/1.1").map(|place| &text[place..]).unwrap();
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    let kind = if status == 413 {
+        "too_large"
+    } else {
+        "bad_request"
+    };
+    assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+    for line in [
+        &format!("lycheelock-error: {kind}"),
+        "lycheelock-run: no",
+        "content-type: application/json",
+        "connection: close",
+        &format!("content-length: {}", body.len()),
+    ] {
+        assert!(head.lines().any(|each| each == line), "{line} in {head}");
+    }
+    let body: serde_json::Value = serde_json::from_str(body).unwrap();
+    assert_eq!((&body["error"], &body["run"]), (&kind.into(), &"no".into()));
+    server.wait_for("connections_open", 0).await;
+}
+
+/// Guards against a malformed request that takes away the response to the one before it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_malformed_request_behind_another_one_is_refused_after_its_response() {
+    let server = Server::small().await;
+    let first = head("/slow", 4) + "body";
+    let mut stream = server.send(&(first + "G@T / HTTP/1.1\r\n\r\n")).await;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    let (response, refusal) = text.split_once("bodyHTTP/1.1 400 ").unwrap();
+    assert!(response.starts_with("HTTP/1.1 200 "), "{text}");
+    assert!(refusal.contains("lycheelock-error: bad_request"), "{text}");
+}
+
 /// Guards against idle connections that keep out an ordinary caller.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_over_the_limit_replaces_an_idle_one() {
