Answers for another entry host are charged until they are sent

What callers saw: a process whose memory grew beyond its budget while the connection between two entry hosts was slow and callers asked for large answers through it.

Cause: the bytes of a forwarded request and its answer were given back when the answer was put into the queue of the connection. The queue is limited to 4,096 frames, not by their bytes, and the next answers were read from the workers with the bytes that had been given back.

Evidence: a peer that has the key sends 60 requests with answers of 4 MB and does not read.

The charge now goes with the answer through the queue and ends when the connection has taken it, and the decoded answer is dropped once it is encoded. An answer that the budget does not allow, such as one stored under a key, is refused as `answer_too_large`.

--- a/src/entry/batch.rs
+++ b/src/entry/batch.rs
@@ -14,7 +14,7 @@
 };
 use crate::kind::{ErrorKind, Refusal};
 use crate::ownership::PeerMessage;
-use crate::peers::{CallFailure, Handler, PeerAnswer, PeerCall, ServeCall};
+use crate::peers::{CallAnswer, CallFailure, Handler, PeerAnswer, PeerCall, ServeCall};
 use crate::server::BodyError;
 
 /// Time limit for a change to be logged, here or by a peer.
@@ -266,9 +266,9 @@
         account
     }
 
-    async fn answer_peer(self: Arc<Self>, call: PeerCall) -> PeerAnswer {
-        match call {
-            PeerCall::Serve(call) => self.serve_peer(call).await,
+    async fn answer_peer(self: Arc<Self>, call: PeerCall) -> CallAnswer {
+        let answer = match call {
+            PeerCall::Serve(call) => return self.serve_peer(call).await,
             PeerCall::Submit(record) => match self.submit_here(record).await {
                 Ok(Submitted::Accepted(id)) => PeerAnswer::Accepted(id),
                 Ok(Submitted::Redirected(to)) => PeerAnswer::Redirected(to),
@@ -289,17 +289,23 @@
                 Ok(configuration) => PeerAnswer::Configuration(Box::new(configuration)),
                 Err(refusal) => PeerAnswer::Refused(refusal),
             },
-        }
+        };
+        answer.into()
     }
 
-    async fn serve_peer(self: &Arc<Self>, call: ServeCall) -> PeerAnswer {
+    /// Serves a request for a peer. The answer is charged until it is sent.
+    async fn serve_peer(self: &Arc<Self>, call: ServeCall) -> CallAnswer {
         let charge = Arc::new(self.gate.charge());
         if !charge.grow(call.body.len() as u64) {
-            return PeerAnswer::Refused(BodyError::NoBudget.refusal(String::new()));
+            return PeerAnswer::Refused(BodyError::NoBudget.refusal(String::new())).into();
         }
-        match self.serve(call, charge).await {
-            Ok(answer) => PeerAnswer::Served(answer),
-            Err(refusal) => PeerAnswer::Refused(refusal),
+        match self.serve(call, charge.clone()).await {
+            Ok(answer) if charge.resize(answer.body.len() as u64) => CallAnswer {
+                answer: PeerAnswer::Served(answer),
+                charge: Some(charge),
+            },
+            Ok(_) => PeerAnswer::Refused(no_memory_for_answer()).into(),
+            Err(refusal) => PeerAnswer::Refused(refusal).into(),
         }
     }
 }
@@ -313,7 +319,7 @@
         self.decide(|core, now| core.on_peer_message(from, message, now));
     }
 
-    async fn on_call(self: Arc<Self>, _from: HostId, call: PeerCall) -> PeerAnswer {
+    async fn on_call(self: Arc<Self>, _from: HostId, call: PeerCall) -> CallAnswer {
         self.answer_peer(call).await
     }
 }
@@ -331,6 +337,11 @@
     Refusal::new(ErrorKind::NotReady, "no shard is configured")
 }
 
+fn no_memory_for_answer() -> Refusal {
+    let message = "the request ran; the requests in progress leave no memory for its answer";
+    Refusal::new(ErrorKind::AnswerTooLarge, message)
+}
+
 /// Whether another shard may accept a job that one shard refused for this
 /// reason.
 const fn may_try_next(kind: ErrorKind) -> bool {
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -21,7 +21,7 @@
 use super::unproved::{LimitedStream, UnprovedConnections};
 use crate::ids::HostId;
 use crate::kind::{ErrorKind, Refusal};
-use crate::overload::{Gate, Reason};
+use crate::overload::{Charge, Gate, Reason};
 use crate::ownership::PeerMessage;
 
 /// Limit on the frames queued for one connection. When it is reached, messages are
@@ -48,7 +48,41 @@
         self: Arc<Self>,
         from: HostId,
         call: PeerCall,
-    ) -> impl Future<Output = PeerAnswer> + Send;
+    ) -> impl Future<Output = CallAnswer> + Send;
+}
+
+/// The answer to a call, with the bytes that it holds until it is sent.
+#[derive(Debug)]
+pub struct CallAnswer {
+    /// The answer.
+    pub answer: PeerAnswer,
+    /// The bytes that are reserved for a large answer.
+    pub charge: Option<Arc<Charge>>,
+}
+
+impl From<PeerAnswer> for CallAnswer {
+    fn from(answer: PeerAnswer) -> Self {
+        Self {
+            answer,
+            charge: None,
+        }
+    }
+}
+
+/// A frame that waits to be sent.
+#[derive(Debug)]
+struct Outgoing {
+    frame: Frame,
+    charge: Option<Arc<Charge>>,
+}
+
+impl From<Frame> for Outgoing {
+    fn from(frame: Frame) -> Self {
+        Self {
+            frame,
+            charge: None,
+        }
+    }
 }
 
 /// The reason why a call has no answer.
@@ -72,7 +106,7 @@
 #[derive(Debug, Clone)]
 struct Link {
     serial: u64,
-    outbox: mpsc::Sender<Frame>,
+    outbox: mpsc::Sender<Outgoing>,
     calls: Arc<Mutex<HashMap<u64, oneshot::Sender<PeerAnswer>>>>,
 }
 
@@ -80,7 +114,7 @@
     /// Sends a message, or drops it if there is no connection or the outbox is full.
     pub fn send(&self, to: HostId, message: PeerMessage) {
         if let Some(link) = self.get(to) {
-            let _ = link.outbox.try_send(Frame::Message(message));
+            let _ = link.outbox.try_send(Frame::Message(message).into());
         }
     }
 
@@ -101,7 +135,7 @@
         let (answer, answered) = oneshot::channel();
         lock(&link.calls).insert(id, answer);
         let call = Box::new(call);
-        if let Err(failure) = link.outbox.try_send(Frame::Call { id, call }) {
+        if let Err(failure) = link.outbox.try_send(Frame::Call { id, call }.into()) {
             lock(&link.calls).remove(&id);
             return Err(match failure {
                 TrySendError::Full(_) => CallFailure::OutboxFull,
@@ -157,7 +191,7 @@
 
 pub(super) struct OpenedLink {
     link: Link,
-    frames: mpsc::Receiver<Frame>,
+    frames: mpsc::Receiver<Outgoing>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -321,7 +355,7 @@
     socket: Socket,
     host: HostId,
     idle_timeout: Duration,
-    mut frames: mpsc::Receiver<Frame>,
+    mut frames: mpsc::Receiver<Outgoing>,
     link: &Link,
     handler: &Arc<H>,
 ) {
@@ -339,13 +373,16 @@
                     dispatch_frame(host, frame, link, handler);
                 }
             }
-            frame = frames.recv() => {
-                let Some(frame) = frame else {
+            outgoing = frames.recv() => {
+                let Some(Outgoing { frame, charge }) = outgoing else {
                     return;
                 };
-                if !send_in_time(&mut sink, encode(&frame), idle_timeout).await {
+                let message = encode(&frame);
+                drop(frame);
+                if !send_in_time(&mut sink, message, idle_timeout).await {
                     return;
                 }
+                drop(charge);
             }
             () = sleep_until(ping_at) => {
                 ping_at = Instant::now() + idle_timeout / 3;
@@ -380,8 +417,10 @@
         Frame::Call { id, call } => {
             let (outbox, handler) = (link.outbox.clone(), handler.clone());
             tokio::spawn(async move {
-                let answer = Box::new(handler.on_call(host, *call).await);
-                let _ = outbox.send(Frame::Answer { id, answer }).await;
+                let CallAnswer { answer, charge } = handler.on_call(host, *call).await;
+                let answer = Box::new(answer);
+                let frame = Frame::Answer { id, answer };
+                let _ = outbox.send(Outgoing { frame, charge }).await;
             });
         }
         Frame::Hello { .. } | Frame::Proof { .. } => {}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -14,4 +14,4 @@
 
 pub use frame::{Frame, IdempotencyKey, PeerAnswer, PeerCall, ServeCall};
 pub use handshake::{Identity, proof};
-pub use link::{CallFailure, Handler, Links, dial, listen};
+pub use link::{CallAnswer, CallFailure, Handler, Links, dial, listen};
--- a/tests/overload/crowd.rs
+++ b/tests/overload/crowd.rs
@@ -12,7 +12,7 @@
 /// receive buffer is full, and the daemon does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The time in which the daemon reads what the kernel has received.
-const READ_TIME: Duration = Duration::from_millis(1500);
+pub const READ_TIME: Duration = Duration::from_millis(1500);
 /// The bytes of one write.
 const WRITE_BYTES: usize = 64 << 10;
 
--- a/tests/overload/main.rs
+++ b/tests/overload/main.rs
@@ -13,6 +13,7 @@
 #[path = "../common/fleet/deployment.rs"]
 mod fleet;
 mod jobs;
+mod peers;
 #[path = "../common/ports.rs"]
 mod ports;
 #[allow(dead_code, reason = "the process tests use the rest of it")]
@@ -162,9 +163,20 @@
 /// Lets a crowd send all that it can, then checks the daemon while the crowd stays
 /// connected and after it has left.
 async fn withstand(daemon: &mut Daemon, client: Client, count: usize, growth: u64) {
+    withstand_while(daemon, Crowd::send(client, count), count, growth).await;
+}
+
+/// Does the same with a crowd of `count` clients that does not consist of one client's
+/// copies.
+async fn withstand_while<T>(
+    daemon: &mut Daemon,
+    sending: impl Future<Output = T>,
+    count: usize,
+    growth: u64,
+) {
     let process = daemon.process();
     let before = Usage::read(process);
-    let crowd = Crowd::send(client, count).await;
+    let crowd = sending.await;
     let during = Usage::read(process);
     let more = during.peak.saturating_sub(before.resident) >> 20;
     eprintln!(
