Ranks of a job's waiting tasks are computed in linear time

What callers saw: an owner that answered nobody for seconds after one legal job of 13 KB.

Cause: the rank of each waiting task searched the dependencies of all pairs of steps. A job of 1,000 steps has up to 1,000 x 1,000 / 2 pairs, and its thousands of waiting tasks are ranked again and again, in the task that makes all decisions.

What the tasks of an occurrence have in common is computed once for each ranking, and the longest chains behind all steps in one pass over the dependencies. The ranks are the same.

--- a/src/schedule/rank.rs
+++ b/src/schedule/rank.rs
@@ -1,9 +1,10 @@
 //! The order in which waiting tasks are placed.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::moment::Moment;
-use crate::workflow::{ActiveWorkflow, OVERDUE_FACTOR, Task, TaskKey, WorkflowState};
+use crate::workflow::{ActiveWorkflow, OVERDUE_FACTOR, Task, TaskKey, WorkflowKey, WorkflowState};
 
 /// Whether the job can still end in time if the task starts now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -86,29 +87,82 @@
     pub task: TaskKey,
 }
 
+/// What the ranks of an occurrence's tasks have in common. It takes time in proportion to the
+/// steps of the job, of which there may be a thousand, so it is computed once for all tasks.
+struct OccurrenceRank {
+    allowed: Duration,
+    /// How long later work may go before a long-running task that has never run.
+    max_overtaking: Duration,
+    started: bool,
+    work_left: u64,
+    remaining_time: Duration,
+    /// By step, the estimated duration of the longest chain of steps to the end of the job.
+    remaining_paths: Vec<Duration>,
+}
+
+impl OccurrenceRank {
+    /// Computes it for an occurrence of a job.
+    fn new(workflow: &ActiveWorkflow, occurrence: usize) -> Self {
+        Self {
+            allowed: workflow.allowed(),
+            max_overtaking: max_overtaking(workflow),
+            started: has_started(workflow, occurrence),
+            work_left: work_left(workflow, occurrence),
+            remaining_time: remaining_time(workflow, occurrence),
+            remaining_paths: remaining_paths(workflow),
+        }
+    }
+}
+
+/// Computes the ranks of waiting tasks, of several jobs in any order.
+#[derive(Default)]
+pub struct Ranks(HashMap<(WorkflowKey, u32), OccurrenceRank>);
+
+impl Ranks {
+    /// Computes the rank of a waiting task.
+    pub fn rank(
+        &mut self,
+        workflow: &ActiveWorkflow,
+        key: TaskKey,
+        task: &Task,
+        now: Moment,
+    ) -> Rank {
+        let occurrence = task.name.occurrence;
+        let common = self.0.entry((task.workflow, occurrence));
+        let common = common.or_insert_with(|| OccurrenceRank::new(workflow, occurrence as usize));
+        rank(workflow, common, key, task, now)
+    }
+}
+
 /// Computes the rank of a waiting task. Long-running tasks always count as in time. One that
 /// has never run ranks with the new jobs, because it would hold for long the processors that
 /// short tasks need briefly. After [`max_overtaking`] it ranks as started.
-pub fn rank(workflow: &ActiveWorkflow, key: TaskKey, task: &Task, now: Moment) -> Rank {
-    let occurrence = task.name.occurrence as usize;
-    let due = workflow.occurrences[occurrence].due;
+fn rank(
+    workflow: &ActiveWorkflow,
+    common: &OccurrenceRank,
+    key: TaskKey,
+    task: &Task,
+    now: Moment,
+) -> Rank {
+    let due = workflow.occurrences[task.name.occurrence as usize].due;
     let begin = workflow.accepted.max(due);
-    let remaining = remaining_path(workflow, task.name.step as usize);
+    let remaining = common.remaining_paths[task.name.step as usize];
+    let allowed = common.allowed;
     let step = workflow.step(task.name);
     let precedence = if step.long_running {
         let is_new = !step.best_effort && !task.has_run();
-        Precedence::of_long_running(is_new && now - task.ready < max_overtaking(workflow))
+        Precedence::of_long_running(is_new && now - task.ready < common.max_overtaking)
     } else {
-        let timeliness = timeliness(begin, workflow.allowed(), now + remaining);
-        Precedence::new(has_started(workflow, occurrence), timeliness)
+        let timeliness = timeliness(begin, allowed, now + remaining);
+        Precedence::new(common.started, timeliness)
     };
     let work_left = match precedence {
-        Precedence::StartedLate => work_left(workflow, occurrence),
+        Precedence::StartedLate => common.work_left,
         _ => 0,
     };
-    let slack = workflow.allowed().saturating_sub(remaining);
-    let latest_start = (begin + workflow.allowed() - Moment::default()).saturating_sub(remaining);
-    let deferral = remaining_time(workflow, occurrence).mul_f64(START_DEFERRAL);
+    let slack = allowed.saturating_sub(remaining);
+    let latest_start = (begin + allowed - Moment::default()).saturating_sub(remaining);
+    let deferral = common.remaining_time.mul_f64(START_DEFERRAL);
     Rank {
         priority: workflow.queue.priority,
         precedence,
@@ -160,20 +214,20 @@
     left * WHOLE_WORK / workflow.spec.work().max(1)
 }
 
-/// The estimated duration of the longest chain of steps from this step to the
-/// end of the job.
-fn remaining_path(workflow: &ActiveWorkflow, step: usize) -> Duration {
+/// By step, the estimated duration of the longest chain of steps from it to the end of the
+/// job.
+fn remaining_paths(workflow: &ActiveWorkflow) -> Vec<Duration> {
     let steps = &workflow.spec.steps;
-    let mut remaining = vec![Duration::ZERO; steps.len()];
-    for number in (step..steps.len()).rev() {
-        let later = steps[number + 1..].iter().enumerate();
-        let longest = later
-            .filter(|(_, later)| later.after.contains(&number))
-            .map(|(offset, _)| remaining[number + 1 + offset])
-            .max();
-        remaining[number] = steps[number].estimate + longest.unwrap_or_default();
+    let mut paths = vec![Duration::ZERO; steps.len()];
+    for number in (0..steps.len()).rev() {
+        paths[number] += steps[number].estimate;
+        let path = paths[number];
+        // A step depends on earlier ones only, whose paths are complete later.
+        for earlier in &steps[number].after {
+            paths[*earlier] = paths[*earlier].max(path);
+        }
     }
-    remaining[step]
+    paths
 }
 
 /// The sum of the estimated run times of all unfinished tasks of an occurrence.
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -17,7 +17,7 @@
 use super::peers::PeerEvidence;
 use super::place::{Candidates, OpenWorkers};
 use super::placement::{Placement, Tolerance};
-use super::rank::{Rank, rank};
+use super::rank::{Rank, Ranks};
 use super::trial::Trials;
 use super::waiting::WaitList;
 use super::write::Writes;
@@ -364,11 +364,12 @@
         if workflow.state.is_final() {
             return;
         }
+        let mut ranks = Ranks::default();
         let waiting: Vec<Rank> = self
             .ledger
             .all_tasks(key)
             .filter(|task| self.ledger.tasks[*task].stage == Stage::Waiting)
-            .map(|task| rank(workflow, task, &self.ledger.tasks[task], now))
+            .map(|task| ranks.rank(workflow, task, &self.ledger.tasks[task], now))
             .collect();
         for rank in waiting {
             self.waiting.insert(rank);
@@ -378,13 +379,14 @@
     fn rerank(&mut self, now: Moment) {
         self.last_ranked = now;
         self.idle_pools = self.find_idle_pools(now);
+        let mut ranks = Ranks::default();
         for key in self.waiting.take() {
             let Some(task) = self.ledger.tasks.get(key) else {
                 continue;
             };
             let workflow = &self.ledger.workflows[task.workflow];
             if task.stage == Stage::Waiting && !workflow.state.is_final() {
-                self.waiting.insert(rank(workflow, key, task, now));
+                self.waiting.insert(ranks.rank(workflow, key, task, now));
             }
         }
     }
