Submitted jobs are charged while they are stored

What callers saw: a process on the users' platform whose memory grew beyond its budget while callers submitted legal jobs of many steps.

Cause: the budget counted the body of a submission (4 to 13 KB for 1,000 steps). While the store was called, the process held the body, the decoded job, its encoding with the names of all fields, and the body of the call with the encoding as base64, together some 0.6 MB.

The body and the decoded job are dropped once the job is encoded, and the charge of the request holds four lengths of the encoding until the store has answered. The store takes values of 1 MB at most, so the largest job needs 4 MB and is served in calm.

--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -139,7 +139,11 @@
         let body = read_body(request, job.limit).await?;
         let workflow =
             read_workflow(&body).map_err(|message| Refusal::new(ErrorKind::BadRequest, message))?;
-        self.0.submit(job.queue, id, workflow, job.deadline).await?;
+        drop(body);
+        let charge = server::charge(request).unwrap_or_else(|| Arc::new(self.0.gate.charge()));
+        self.0
+            .submit(job.queue, id, workflow, job.deadline, &charge)
+            .await?;
         Ok(reply(200, b"{}".to_vec(), "accepted"))
     }
 
--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -8,8 +8,10 @@
 use super::node::wall_clock;
 use crate::kind::{ErrorKind, Refusal};
 use crate::moment::Moment;
+use crate::overload::Charge;
 use crate::platform::fleet::{Commit, Item, StoreFault, Transaction};
 use crate::routing::Queue;
+use crate::server::BodyError;
 use crate::shards::{
     AcceptedJob, JobRecord, cancel_key, decode, encode, job_key, waiting_prefix, work_key,
 };
@@ -22,6 +24,10 @@
 /// The part of the caller's time limit that is reserved for sending the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
+/// The memory that a job needs while it is stored, in lengths of its encoding: the encoding,
+/// and the body of the call to the store, which has it as base64 in a buffer that doubles.
+const STORED_COPIES: u64 = 4;
+
 /// The outcome of a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CancelOutcome {
@@ -33,13 +39,15 @@
 
 impl Node {
     /// Accepts a job. A repeated submission with the same id succeeds and leaves
-    /// the stored job as it is.
+    /// the stored job as it is. `charge` holds the bytes of the request, and those of the
+    /// stored job until the store has answered.
     pub(super) async fn submit(
         &self,
         queue: &Queue,
         id: WorkflowId,
         workflow: Workflow,
         deadline: Moment,
+        charge: &Charge,
     ) -> Result<(), Refusal> {
         self.check_store()?;
         let shard = &self.choose_shard(&queue.pool, id)?;
@@ -55,10 +63,15 @@
             state: WorkflowState::Queued,
             moves: 0,
         };
+        let work = encode(&accepted);
+        drop(accepted);
+        if !charge.resize(work.len() as u64 * STORED_COPIES) {
+            return Err(BodyError::NoBudget.refusal(String::new()));
+        }
         let transaction = Transaction::default()
             .require(&job_key(id), 0)
             .set(&job_key(id), encode(&record))
-            .set(&work_key(shard, id), encode(&accepted));
+            .set(&work_key(shard, id), work);
         let mut unresolved = false;
         let mut attempts = 0;
         loop {
--- a/tests/overload/jobs.rs
+++ b/tests/overload/jobs.rs
@@ -5,6 +5,9 @@
 use super::crowd::{Client, Script};
 use super::{BODY_BYTES, BODY_CLIENTS, Daemon, LARGE_GROWTH, withstand};
 
+/// The number of clients that submit a job of legal size at once.
+const JOB_CLIENTS: usize = 200;
+
 /// A complete submission whose body is as long as allowed and consists of `entry` repeated
 /// between two texts.
 fn submission(daemon: &Daemon, before: &str, entry: &str, after: &str) -> Script {
@@ -31,3 +34,21 @@
     let client = Client::new(daemon.front(), script);
     withstand(&mut daemon, client, BODY_CLIENTS, LARGE_GROWTH).await;
 }
+
+/// A submission with as many steps as a job may have, for which no worker has room.
+fn many_steps(daemon: &Daemon) -> Script {
+    let steps = vec!["[1,90000000]"; 1000].join(",");
+    let body = format!("{{\"steps\":[{steps}]}}");
+    let head = daemon.head();
+    let request = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+    Script::Bytes(request.into_bytes())
+}
+
+/// Guards against jobs that need much more memory than their bodies while they are stored, and
+/// whose ranks take so long that their owner answers nobody.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn jobs_with_as_many_steps_as_allowed() {
+    let mut daemon = Daemon::start_fleet().await;
+    let client = Client::new(daemon.front(), many_steps(&daemon));
+    withstand(&mut daemon, client, JOB_CLIENTS, LARGE_GROWTH).await;
+}
