Requests that no route takes are refused with their kind on the users' platform

What callers saw: an HTML page (404) without the error kind and what is known of the run, for a method such as TRACE; the same page (500) if a handler fails.

Cause: the front for the users' platform registered no catchers, so that Rocket's own answered.

It uses the catchers of the own protocol's front.

--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -11,7 +11,7 @@
 use super::Node;
 use super::intake::CancelOutcome;
 use super::lines::DaemonLine;
-use crate::front::refusal_answer;
+use crate::front::{refusal_answer, refusal_catchers};
 use crate::journal;
 use crate::kind::{ErrorKind, Refusal};
 use crate::latency::Span;
@@ -36,6 +36,7 @@
     });
     server::build(node.settings.address, node.settings.grace, MAX_BODY_BYTES)
         .mount("/", routes.to_vec())
+        .register("/", refusal_catchers())
 }
 
 #[derive(Clone)]
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use rocket::http::Status;
-use rocket::{Build, Request, Rocket, catch, catchers};
+use rocket::{Build, Catcher, Request, Rocket, catch, catchers};
 
 use crate::entry::Node;
 use crate::kind::{ErrorKind, Refusal};
@@ -35,7 +35,12 @@
     .mount("/svc", services::routes(node))
     .mount("/v1", jobs::routes())
     .mount("/v1", operators::routes())
-    .register("/", catchers![not_found, bad_request, internal])
+    .register("/", refusal_catchers())
+}
+
+/// Returns the catchers that refuse what no route takes or answers.
+pub(crate) fn refusal_catchers() -> Vec<Catcher> {
+    catchers![not_found, bad_request, internal]
 }
 
 #[catch(404)]
--- a/tests/fleet/odd.rs
+++ b/tests/fleet/odd.rs
@@ -127,3 +127,22 @@
     assert_all_done(&deployment, &[id], JOB_TIMEOUT).await;
     assert_eq!(deployment.owner().await, 0);
 }
+
+/// Guards against answers without a kind to requests that no route takes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_no_route_takes_is_refused_with_its_kind() {
+    let deployment = Deployment::start("methods", 1, 1).await;
+    let url = format!("http://{}/q/{}", deployment.front_addresses[0], job_id(1));
+    for method in ["TRACE", "CONNECT", "PROPFIND"] {
+        let method = reqwest::Method::from_bytes(method.as_bytes()).unwrap();
+        let client = reqwest::Client::new();
+        let response = client.request(method.clone(), &url).send().await.unwrap();
+        let kind = response.headers().get("lycheelock-error").cloned();
+        let status = response.status();
+        let body = response.text().await.unwrap();
+        let kind = kind.unwrap_or_else(|| panic!("{method}: {status} {body}"));
+        let body: Value = serde_json::from_str(&body).unwrap();
+        assert_eq!(body["error"], kind.to_str().unwrap(), "{method}");
+        assert_eq!(body["run"], "no", "{method}");
+    }
+}
