--- a/src/daemon/ingress.rs
+++ b/src/daemon/ingress.rs
@@ -12,7 +12,7 @@
 use super::Node;
 use super::intake::CancelOutcome;
 use super::lines::DaemonLine;
-use crate::front::refusal_answer;
+use crate::front::{refusal_answer, refusal_catchers};
 use crate::journal;
 use crate::kind::{ErrorKind, Refusal};
 use crate::latency::Span;
@@ -37,6 +37,7 @@
     });
     server::build(node.settings.address, node.settings.grace, MAX_BODY_BYTES)
         .mount("/", routes.to_vec())
+        .register("/", refusal_catchers())
 }
 
 #[derive(Clone)]
@@ -140,7 +141,11 @@
         let body = read_body(request, job.limit).await?;
         let workflow =
             read_workflow(&body).map_err(|message| Refusal::new(ErrorKind::BadRequest, message))?;
-        self.0.submit(job.queue, id, workflow, job.deadline).await?;
+        drop(body);
+        let charge = server::charge(request).unwrap_or_else(|| Arc::new(self.0.gate.charge()));
+        self.0
+            .submit(job.queue, id, workflow, job.deadline, &charge)
+            .await?;
         Ok(reply(200, b"{}".to_vec(), "accepted"))
     }
 
--- a/src/server/link.rs
+++ b/src/server/link.rs
@@ -25,6 +25,8 @@
     counter: RequestCounter,
     state: Mutex<State>,
     discards: AtomicBool,
+    unread: AtomicBool,
+    malformed: AtomicBool,
 }
 
 impl Link {
@@ -39,6 +41,8 @@
                 taken: 0,
             }),
             discards: AtomicBool::new(false),
+            unread: AtomicBool::new(false),
+            malformed: AtomicBool::new(false),
         }
     }
 
@@ -109,6 +113,32 @@
         self.discards.load(Ordering::Relaxed)
     }
 
+    /// Records whether the last request was answered before its body was read. hyper closes
+    /// the connection then, unless it has received all of the body.
+    pub fn set_unread(&self, unread: bool) {
+        self.unread.store(unread, Ordering::Relaxed);
+    }
+
+    /// Whether the caller may still send a part of the last request.
+    pub fn is_unread(&self) -> bool {
+        self.discards() || self.unread.load(Ordering::Relaxed)
+    }
+
+    /// Records that hyper writes an error. Returns whether it is hyper's own, that is, about a
+    /// malformed request, as no response was passed to hyper.
+    pub fn on_error_written(&self) -> bool {
+        let own = self.state().unsent.is_empty();
+        if own {
+            self.malformed.store(true, Ordering::Relaxed);
+        }
+        own
+    }
+
+    /// Whether hyper wrote an error of its own.
+    pub fn is_malformed(&self) -> bool {
+        self.malformed.load(Ordering::Relaxed)
+    }
+
     pub fn stage(&self) -> Stage {
         self.state().stage
     }
