A job's running tasks are counted, not searched

A caller submitted a job of 1,000 steps of 100 tasks, as many as allowed, which no worker could hold. For each waiting task the owner looked through all tasks of the job for a running one, once in each pass: it answered nobody for over 60 s. The ledger now counts the running tasks of each job as their stages change.

--- a/src/schedule/slow.rs
+++ b/src/schedule/slow.rs
@@ -117,7 +117,6 @@
         let is_overdue = || workflow.overdue().is_some_and(|overdue| overdue <= now);
         let is_quiet = || !self.has_demand(&workflow.queue.pool, now);
         let may_run = (waited >= IDLE_POOL_DELAY && idle_pool()) || is_quiet() || is_overdue();
-        // Looks at all tasks of the job, so it comes last.
         may_run && self.ledger.is_idle(task.workflow)
     }
 
--- a/src/workflow/ledger.rs
+++ b/src/workflow/ledger.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
 use super::{
     CrashRecord, Progress, Step, TaskName, TaskRecord, Workflow, WorkflowId, WorkflowState,
@@ -237,6 +237,8 @@
     /// The tasks of these jobs.
     pub tasks: SlotMap<TaskKey, Task>,
     by_id: HashMap<WorkflowId, WorkflowKey>,
+    /// The number of tasks of each job that a worker may be running.
+    live: SecondaryMap<WorkflowKey, usize>,
 }
 
 impl Ledger {
@@ -267,6 +269,7 @@
             return;
         };
         self.by_id.remove(&workflow.id);
+        self.live.remove(key);
         for task in workflow
             .occurrences
             .iter()
@@ -412,6 +415,11 @@
     /// Moves a task to a stage.
     pub fn set_stage(&mut self, key: TaskKey, stage: Stage, now: Moment) {
         let task = &mut self.tasks[key];
+        if let Some(live) = self.live.entry(task.workflow) {
+            let live = live.or_default();
+            *live += usize::from(stage.worker().is_some());
+            *live -= usize::from(task.stage.worker().is_some());
+        }
         let is_retry = matches!(task.stage, Stage::Starting(_)) && stage == Stage::Waiting;
         if stage == Stage::Waiting && !is_retry {
             task.ready = now;
@@ -488,7 +496,7 @@
 
     /// Whether a job has no task that a worker may be running.
     pub fn is_idle(&self, key: WorkflowKey) -> bool {
-        self.live_tasks(key).next().is_none()
+        self.live.get(key).is_none_or(|live| *live == 0)
     }
 
     /// Returns all tasks of a job that were created.
