--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -494,9 +494,11 @@
             let known = &self.ledger.tasks[task];
             let confirmed = known.confirmed && known.since < sent;
             let lease_ended = known.lease_end.is_some_and(|end| end < clock);
+            if !(confirmed || lease_ended) || live.contains(&(known.name, known.run)) {
+                continue;
+            }
             // An earlier run that a late copy has begun is being stopped, too.
-            let is_live = live.iter().any(|(task, _)| *task == known.name);
-            if (confirmed || lease_ended) && !is_live {
+            if !live.iter().any(|(task, _)| *task == known.name) {
                 self.lose(task, "the worker does not list it", now);
             }
         }
