--- a/src/server/buffer.rs
+++ b/src/server/buffer.rs
@@ -14,7 +14,7 @@
 
 /// The bytes of a body that have arrived.
 ///
-/// A body over 128 KB has pages of its own: the system provides them as bytes are written,
+/// A body over 16 KB has pages of its own: the system provides them as bytes are written,
 /// and takes them back when the body is dropped. The heap gives large blocks that were used
 /// before, so a body held its capacity instead of its bytes, and freed blocks stayed with
 /// the process.
