--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -111,9 +111,10 @@
         // The fields of deploy/entry.ini.
         let text = format!(
             "[fleet]\nname = edge-{number}\nzone = {zone}\nzones = {zones}\naddress = {front}\nready = {ready}\n\
-             metrics = {metrics}\nplatform = {}\ncores = 0.1\ngrace = 6s\nmemory = 260MB\ndescriptors = 4100\n\
+             metrics = {metrics}\nplatform = {}\ncores = {}\ngrace = 6s\nmemory = 260MB\ndescriptors = 4100\n\
              remote_factor = 3\nlongest_lease = {HOLD_MAX_MS}ms\n",
-            relay.address
+            relay.address,
+            std::env::var("CORES").unwrap_or("0.1".to_owned())
         );
         fs::write(&file, text).expect("settings can be written");
         let log = folder.join(format!("host-{number}.log"));
@@ -155,7 +156,7 @@
 
     pub fn owns(&self) -> bool {
         let answer = call(self.metrics, "GET", "/metrics", &[("Host", "x")], "", Duration::from_millis(500));
-        answer.is_some_and(|(_, body)| String::from_utf8_lossy(&body).contains("shards_owned 1"))
+        answer.is_some_and(|(_, body)| String::from_utf8_lossy(&body).lines().any(|line| line.starts_with("shards_owned ") && line != "shards_owned 0"))
     }
 
     pub fn log(&self) -> String {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,11 +3,12 @@
 //! held, and 2 if the case could not run.
 
 mod cancel;
-mod chaos;
+mod clocks;
 mod crashes;
 mod deployment;
 mod http;
 mod json;
+mod large;
 mod store;
 mod worker;
 
@@ -17,7 +18,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let (text, code) = match name.as_str() {
         "cancel" => cancel::play(trouble),
-        "chaos" => chaos::play(trouble),
+        "large" => large::play(trouble),
+        "clocks" => clocks::play(trouble),
         "crashes" => crashes::play(trouble),
         _ => (format!("no case {name:?}\n"), 2),
     };
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -8,6 +8,9 @@
 use crate::http::{Reply, Request, Server};
 use crate::json::{base64, quote, Json};
 
+/// `value_bytes`.
+const VALUE_BYTES: usize = 1_048_576;
+
 #[derive(Clone)]
 struct Item {
     value: String,
@@ -214,6 +217,9 @@
             return Reply::Answer(412, format!("{{\"items\":[{}]}}", items.join(",")));
         }
         let sets = body.get("set_keys").list();
+        if sets.iter().any(|row| row.get("value").text().len() / 4 * 3 > VALUE_BYTES) {
+            return Reply::Answer(400, "{}".into());
+        }
         let lease = |row: &Json| row.get("lease").int().unwrap_or(0);
         if sets.iter().any(|row| lease(row) > 0 && !inner.leases.contains_key(&lease(row))) {
             return Reply::Answer(404, "{}".into());
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -104,6 +104,7 @@
 }
 
 struct Inner {
+    rate: u64,
     id: String,
     born: u64,
     began: Instant,
@@ -138,6 +139,8 @@
     pub zone: String,
     pub rack: String,
     pub cpu: u64,
+    /// The rate of its steady clock, in thousandths.
+    rate: u64,
     world: Arc<World>,
     store: Arc<Store>,
     inner: Mutex<Inner>,
@@ -151,8 +154,9 @@
 }
 
 impl Inner {
-    fn new(id: String) -> Inner {
+    fn new(id: String, rate: u64) -> Inner {
         Inner {
+            rate,
             id,
             born: unix_ms(),
             began: Instant::now(),
@@ -169,12 +173,17 @@
     }
 
     fn clock(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64
+        (self.began.elapsed().as_micros() as u64 * self.rate) / 1_000_000
     }
 }
 
 impl Worker {
     pub fn start(number: usize, zone: &str, rack: &str, cpu: u64, world: &Arc<World>, store: &Arc<Store>) -> Arc<Worker> {
+        Self::start_with(number, zone, rack, cpu, 1000, world, store)
+    }
+
+    /// Starts a worker with a steady clock of this rate, in thousandths.
+    pub fn start_with(number: usize, zone: &str, rack: &str, cpu: u64, rate: u64, world: &Arc<World>, store: &Arc<Store>) -> Arc<Worker> {
         let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = probe.local_addr().unwrap();
         drop(probe);
@@ -184,9 +193,10 @@
             zone: zone.to_owned(),
             rack: rack.to_owned(),
             cpu,
+            rate,
             world: world.clone(),
             store: store.clone(),
-            inner: Mutex::new(Inner::new(format!("w{number}-0"))),
+            inner: Mutex::new(Inner::new(format!("w{number}-0"), rate)),
             changed: Condvar::new(),
             server: Mutex::default(),
             rule: Mutex::default(),
@@ -266,7 +276,7 @@
         let life: u64 = former.rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or(0);
         let id = if same_id { former.clone() } else { format!("w{}-{}", self.number, life + 1) };
         let born = inner.born;
-        *inner = Inner::new(id);
+        *inner = Inner::new(id, self.rate);
         inner.born = inner.born.max(born + 1);
         drop(inner);
         self.listen();
@@ -302,7 +312,7 @@
         }
         let now = Instant::now();
         let clock = inner.clock();
-        if !inner.active.is_empty() && clock > inner.lease_until {
+        if clock > inner.lease_until {
             inner.ends.iter_mut().for_each(|end| end.lapsed = true);
         }
         let mut over: Vec<(String, &'static str)> = Vec::new();
@@ -331,15 +341,12 @@
                     _ => None,
                 }
             } else {
-                let spec = &self.world.runs.lock().unwrap()[active.index].spec.clone();
-                let length = option(spec, "d").unwrap_or(500);
-                let fails = option(spec, "fail").unwrap_or(0);
-                let failed = {
+                if !active.work.is_zero() && now >= active.started + active.work {
                     let runs = self.world.runs.lock().unwrap();
-                    runs.iter().filter(|other| other.task == *task && matches!(other.end, Some((_, "failed")))).count() as u64
-                };
-                if length > 0 && now >= active.started + active.work {
-                    Some(if failed < fails { "failed" } else { "done" })
+                    let fails = option(&runs[active.index].spec, "fail").unwrap_or(0);
+                    let failed = |other: &&Run| other.task == *task && matches!(other.end, Some((_, "failed")));
+                    let fail = fails > 0 && (runs.iter().filter(failed).count() as u64) < fails;
+                    Some(if fail { "failed" } else { "done" })
                 } else {
                     None
                 }
