--- a/review/standins-3/clocks.rs
+++ b/review/standins-3/clocks.rs
@@ -34,13 +34,8 @@
     let mut late = false;
     let mut accepted = 0;
     let limit = Duration::from_millis(3000);
-    // Tasks that last, so that each worker has some that go on.
-    for _ in 0..6 {
-        let id = random.id();
-        let body = "{\"spec\":\"d=0\",\"steps\":[{\"count\":6,\"cpu\":500,\"mem_mb\":100,\"daemon\":true}]}";
-        let answer = client(deployment.hosts[0].front, "POST", &id, body, limit);
-        world.note(format!("client: POST {id}, tasks that last, answered {answer:?}"));
-    }
+    let mut next = Duration::from_secs(8);
+    let mut open: Vec<String> = Vec::new();
     while begun.elapsed() < LENGTH {
         // 5.5 s with `applied_late`, 2.5 s without, and so on.
         let now_late = trouble && begun.elapsed().as_millis() % 8000 < 5500;
@@ -60,13 +55,23 @@
                 *worker.rule.lock().unwrap() = late.then(|| Arc::new(rule) as Arc<_>);
             }
         }
+        // For 8 s jobs of tasks that last are submitted, then they are cancelled, and so on. So
+        // polls are not answered early by the ends of tasks.
+        if begun.elapsed() >= next {
+            next = begun.elapsed() + Duration::from_secs(9);
+            for id in open.drain(..) {
+                let answer = client(deployment.hosts[0].front, "DELETE", &id, "", limit);
+                world.note(format!("client: DELETE {id} answered {answer:?}"));
+            }
+        }
         let id = random.id();
         let front = deployment.hosts[random.below(3) as usize].front;
-        let body = "{\"spec\":\"d=8000\",\"steps\":[{\"count\":6,\"cpu\":100,\"mem_mb\":100,\"est_ms\":8000}]}";
+        let body = "{\"spec\":\"d=0\",\"steps\":[{\"count\":6,\"cpu\":20,\"mem_mb\":10,\"daemon\":true}]}";
         let answer = client(front, "POST", &id, body, limit);
         world.note(format!("client: POST {id} answered {answer:?}"));
         accepted += usize::from(answer.is_some_and(|(status, _)| status == 200));
-        std::thread::sleep(Duration::from_millis(80));
+        open.push(id);
+        std::thread::sleep(Duration::from_millis(35));
     }
     std::thread::sleep(Duration::from_secs(6));
     let runs = world.runs.lock().unwrap().clone();
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -438,6 +438,8 @@
     }
 
     fn carry_out(&self, request: &Request) -> Reply {
+        // The reading that the answer shows, but for a poll, which may wait.
+        let clock = self.inner.lock().unwrap().clock();
         let Some(body) = Json::parse(&request.body) else {
             return Reply::Answer(400, "{}".into());
         };
@@ -448,7 +450,7 @@
         self.settle(&mut inner);
         let fence = body.get("fence").int().unwrap_or(0);
         if fence < inner.fence {
-            return refuse(&inner, "fence");
+            return refuse(clock, "fence");
         }
         inner.fence = fence;
         let task = body.get("task").text().to_owned();
@@ -459,17 +461,17 @@
                 let there = inner.active.get(&task).map(|(run, _)| *run);
                 if there == Some(run) {
                     extend(&mut inner, until);
-                    return accept(&inner);
+                    return accept(clock);
                 }
                 if until <= inner.clock() {
-                    return refuse(&inner, "late");
+                    return refuse(clock, "late");
                 }
                 extend(&mut inner, until);
                 if inner.closed.get(&task).is_some_and(|closed| run <= *closed) || there.is_some_and(|there| run < there) {
-                    return refuse(&inner, "old");
+                    return refuse(clock, "old");
                 }
                 self.begin(&mut inner, task, run, fence, &body);
-                accept(&inner)
+                accept(clock)
             }
             "/run-stop" => {
                 let now = Instant::now();
@@ -484,7 +486,7 @@
                         *closed = run.max(*closed);
                     }
                 }
-                accept(&inner)
+                accept(clock)
             }
             "/pace" => {
                 let percent = body.get("percent").int().unwrap_or(100);
@@ -493,7 +495,7 @@
                         active.percent = percent;
                     }
                 }
-                accept(&inner)
+                accept(clock)
             }
             "/hold" => {
                 if let Some(until) = body.get("until_ms").int() {
@@ -518,7 +520,7 @@
                     return Reply::Silent;
                 }
                 if fence < inner.fence {
-                    return refuse(&inner, "fence");
+                    return refuse(clock, "fence");
                 }
                 self.list(&inner)
             }
@@ -594,10 +596,10 @@
     inner.lease_until = inner.lease_until.max(until.min(longest));
 }
 
-fn accept(inner: &Inner) -> Reply {
-    Reply::Answer(200, format!("{{\"clock_ms\":{}}}", inner.clock()))
+fn accept(clock: u64) -> Reply {
+    Reply::Answer(200, format!("{{\"clock_ms\":{clock}}}"))
 }
 
-fn refuse(inner: &Inner, reason: &str) -> Reply {
-    Reply::Answer(409, format!("{{\"clock_ms\":{},\"reason\":\"{reason}\"}}", inner.clock()))
+fn refuse(clock: u64, reason: &str) -> Reply {
+    Reply::Answer(409, format!("{{\"clock_ms\":{clock},\"reason\":\"{reason}\"}}"))
 }
