--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -98,8 +98,18 @@
     child: Mutex<Option<Child>>,
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Returns a free address. Its port is below those that the system gives to outgoing connections,
+/// so that nothing takes it until it is used.
+pub fn free() -> SocketAddr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let port = 11_000 + (std::process::id() * 211 + count) % 20_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Host {
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -184,9 +184,7 @@
 
     /// Starts a worker with a steady clock of this rate, in thousandths.
     pub fn start_with(number: usize, zone: &str, rack: &str, cpu: u64, rate: u64, world: &Arc<World>, store: &Arc<Store>) -> Arc<Worker> {
-        let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = probe.local_addr().unwrap();
-        drop(probe);
+        let address = crate::deployment::free();
         let worker = Arc::new(Worker {
             number,
             address,
