Leases: a clock that is 2% slow shows 0.98 of the time, not 1 / 1.02

Cause: the factor between the clocks was 1.02. Times of the worker were multiplied by it and ours divided, so the slowest clock was expected to show 0.98039 of the time. The difference, 0.4 ms a second, made a sound clock look reset as soon as it exceeded the time of the messages.

The factor is the rate 0.98 now, and readings, which are whole milliseconds, may differ by their rounding.

--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -19,8 +19,24 @@
 /// The longest time after which a worker carries out a call that it has not answered.
 pub const MAX_LATENESS: Duration = Duration::from_secs(12);
 
-/// The factor by which a worker's clock may run slower than ours.
-pub const MAX_CLOCK_SLOWDOWN: f64 = 1.02;
+/// The lowest rate of a worker's clock against ours: it may be 2% slow.
+pub const MIN_CLOCK_RATE: f64 = 0.98;
+
+/// By how much the difference between two readings may be too low, in milliseconds: workers
+/// round their clocks to whole milliseconds.
+const READING_TOLERANCE: u64 = 1;
+
+/// The longest time that a worker's clock takes to advance by `span`.
+///
+/// ```
+/// use std::time::Duration;
+/// use lycheelock::fleet::longest_span;
+///
+/// assert_eq!(longest_span(Duration::from_millis(980)), Duration::from_secs(1));
+/// ```
+pub fn longest_span(span: Duration) -> Duration {
+    span.div_f64(MIN_CLOCK_RATE)
+}
 
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,20 +53,20 @@
         Self { reading, received }
     }
 
-    /// Whether a reading in the answer to a call sent at `sent` is too low for this clock, so that
-    /// the worker has restarted in between.
+    /// Whether a reading in the answer to a call sent at `sent` is too low for this clock, even if
+    /// that is as slow as allowed. Then the worker has probably restarted in between.
     ///
     /// ```
     /// use lycheelock::fleet::Clock;
     /// use lycheelock::moment::Moment;
     ///
     /// let clock = Clock::new(10_000, Moment::from_micros(0));
-    /// let sent = Moment::from_micros(1_020_000);
-    /// assert!(!clock.has_restarted(11_000, sent));
-    /// assert!(clock.has_restarted(10_999, sent));
+    /// let sent = Moment::from_micros(1_000_000);
+    /// assert!(!clock.is_behind(10_979, sent));
+    /// assert!(clock.is_behind(10_978, sent));
     /// ```
-    pub fn has_restarted(self, reading: u64, sent: Moment) -> bool {
-        sent >= self.received && reading < self.latest_lease_end(sent)
+    pub fn is_behind(self, reading: u64, sent: Moment) -> bool {
+        sent >= self.received && reading + READING_TOLERANCE < self.latest_lease_end(sent)
     }
 
     /// Returns the end of a lease that begins at `now`, in milliseconds of the worker's
@@ -77,11 +93,11 @@
     /// use lycheelock::moment::Moment;
     ///
     /// let clock = Clock::new(10_000, Moment::from_micros(0));
-    /// let limit = Moment::from_micros(1_020_000);
-    /// assert_eq!(clock.latest_lease_end(limit), 11_000);
+    /// let limit = Moment::from_micros(1_000_000);
+    /// assert_eq!(clock.latest_lease_end(limit), 10_980);
     /// ```
     pub fn latest_lease_end(self, limit: Moment) -> u64 {
-        let left = (limit - self.received).div_f64(MAX_CLOCK_SLOWDOWN);
+        let left = (limit - self.received).mul_f64(MIN_CLOCK_RATE);
         self.reading + left.as_millis() as u64
     }
 
@@ -93,10 +109,10 @@
     /// use lycheelock::moment::Moment;
     ///
     /// let clock = Clock::new(10_000, Moment::from_micros(0));
-    /// assert_eq!(clock.latest_expiry(11_000), Moment::from_micros(1_020_000));
+    /// assert_eq!(clock.latest_expiry(10_980), Moment::from_micros(1_000_000));
     /// ```
     pub fn latest_expiry(self, lease_end: u64) -> Moment {
         let left = Duration::from_millis(lease_end.saturating_sub(self.reading));
-        self.received + left.mul_f64(MAX_CLOCK_SLOWDOWN)
+        self.received + longest_span(left)
     }
 }
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{MAX_CLOCK_SLOWDOWN, MAX_LATENESS};
+use super::{MAX_LATENESS, longest_span};
 use crate::moment::Moment;
 
 /// The ends of the leases on a worker, as its owner knows them.
@@ -39,10 +39,10 @@
     /// use std::time::Duration;
     /// use lycheelock::fleet::Leases;
     ///
-    /// assert_eq!(Leases::longest(Duration::from_secs(10)), Duration::from_millis(10_200));
+    /// assert_eq!(Leases::longest(Duration::from_millis(9_800)), Duration::from_secs(10));
     /// ```
     pub fn longest(granted: Duration) -> Duration {
-        granted.mul_f64(MAX_CLOCK_SLOWDOWN)
+        longest_span(granted)
     }
 
     /// By when all runs have ended, if the worker gets no further orders.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 
 pub use capacity::Capacity;
 pub use lease::{
-    Clock, HEARTBEAT_LEASE, MAX_CLOCK_SLOWDOWN, MAX_LATENESS, MAX_WORKER_LEASE, RUN_LEASE,
+    Clock, HEARTBEAT_LEASE, MAX_LATENESS, MAX_WORKER_LEASE, MIN_CLOCK_RATE, RUN_LEASE, longest_span,
 };
 pub use leases::Leases;
 pub use messages::{
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -74,7 +74,7 @@
             return;
         };
         let reading = answer.clock.zip(known.clock);
-        let Some((reading, _)) = reading.filter(|(new, old)| old.has_restarted(*new, sent)) else {
+        let Some((reading, _)) = reading.filter(|(new, old)| old.is_behind(*new, sent)) else {
             return;
         };
         let accepted =
--- a/src/shards/claim.rs
+++ b/src/shards/claim.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Layout;
-use crate::fleet::{HEARTBEAT_LEASE, MAX_CLOCK_SLOWDOWN, PoolLoad};
+use crate::fleet::{HEARTBEAT_LEASE, PoolLoad, longest_span};
 use crate::ids::stable_hash;
 use crate::moment::Moment;
 
@@ -62,7 +62,7 @@
 /// assert_eq!(deadline(FormerOwner::Ended, 40), deadline(FormerOwner::Unknown, 40));
 /// ```
 pub fn recovery_deadline(former: FormerOwner, heard: Heard, now: Moment) -> Moment {
-    let ended = now + MAX_LEASE.mul_f64(MAX_CLOCK_SLOWDOWN);
+    let ended = now + longest_span(MAX_LEASE);
     let unknown = leases_end(heard.last);
     match former {
         FormerOwner::Ended => ended.min(unknown),
