A clock that is behind is a sign of a restart, not a proof

Cause: check_clock processed a restart by the comparison of two clocks alone. Afterwards restart_unreported stayed set, so the next true restart was taken for the one that was known: its runs were not processed, and its ends up to the last number were skipped.

Now the comparison raises a suspicion. The worker gets no new task and no lease, and is asked at once; a report under a new incarnation, or the registry, makes the loss a fact, a report under the known one ends the suspicion. If the worker stays silent, the tasks whose starts the next incarnation may have begun wait for the longest lease, as before, and the other tasks for their own leases only. A worker that names no incarnation is judged by the clock in its next report. The log has restart_suspected and restart_disproved in place of a restart that is only suspected; the roster names the leases of both.

--- a/src/daemon/lines.rs
+++ b/src/daemon/lines.rs
@@ -177,6 +177,8 @@
             Event::Queued { .. }
             | Event::Placed { .. }
             | Event::StartAnswered { .. }
+            | Event::RestartSuspected { .. }
+            | Event::RestartDisproved { .. }
             | Event::WorkerRestarted { .. }
             | Event::FormerWorker { .. }
             | Event::Waiting { .. }
--- a/src/fleet/leases.rs
+++ b/src/fleet/leases.rs
@@ -124,9 +124,16 @@
             true => now,
             false => now.max(last_order + MAX_LATENESS),
         };
+        self.with_next_incarnation(last_effect + longest, now)
+    }
+
+    /// The leases after a restart that is known at `now`, if all overlong leases that it causes
+    /// have ended by `overlong`.
+    #[must_use]
+    pub fn with_next_incarnation(self, overlong: Moment, now: Moment) -> Self {
         Self {
             given: now,
-            overlong: self.overlong.max(last_effect + longest),
+            overlong: self.overlong.max(overlong),
             renewed: Moment::default(),
             unanswered: self.unanswered,
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod messages;
 mod pool;
 mod priority;
+mod suspicion;
 #[cfg(test)]
 mod tests;
 mod worker;
@@ -24,4 +25,5 @@
 };
 pub use pool::PoolLoad;
 pub use priority::PriorityUse;
+pub use suspicion::Suspicion;
 pub use worker::{FailureHistory, UnknownRun, Worker, WorkerKey};
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -6,7 +6,8 @@
 use slotmap::new_key_type;
 
 use super::{
-    Availability, Capacity, Clock, Leases, MAX_LATENESS, PriorityUse, Registration, WorkerReport,
+    Availability, Capacity, Clock, Leases, MAX_LATENESS, PriorityUse, Registration, Suspicion,
+    WorkerReport,
 };
 use crate::interference::ImageKey;
 use crate::moment::Moment;
@@ -28,8 +29,6 @@
 const QUARANTINE_FAILURES: usize = 3;
 /// The length of the first quarantine; each further one is twice as long.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(2);
-/// By how much a worker's clock may be ahead of what its last reading leads to expect.
-const MAX_CLOCK_LEAD: Duration = Duration::from_secs(1);
 /// The limit on the length of a quarantine.
 const MAX_QUARANTINE: Duration = Duration::from_secs(30);
 
@@ -136,8 +135,8 @@
     pub responsive: bool,
     /// Whether the last poll failed, so that the worker may have restarted since.
     pub poll_failed: bool,
-    /// Whether the worker is known to have restarted, but not under which incarnation.
-    pub restart_unreported: bool,
+    /// A sign that the worker has restarted, until it reports; absent without one.
+    pub suspicion: Option<Suspicion>,
     /// Whether an incarnation of the worker has answered this owner.
     pub was_heard: bool,
     /// The incarnation before the present one, whose reports may arrive late; 0 if none is known.
@@ -218,7 +217,7 @@
             roster_version: 0,
             responsive: true,
             poll_failed: false,
-            restart_unreported: false,
+            suspicion: None,
             was_heard: false,
             ended_incarnation: 0,
             former_incarnation: None,
@@ -293,6 +292,7 @@
             && self.synced
             && !self.replaced
             && !self.poll_failed
+            && self.suspicion.is_none()
             && self.unknown_runs.is_empty()
             && self.registration.availability == Availability::Ready
             && now - self.last_contact < MAX_REPORT_AGE
@@ -305,16 +305,9 @@
         self.evacuated || self.registration.availability == Availability::Draining
     }
 
-    /// Whether a report is one of the former incarnation that has arrived late. If only the clock
-    /// has shown the restart, the former incarnation's clock is beyond what the new one can show.
-    pub(crate) fn is_outdated(&self, report: &WorkerReport, now: Moment) -> bool {
-        let incarnation = report.incarnation;
-        if incarnation > 0 && incarnation == self.ended_incarnation {
-            return true;
-        }
-        let former = self.restart_unreported && incarnation == self.registration.incarnation;
-        let limit = self.clock.map(|clock| clock.lease_end(now, MAX_CLOCK_LEAD));
-        former && limit.is_some_and(|limit| report.clock > limit)
+    /// Whether a report is one of the former incarnation that has arrived late.
+    pub(crate) const fn is_outdated(&self, report: &WorkerReport) -> bool {
+        report.incarnation > 0 && report.incarnation == self.ended_incarnation
     }
 
     /// Whether the known capacity and labels are those of the present incarnation. A worker may
@@ -344,12 +337,33 @@
     /// By when all runs on the worker have ended, if it gets no further orders. No order to former
     /// incarnations reaches a worker at whose address another one answers.
     pub fn runs_end(&self) -> Moment {
+        let suspected = self.suspicion.as_ref();
+        let open = suspected.map_or(Moment::default(), |suspicion| suspicion.leases_end);
         match self.replaced {
             true => self.leases.given(),
-            false => self.leases.end(),
+            false => self.leases.end().max(open),
+        }
+    }
+
+    /// By when the runs of a task on the worker have ended, if it gets no further orders. The doubt
+    /// whether the worker has restarted concerns only the tasks that the next incarnation may run.
+    pub fn run_end(&self, task: TaskName) -> Moment {
+        match &self.suspicion {
+            Some(suspicion) if !self.replaced && !suspicion.open.contains(&task) => {
+                self.leases.end()
+            }
+            _ => self.runs_end(),
         }
     }
 
+    /// By when the leases have ended that orders to a former incarnation may have given to the
+    /// next one; the start of time if there are none.
+    pub fn overlong_leases_end(&self) -> Moment {
+        let suspected = self.suspicion.as_ref();
+        let open = suspected.map_or(Moment::default(), |suspicion| suspicion.leases_end);
+        self.leases.overlong().max(open)
+    }
+
     /// Returns the tasks of which the worker may have a run, now or later.
     pub(crate) fn possible_tasks(&self) -> BTreeSet<TaskName> {
         let unknown = self.unknown_runs.keys().map(|(task, _)| *task);
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -27,10 +27,10 @@
         let Some(worker) = self.workers.get(key) else {
             return;
         };
-        if worker.is_outdated(report, now) {
+        if worker.is_outdated(report) {
             return;
         }
-        self.check_incarnation(key, report, now);
+        self.check_incarnation(key, sent, report, now);
         self.end_former_orders(key, report.incarnation, now);
         self.check_lost(key, report.incarnation, now);
         let worker = &mut self.workers[key];
@@ -130,7 +130,7 @@
         let expired = self.workers.iter().filter(|(_, worker)| {
             let silent = now > worker.last_contact + crate::fleet::RUN_LEASE;
             let used = worker.synced || !worker.tasks.is_empty();
-            used && silent && worker.runs_end() < self.confirmed
+            used && silent && worker.leases.given() < self.confirmed
         });
         let keys: Vec<WorkerKey> = expired.map(|(key, _)| key).collect();
         for key in keys {
@@ -140,7 +140,8 @@
                 self.hold_suspects(key, &lost, now);
                 self.lose_all(&lost, "its lease has ended on a silent worker", now);
             }
-            if !self.workers[key].tasks.is_empty() {
+            let worker = &self.workers[key];
+            if !worker.tasks.is_empty() || worker.runs_end() >= self.confirmed {
                 continue;
             }
             self.workers[key].unknown_runs.clear();
@@ -155,9 +156,13 @@
     /// since, shows no restart.
     fn expired_tasks(&self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
         let worker = &self.workers[key];
-        let unread = self.registry_read <= worker.runs_end();
-        let has_expired = |task: &TaskKey| !(unread && self.may_arrive(*task, now));
-        worker.tasks.values().copied().filter(has_expired).collect()
+        let has_expired = |(name, task): &(&TaskName, &TaskKey)| {
+            let end = worker.run_end(**name);
+            let unread = self.registry_read <= end;
+            end < self.confirmed && !(unread && self.may_arrive(**task, now))
+        };
+        let tasks = worker.tasks.iter().filter(has_expired);
+        tasks.map(|(_, task)| *task).collect()
     }
 
     pub(super) fn record_failure(&mut self, key: WorkerKey, workflow: WorkflowKey, now: Moment) {
--- a/src/schedule/event.rs
+++ b/src/schedule/event.rs
@@ -247,13 +247,35 @@
         /// The labels of the worker, separated by spaces.
         labels: String,
     },
+    /// There is a sign that a worker has restarted under its id; its next report tells.
+    RestartSuspected {
+        /// The id of the worker.
+        worker: String,
+        /// The incarnation that is known.
+        incarnation: u64,
+        /// What the sign is.
+        evidence: &'static str,
+        /// The number of tasks that the next incarnation may run.
+        open: usize,
+        /// The time until the last lease of these tasks ends, if the worker has restarted.
+        leases_left: u64,
+    },
+    /// A worker that was suspected to have restarted has reported under the known incarnation.
+    RestartDisproved {
+        /// The id of the worker.
+        worker: String,
+        /// The incarnation.
+        incarnation: u64,
+        /// The time since the first sign.
+        after: u64,
+    },
     /// A worker has restarted under its id.
     WorkerRestarted {
         /// The id of the worker.
         worker: String,
         /// The incarnation that was known before.
         former: u64,
-        /// The new incarnation; the former one if only the worker's clock shows the restart.
+        /// The new incarnation; the former one if the worker names none.
         incarnation: u64,
         /// What shows the restart.
         evidence: &'static str,
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -5,28 +5,62 @@
 
 use super::ends::live_runs;
 use super::{Event, Order, Scheduler};
-use crate::fleet::{Clock, MAX_LATENESS, StartAnswer, StartReply, WorkerKey, WorkerReport};
+use crate::fleet::{MAX_LATENESS, StartAnswer, StartReply, Suspicion, WorkerKey, WorkerReport};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey, TaskName};
 
+/// The sign of a restart that a worker's clock gives.
+const CLOCK_BEHIND: &str = "its clock was reset";
+
 impl Scheduler {
     /// Compares the incarnation in a worker's report with the known one. The runs of the
     /// former incarnation have ended; those that the report lists began after the restart.
-    pub(super) fn check_incarnation(&mut self, key: WorkerKey, report: &WorkerReport, now: Moment) {
-        let worker = &mut self.workers[key];
-        let incarnation = report.incarnation;
-        if worker.registration.incarnation == incarnation || incarnation == 0 {
-            return;
-        }
-        if std::mem::take(&mut worker.restart_unreported) {
-            worker.registration.incarnation = incarnation;
-            self.writes.mark_roster_changed();
-            return;
+    pub(super) fn check_incarnation(
+        &mut self,
+        key: WorkerKey,
+        sent: Moment,
+        report: &WorkerReport,
+        now: Moment,
+    ) {
+        let worker = &self.workers[key];
+        let (known, incarnation) = (worker.registration.incarnation, report.incarnation);
+        if known == incarnation || incarnation == 0 {
+            return self.check_suspicion(key, sent, report, now);
         }
         let listed = self.listed_tasks(key, report);
         self.process_restart(key, incarnation, listed, "it has a new incarnation", now);
     }
 
+    /// Ends the suspicion that a worker has restarted if it has answered a poll sent after the
+    /// sign. A worker that names no incarnation has restarted if its clock is behind there, too.
+    fn check_suspicion(
+        &mut self,
+        key: WorkerKey,
+        sent: Moment,
+        report: &WorkerReport,
+        now: Moment,
+    ) {
+        let worker = &mut self.workers[key];
+        let answered = |suspicion: &mut Suspicion| sent >= suspicion.since;
+        let Some(suspicion) = worker.suspicion.take_if(answered) else {
+            return;
+        };
+        let known = worker.registration.incarnation;
+        let behind = worker
+            .clock
+            .is_some_and(|clock| clock.is_behind(report.clock, sent));
+        if report.incarnation == 0 && behind {
+            let listed = self.listed_tasks(key, report);
+            return self.process_restart(key, known, listed, CLOCK_BEHIND, now);
+        }
+        self.writes.mark_roster_changed();
+        self.record(Event::RestartDisproved {
+            worker: self.worker_name(key),
+            incarnation: known,
+            after: (now - suspicion.since).as_millis() as u64,
+        });
+    }
+
     /// Processes a worker's first report to this owner: it follows no former owner any more. If
     /// the former owner knew an earlier incarnation, it gave leases by that one's clock.
     pub(super) fn end_former_orders(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
@@ -48,19 +82,18 @@
     /// Processes a registration that shows a later incarnation of a worker than its reports. The
     /// worker may be cut off from this host.
     pub(super) fn on_restart_registered(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
-        let worker = &mut self.workers[key];
-        if std::mem::take(&mut worker.restart_unreported) {
-            worker.registration.incarnation = incarnation;
-            self.writes.mark_roster_changed();
-            return;
-        }
+        let worker = &self.workers[key];
+        let begun = worker.suspicion.iter().flat_map(|known| &known.begun);
+        let listed = begun.filter_map(|name| worker.tasks.get(name).copied());
+        let listed = listed.collect();
         let evidence = "the registry shows a new incarnation";
-        self.process_unreported_restart(key, incarnation, Vec::new(), evidence, now);
+        self.process_unreported_restart(key, incarnation, listed, evidence, now);
     }
 
     /// Processes the worker's clock in the answer to a start order that was sent at `sent`. A
-    /// reading that is too low shows that the worker has restarted; it may have accepted the
-    /// order, whose lease ends far ahead on its new clock.
+    /// reading that is too low is a sign that the worker has restarted; it may have accepted the
+    /// order, whose lease ends far ahead on its new clock. Two clocks prove nothing: the runs count
+    /// as lost only once the worker reports under a new incarnation, or the registry shows one.
     pub fn check_clock(
         &mut self,
         worker: WorkerKey,
@@ -74,18 +107,46 @@
             return;
         };
         let reading = answer.clock.zip(known.clock);
-        let Some((reading, _)) = reading.filter(|(new, old)| old.is_behind(*new, sent)) else {
+        if !reading.is_some_and(|(new, old)| old.is_behind(new, sent)) {
             return;
+        }
+        let current = known.tasks.values().any(|key| *key == task);
+        let accepted = current && answer.reply == StartReply::Running;
+        self.suspect_restart(worker, accepted.then_some(task), now);
+    }
+
+    /// Keeps new starts away from a worker that may have restarted, until it reports. `begun` is
+    /// the task whose start order it has accepted, if it has.
+    fn suspect_restart(&mut self, key: WorkerKey, begun: Option<TaskKey>, now: Moment) {
+        let begun: Vec<TaskKey> = begun.into_iter().collect();
+        let in_progress = self.newest_order(key, &begun, now);
+        let open = self.open_tasks(key, now);
+        let worker = &self.workers[key];
+        let leases = worker
+            .leases
+            .restarted(in_progress, now, self.longest_lease);
+        let names = |tasks: &[TaskKey]| -> Vec<TaskName> {
+            let names = tasks.iter().map(|task| self.ledger.tasks[*task].name);
+            names.collect()
+        };
+        let (begun, open) = (names(&begun), names(&open));
+        let worker = &mut self.workers[key];
+        let incarnation = worker.registration.incarnation;
+        let suspicion = worker.suspicion.get_or_insert_with(|| Suspicion::new(now));
+        suspicion.since = now;
+        suspicion.leases_end = suspicion.leases_end.max(leases.overlong());
+        suspicion.open.extend(begun.iter().chain(&open).copied());
+        suspicion.begun.extend(begun);
+        let event = Event::RestartSuspected {
+            worker: worker.registration.id.clone(),
+            incarnation,
+            evidence: CLOCK_BEHIND,
+            open: suspicion.open.len(),
+            leases_left: (suspicion.leases_end - now).as_millis() as u64,
         };
-        let accepted =
-            answer.reply == StartReply::Running && known.tasks.values().any(|key| *key == task);
-        let listed = accepted.then_some(task).into_iter().collect();
-        let incarnation = known.registration.incarnation;
-        let evidence = "its clock was reset";
-        self.process_unreported_restart(worker, incarnation, listed, evidence, now);
-        let restarted = &mut self.workers[worker];
-        restarted.restart_unreported = true;
-        restarted.clock = Some(Clock::new(reading, now));
+        // A successor must know of the leases, should the worker have restarted.
+        self.writes.mark_roster_changed();
+        self.record(event);
     }
 
     fn record_start_answer(
@@ -159,7 +220,11 @@
             open = self.lose_ended(key, now);
         }
         let former_leases = self.workers[key].leases;
-        let leases = former_leases.restarted(in_progress, now, self.longest_lease);
+        let leases = match &self.workers[key].suspicion {
+            // No order with a lease was sent since the first sign.
+            Some(suspicion) => former_leases.with_next_incarnation(suspicion.leases_end, now),
+            None => former_leases.restarted(in_progress, now, self.longest_lease),
+        };
         if incarnation != former {
             self.workers[key].ended_incarnation = former;
         }
@@ -210,20 +275,26 @@
         runs
     }
 
-    /// Releases the tasks whose runs ended with the former incarnation. Returns those
-    /// whose start may still reach the new one.
-    fn lose_ended(&mut self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
-        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
-        let copies = &self.workers[key].open_copies;
+    /// The tasks of a worker of which the next incarnation may carry out a start order.
+    fn open_tasks(&self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
+        let worker = &self.workers[key];
         let is_open = |task: &TaskKey| {
             let name = self.ledger.tasks[*task].name;
             // A copy of an earlier run's order begins that run.
-            let earlier = copies
-                .iter()
-                .any(|((of, _), sent)| *of == name && now < *sent + MAX_LATENESS);
+            let mut copies = worker.open_copies.iter();
+            let earlier = copies.any(|((of, _), sent)| *of == name && now < *sent + MAX_LATENESS);
             earlier || self.may_arrive(*task, now)
         };
-        let (open, ended): (Vec<TaskKey>, Vec<TaskKey>) = tasks.into_iter().partition(is_open);
+        worker.tasks.values().copied().filter(is_open).collect()
+    }
+
+    /// Releases the tasks whose runs ended with the former incarnation. Returns those
+    /// whose start may still reach the new one.
+    fn lose_ended(&mut self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
+        let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
+        let open = self.open_tasks(key, now);
+        let ended = tasks.into_iter().filter(|task| !open.contains(task));
+        let ended: Vec<TaskKey> = ended.collect();
         for task in &open {
             self.unassign(*task);
             self.ledger.tasks[*task].restart_gate = now;
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -37,8 +37,8 @@
             self.lose(key, reason, now);
             return None;
         }
-        if first && self.poll_failed(worker) {
-            self.lose(key, "the worker does not answer", now);
+        if first && let Some(reason) = self.silence_reason(worker) {
+            self.lose(key, reason, now);
             return None;
         }
         if first && !self.holds_its_tasks(worker) {
@@ -75,7 +75,9 @@
         let Some(known) = self.workers.get(worker).filter(|_| is_repeat) else {
             return false;
         };
-        known.poll_failed || known.last_contact < self.ledger.tasks[key].last_copy
+        known.poll_failed
+            || known.suspicion.is_some()
+            || known.last_contact < self.ledger.tasks[key].last_copy
     }
 
     /// Takes back a run whose start order is to be repeated to a worker that is leaving or in
@@ -93,10 +95,14 @@
         self.withdraw(key, reason, now)
     }
 
-    fn poll_failed(&self, worker: WorkerKey) -> bool {
-        self.workers
-            .get(worker)
-            .is_some_and(|worker| worker.poll_failed)
+    /// Why a worker gets no first copy of a start order before it reports again; `None` if it may
+    /// get them.
+    fn silence_reason(&self, worker: WorkerKey) -> Option<&'static str> {
+        match self.workers.get(worker)? {
+            known if known.poll_failed => Some("the worker does not answer"),
+            known if known.suspicion.is_some() => Some("the worker may have restarted"),
+            _ => None,
+        }
     }
 
     /// Why a worker gets no start order, not even a repeated one; `None` if it may get them.
@@ -270,6 +276,7 @@
         let renews = renew
             && worker.synced
             && !worker.poll_failed
+            && worker.suspicion.is_none()
             && now - worker.last_contact < MAX_RENEWAL_SILENCE;
         let wait = if !renews || settles {
             Duration::ZERO
@@ -291,7 +298,7 @@
             lease_end: until,
             fence: self.term.fence,
             // A restarted worker counts its ends anew, and would forget unseen ones.
-            acknowledged: if worker.poll_failed {
+            acknowledged: if worker.poll_failed || worker.suspicion.is_some() {
                 0
             } else {
                 worker.acknowledged
--- a/src/schedule/tests/restarts.rs
+++ b/src/schedule/tests/restarts.rs
@@ -77,7 +77,7 @@
     let lines = events.iter().filter(|event| {
         matches!(
             event,
-            Event::StartAnswered { .. } | Event::WorkerRestarted { .. }
+            Event::StartAnswered { .. } | Event::RestartSuspected { .. }
         )
     });
     let lines: Vec<String> = lines
@@ -85,10 +85,124 @@
         .collect();
     insta::assert_snapshot!(lines.join("\n"), @r#"
     {"event":"start_answered","task":"0000000000000001.0.0.0","run":100000001,"worker":"w0","incarnation":1,"reply":"running","lease_end":1004510,"least_clock":1000049,"clock":40}
-    {"event":"worker_restarted","worker":"w0","former":1,"incarnation":1,"evidence":"its clock was reset","listed":1,"open":0,"leases_left":10204}
+    {"event":"restart_suspected","worker":"w0","incarnation":1,"evidence":"its clock was reset","open":1,"leases_left":10204}
     "#);
 }
 
+/// A reading that is 2 ms lower than the slowest clock shows 50 ms after its last reading.
+const SLOW_CLOCK: u64 = 1_000_047;
+
+/// Starts two tasks on the only worker, which has begun both. The clock in the answer to the second
+/// start is behind.
+fn suspect_one(reading: u64) -> (Shard, WorkerKey, [(TaskName, u64); 2]) {
+    let mut shard = Shard::first_owner(&["w0"]);
+    shard.submit(active_workflow(1, vec![step(2, 1)], 1, 0));
+    shard.plan();
+    let runs = shard.confirm();
+    let [(_, first, first_run), (_, second, second_run)] = runs[..] else {
+        panic!("two starts");
+    };
+    shard.report(0, &[(first, first_run), (second, second_run)], &[]);
+    let (worker, task) = (shard.workers[0], shard.task(second));
+    let answer = StartAnswer {
+        reply: StartReply::Running,
+        clock: Some(reading),
+    };
+    let scheduler = &mut shard.scheduler;
+    scheduler.check_clock(worker, task, answer, at(50), at(60));
+    (shard, worker, [(first, first_run), (second, second_run)])
+}
+
+/// Guards against tasks that are started twice because a clock was compared wrongly: the worker
+/// answers under its known incarnation, and all its runs go on.
+#[test]
+fn runs_of_a_worker_whose_clock_is_behind_go_on_if_its_next_report_lists_them() {
+    let (mut shard, worker, runs) = suspect_one(SLOW_CLOCK);
+    for (task, _) in runs {
+        assert_eq!(shard.stage(task), Stage::Running(worker));
+    }
+    shard.now = 100;
+    shard.report(0, &runs, &[]);
+    shard.write();
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    for (task, _) in runs {
+        assert_eq!(shard.stage(task), Stage::Running(worker));
+    }
+    let entry = shard.scheduler.roster_entry(worker, at(100));
+    assert_eq!(entry.overlong_left, None);
+}
+
+/// Guards against a wrong comparison of clocks that hides the next restart: its ends would count
+/// as those of the former incarnation, which have been processed.
+#[test]
+fn a_restart_after_a_disproved_one_is_noticed_with_its_ends() {
+    let (mut shard, worker, runs) = suspect_one(SLOW_CLOCK);
+    shard.now = 100;
+    shard.report(0, &runs, &[(1, runs[0].0, runs[0].1, RunOutcome::Failed)]);
+    shard.now = 200;
+    let failed = (1, runs[1].0, runs[1].1, RunOutcome::Failed);
+    shard.report_with(0, 2, Vec::new(), &[failed]);
+    assert_eq!(shard.scheduler.workers[worker].registration.incarnation, 2);
+    let key = shard.task(runs[1].0);
+    let failed = shard.scheduler.ledger.tasks[key].failed.clone();
+    assert_eq!(failed, [runs[1].1]);
+}
+
+/// Guards against starts, and renewals of leases by the former clock, on a worker that has
+/// restarted, before its report tells which runs it has.
+#[test]
+fn a_worker_whose_clock_is_behind_gets_no_lease_before_it_reports() {
+    let (mut shard, worker, runs) = suspect_one(NEW_CLOCK);
+    shard.submit(active_workflow(2, vec![step(1, 1)], 2, 0));
+    shard.now = 70;
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    let poll = shard.scheduler.poll_order(worker, true, at(70)).unwrap();
+    assert_eq!((poll.lease_end, poll.wait), (None, Duration::ZERO));
+    // The former incarnation may have answered a poll that was sent before the sign.
+    let report = WorkerReport {
+        clock: 1_000_080,
+        incarnation: 1,
+        running: runs
+            .iter()
+            .map(|(task, run)| live(*task, *run, 0))
+            .collect(),
+        ..WorkerReport::default()
+    };
+    let scheduler = &mut shard.scheduler;
+    scheduler.on_report(worker, at(55), &report, at(80));
+    shard.plan();
+    assert_eq!(shard.orders(), "");
+    shard.now = 100;
+    shard.report(0, &runs, &[]);
+    shard.plan();
+    assert_ne!(shard.orders(), "");
+}
+
+/// Guards against tasks without a run: a doubt about a start that the next incarnation may have
+/// begun does not hold up the other tasks of a worker that is silent from then on.
+#[test]
+fn only_the_task_of_the_doubtful_start_waits_for_the_longest_lease() {
+    let (mut shard, _, runs) = suspect_one(NEW_CLOCK);
+    let added = shard
+        .scheduler
+        .on_registry(vec![registration("w0"), registration("w1")], at(100));
+    shard.workers.extend(added);
+    shard.report(1, &[], &[]);
+    shard.write();
+    let first = shard.task(runs[0].0);
+    let start = restart_time(&mut shard, first, LONGEST_LEASE);
+    assert!(start.is_some_and(|at| at < 6_000), "{start:?}");
+    let second = shard.task(runs[1].0);
+    let start = restart_time(&mut shard, second, 2 * LONGEST_LEASE);
+    let limit = 60 + LONGEST_LEASE;
+    assert!(
+        start.is_some_and(|at| at > limit && at < limit + 1_000),
+        "{start:?}"
+    );
+}
+
 /// The lease in the order is a time on the clock of the former incarnation.
 #[test]
 fn a_run_that_a_restarted_worker_has_accepted_starts_elsewhere_before_it_ends() {
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -220,7 +220,7 @@
         let is_old = now - self.writes.roster_collected >= OVERLONG_INTERVAL;
         let stored = self.writes.roster == RosterState::Written;
         let mut workers = self.workers.values();
-        stored && is_old && workers.any(|worker| worker.leases.overlong() > now)
+        stored && is_old && workers.any(|worker| worker.overlong_leases_end() > now)
     }
 
     fn roster(&self, now: Moment) -> Vec<RosterEntry> {
@@ -234,7 +234,7 @@
         // No order to former incarnations reaches a replaced worker.
         let overlong = match worker.replaced {
             true => Moment::default(),
-            false => worker.leases.overlong(),
+            false => worker.overlong_leases_end(),
         };
         RosterEntry {
             id: registration.id.clone(),
