The cancellation of an unknown job is stored until its submission is too late

Cause: Node::cancel answered 410 where the store had no record, and left nothing that the late submission would meet; its only condition is that there is no record.

Now a mark is written in place of the record, under the same condition, before the 410. It has a lease of two minutes, shared by the marks of one minute, so it goes by itself: one call a minute and one write a cancellation. A GET of the id is answered 410 as before. A submission that finds the mark, late or repeated, is refused (503, job_cancelled) with the time after which the id is accepted again; it was answered 200 for any record before, which would have promised a job that never runs. A cancellation that cannot be stored is not acknowledged. Each host writes up to 10 marks a second after a burst of 50, and refuses more (503), so that random ids do not use up the store's writes; known jobs are cancelled all the same. A move of the job, and a record that is there meanwhile, change the revision, and the cancellation reads again.

Own protocol: a cancellation of an unknown job is an error there (404), and ids are made by the host that accepts the job, so a caller without an answer has none to cancel.

--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -1,11 +1,13 @@
 //! Accepts, looks up and cancels jobs. The record in the store is authoritative.
 
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use tokio::time::sleep;
 
 use super::Node;
 use super::node::wall_clock;
+use super::withdrawals::{LEASE_TTL, Withdrawals};
 use crate::kind::{ErrorKind, Refusal};
 use crate::moment::Moment;
 use crate::overload::Charge;
@@ -33,7 +35,7 @@
 pub(super) enum CancelOutcome {
     /// The job is cancelled, or has already ended.
     Done,
-    /// No job with this id exists.
+    /// No job with this id exists, and none is accepted under it for a time.
     Unknown,
 }
 
@@ -77,7 +79,8 @@
         loop {
             attempts += 1;
             match self.commit(&transaction).await {
-                Ok(Commit::Done(_) | Commit::Conflict(_)) => return Ok(()),
+                Ok(Commit::Done(_)) => return Ok(()),
+                Ok(Commit::Conflict(items)) => return check_withdrawn(id, &items),
                 Ok(Commit::LeaseGone) => return Err(unexpected("unexpected end of a lease")),
                 Err(fault) => {
                     unresolved |= !fault.had_no_effect();
@@ -134,10 +137,12 @@
     /// Returns the state of a job, or `None` if no such job exists.
     pub(super) async fn state(&self, id: WorkflowId) -> Result<Option<WorkflowState>, Refusal> {
         let found = self.read_record(id).await?;
-        Ok(found.map(|(record, _)| record.state))
+        let accepted = found.filter(|(record, _)| !record.is_withdrawn());
+        Ok(accepted.map(|(record, _)| record.state))
     }
 
-    /// Cancels a job.
+    /// Cancels a job. An unknown one may have been submitted without an answer so far, and the
+    /// submission may still take effect, so it is marked as cancelled.
     pub(super) async fn cancel(
         &self,
         id: WorkflowId,
@@ -145,8 +150,14 @@
     ) -> Result<CancelOutcome, Refusal> {
         loop {
             let Some((record, revision)) = self.read_record(id).await? else {
-                return Ok(CancelOutcome::Unknown);
+                if self.withdraw(id, deadline).await? {
+                    return Ok(CancelOutcome::Unknown);
+                }
+                continue;
             };
+            if record.is_withdrawn() {
+                return Ok(CancelOutcome::Unknown);
+            }
             if record.state.is_final() {
                 return Ok(CancelOutcome::Done);
             }
@@ -170,6 +181,52 @@
         }
     }
 
+    /// Marks an unknown job as cancelled. Returns false if the job was accepted meanwhile.
+    async fn withdraw(&self, id: WorkflowId, deadline: Moment) -> Result<bool, Refusal> {
+        let admitted = self.lock_withdrawals().admit(Moment::now());
+        if !admitted {
+            let message = "too many cancellations of unknown jobs";
+            return Err(Refusal::new(ErrorKind::Overloaded, message));
+        }
+        loop {
+            match self.write_withdrawn(id).await {
+                Ok(Commit::Done(_)) => return Ok(true),
+                Ok(Commit::Conflict(_)) => return Ok(false),
+                Ok(Commit::LeaseGone) => self.lock_withdrawals().forget_lease(),
+                Err(fault) if Moment::now() + ANSWER_MARGIN >= deadline => {
+                    return Err(refusal(&fault, !fault.had_no_effect()));
+                }
+                Err(_) => sleep(RETRY_DELAY).await,
+            }
+        }
+    }
+
+    async fn write_withdrawn(&self, id: WorkflowId) -> Result<Commit, StoreFault> {
+        let lease = self.withdrawal_lease().await?;
+        let mark = encode(&JobRecord::withdrawn());
+        let transaction =
+            Transaction::default()
+                .require(&job_key(id), 0)
+                .set_leased(&job_key(id), mark, lease);
+        self.commit(&transaction).await
+    }
+
+    /// Returns the lease for a mark that is written now.
+    async fn withdrawal_lease(&self) -> Result<u64, StoreFault> {
+        let requested = Moment::now();
+        let known = self.lock_withdrawals().lease(requested);
+        if let Some(lease) = known {
+            return Ok(lease);
+        }
+        let lease = self.call(self.store.grant(LEASE_TTL)).await?;
+        self.lock_withdrawals().set_lease(lease, requested);
+        Ok(lease)
+    }
+
+    fn lock_withdrawals(&self) -> MutexGuard<'_, Withdrawals> {
+        self.withdrawals.lock().expect("no holder panics")
+    }
+
     /// Returns the number of accepted jobs of a queue that have not started.
     pub(super) async fn pending(&self, queue: &str) -> Result<u64, Refusal> {
         self.check_store()?;
@@ -206,6 +263,19 @@
     }
 }
 
+/// Checks the record that a submission has found in the store: that of an earlier copy of the
+/// submission, or the mark of a cancellation.
+fn check_withdrawn(id: WorkflowId, items: &[Item]) -> Result<(), Refusal> {
+    let key = job_key(id);
+    let found = items.iter().find(|item| item.key == key);
+    let record = found.and_then(|item| decode::<JobRecord>(&item.value.0).ok());
+    if record.is_none_or(|record| !record.is_withdrawn()) {
+        return Ok(());
+    }
+    let message = format!("job {id} was cancelled before it was accepted");
+    Err(Refusal::new(ErrorKind::JobCancelled, message))
+}
+
 /// Converts a store fault into the answer for the caller. The request is refused
 /// as not executed only if it certainly had no effect.
 fn refusal(fault: &StoreFault, unresolved: bool) -> Refusal {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -27,6 +27,7 @@
 mod term;
 #[cfg(test)]
 mod tests;
+mod withdrawals;
 mod worker;
 mod writer;
 
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use super::health::StoreHealth;
+use super::withdrawals::Withdrawals;
 use crate::counters::Counters;
 use crate::drain::RequestCounter;
 use crate::evacuation::Evacuations;
@@ -56,6 +57,8 @@
     evacuations: watch::Sender<Evacuations>,
     /// The number of runs in evacuated zones, by owned shard.
     zone_runs: Mutex<HashMap<String, usize>>,
+    /// The marks for jobs that were cancelled before they were accepted.
+    pub(super) withdrawals: Mutex<Withdrawals>,
     queues: RwLock<Option<Arc<Queues>>>,
     layout: RwLock<Option<Layout>>,
     /// The load of the pools of each shard, by the last heartbeat of its owner.
@@ -82,6 +85,7 @@
             client: WorkerApi::pool(ORDER_TIMEOUT),
             evacuations: watch::Sender::default(),
             zone_runs: Mutex::default(),
+            withdrawals: Mutex::default(),
             queues: RwLock::default(),
             layout: RwLock::default(),
             loads: RwLock::default(),
--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -2,6 +2,7 @@
 mod lines;
 mod moves;
 mod review_late_orders;
+mod withdrawals;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/src/kind.rs
+++ b/src/kind.rs
@@ -72,6 +72,8 @@
     FitsNoWorker,
     /// The job is unknown.
     UnknownJob,
+    /// The job was cancelled before it was accepted.
+    JobCancelled,
     /// The deadline passed before anything was sent to a worker.
     DeadlinePassed,
     /// The worker's answer was lost.
@@ -104,6 +106,10 @@
 /// Retry delay for conditions that usually last longer, such as an unreachable store.
 const LONG_RETRY_DELAY: Option<Duration> = Some(Duration::from_secs(2));
 
+/// How long a job that was cancelled before it was accepted is refused at least. Much longer than a
+/// call to the store can be late.
+pub const MARK_RETENTION: Duration = Duration::from_secs(60);
+
 const fn response(
     name: &'static str,
     status: u16,
@@ -120,7 +126,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of their counters.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::BadRequest,
         Self::UnknownService,
         Self::UnknownTeam,
@@ -139,6 +145,7 @@
         Self::KeyReused,
         Self::FitsNoWorker,
         Self::UnknownJob,
+        Self::JobCancelled,
         Self::DeadlinePassed,
         Self::AnswerLost,
         Self::AnswerNotKept,
@@ -176,6 +183,7 @@
             Self::KeyReused => response("key_reused", 422, No, None),
             Self::FitsNoWorker => response("fits_no_worker", 422, No, None),
             Self::UnknownJob => response("unknown_job", 404, No, None),
+            Self::JobCancelled => response("job_cancelled", 503, No, Some(MARK_RETENTION)),
             Self::DeadlinePassed => response("deadline_passed", 504, No, SHORT_RETRY_DELAY),
             Self::AnswerLost => response("answer_lost", 502, Unknown, None),
             Self::AnswerNotKept => response("answer_not_kept", 410, Yes, None),
--- a/src/shards/record.rs
+++ b/src/shards/record.rs
@@ -54,6 +54,30 @@
     pub moves: u32,
 }
 
+impl JobRecord {
+    /// Returns the mark of a job that was cancelled before it was accepted. It stands in place of
+    /// the job's record, so that a submission that takes effect late finds it.
+    ///
+    /// ```
+    /// use lycheelock::shards::JobRecord;
+    ///
+    /// assert!(JobRecord::withdrawn().is_withdrawn());
+    /// ```
+    pub const fn withdrawn() -> Self {
+        Self {
+            shard: String::new(),
+            queue: String::new(),
+            state: WorkflowState::Cancelled,
+            moves: 0,
+        }
+    }
+
+    /// Whether the record marks a job that was cancelled before it was accepted.
+    pub const fn is_withdrawn(&self) -> bool {
+        self.shard.is_empty()
+    }
+}
+
 /// An accepted job as it is stored.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AcceptedJob {
--- a/tests/common/fleet/store.rs
+++ b/tests/common/fleet/store.rs
@@ -70,6 +70,8 @@
     pending: usize,
     /// Entry daemons whose calls are neither applied nor answered.
     isolated: BTreeSet<usize>,
+    /// Entry daemons whose transactions are held up, and not answered.
+    held: BTreeSet<usize>,
 }
 
 /// A key-value store that tests and daemons use at the same time.
@@ -126,6 +128,16 @@
         }
     }
 
+    /// Holds up the transactions of an entry daemon, or lets those that were held up take effect.
+    pub fn hold_writes(&self, entry: usize, held: bool) {
+        let mut inner = self.inner.lock().unwrap();
+        if held {
+            inner.held.insert(entry);
+        } else {
+            inner.held.remove(&entry);
+        }
+    }
+
     /// Returns the number of late transactions that are not applied yet.
     pub fn pending(&self) -> usize {
         self.inner.lock().unwrap().pending
@@ -195,6 +207,21 @@
         });
     }
 
+    /// Applies a transaction once those of its entry daemon are no longer held up.
+    fn commit_when_released(self: &Arc<Self>, body: Transaction, entry: usize) {
+        let store = self.clone();
+        store.inner.lock().unwrap().pending += 1;
+        tokio::spawn(async move {
+            while store.inner.lock().unwrap().held.contains(&entry) {
+                sleep(WATCH_POLL_INTERVAL).await;
+            }
+            store.update(|inner| {
+                apply(inner, &body);
+                inner.pending -= 1;
+            });
+        });
+    }
+
     /// Expires leases, applies a change and wakes all watches.
     fn update<T>(&self, change: impl FnOnce(&mut Inner) -> T) -> T {
         let mut inner = self.inner.lock().unwrap();
@@ -371,6 +398,18 @@
     let fate = access.decide(true).await?;
     let rows = body.precondition.len() + body.set_keys.len() + body.remove.len();
     assert!(rows <= 32, "{rows} rows in one transaction");
+    if access
+        .store
+        .inner
+        .lock()
+        .unwrap()
+        .held
+        .contains(&access.entry)
+    {
+        access.store.commit_when_released(body, access.entry);
+        sleep(SILENT_DELAY).await;
+        return Err(Status::ServiceUnavailable);
+    }
     if let WriteFate::Late(delay) = fate {
         access.store.commit_later(body, delay);
         sleep(SILENT_DELAY).await;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! users' platform. Its store and workers are small stand-ins inside the test.
 //! The counterpart for lycheelock's own protocol is `tests/processes`.
 
+mod cancellations;
 #[allow(dead_code, reason = "the overload tests use the rest of it")]
 #[path = "../common/fleet/deployment.rs"]
 mod deployment;
