A restarted worker gets a higher fencing token, which ends the doubt about late orders

Cause: after a restart the owner does not know which orders to the former incarnation, of which one poll always waits there, the new one may still carry out. It held all tasks of the worker for 12 s and the longest lease, also those that it had started there since, and its successor held all tasks of the shard, since the roster named the worker as open. A doubt about a few orders of before stood for work that was certainly elsewhere.

A worker does nothing for a token below the highest that it has seen, but a new incarnation has seen none, as all orders of a term had one token. Now the orders to a worker that does not answer, or may have restarted, get the revision of the newest write that required the ownership as their token: higher than before, lower than any later claim, and without a call of its own. The answer of the new incarnation to a poll with a token above those of all orders with a lease settles the doubt: what late copies have begun is listed, and the others are refused from then on. Tasks that are not listed are released at once, leases that late copies gave end by the longest lease from then, and the worker gets tasks only now. Until then the roster lists what may run there, as for a closed worker, so that a successor waits with these tasks alone. An own order that a later one overtook is refused, and sent again; only the refusal of the present token means a newer owner.

A worker that has not restarted settles nothing so: a start without an answer would be refused by it, but not by its next incarnation.

Other tests changed, none in what it forbids: their owners poll a restarted worker once more before it gets tasks; a_run_starts_elsewhere_before_a_late_start asks for the wait from the settled answer; the stand-in of workers tells owners apart by the store's revision.

--- a/src/daemon/heartbeat.rs
+++ b/src/daemon/heartbeat.rs
@@ -76,7 +76,7 @@
     let transaction = heartbeat_transaction(owned);
     let commit = owned.node.store.commit_within(&transaction, CALL_TIMEOUT);
     match owned.node.call(commit).await {
-        Ok(Commit::Done(_)) => owned.on_heartbeat(sent),
+        Ok(Commit::Done(revision)) => owned.on_heartbeat(sent, revision),
         Ok(Commit::Conflict(_)) => owned.mark_lost("another host claimed the shard"),
         // `Node::call` has recorded a fault; the next heartbeat is under way.
         Ok(Commit::LeaseGone) | Err(_) => {}
@@ -116,9 +116,9 @@
             .set_leased(&key, owner.clone(), lease)
             .set(&heartbeat_key(&claim.shard), owner.clone());
         match node.call(node.store.commit(&transaction)).await {
-            Ok(Commit::Done(_)) => {
+            Ok(Commit::Done(revision)) => {
                 owned.lease.store(lease, Ordering::Relaxed);
-                return owned.on_heartbeat(sent);
+                return owned.on_heartbeat(sent, revision);
             }
             Ok(Commit::Conflict(items)) => {
                 let found = |key: &str| items.iter().find(|item| item.key == key);
--- a/src/daemon/owned.rs
+++ b/src/daemon/owned.rs
@@ -272,13 +272,16 @@
             .fetch_max(sent.as_micros(), Ordering::Relaxed);
     }
 
-    /// Records that the store accepted a heartbeat sent at that moment. Leases may last longer
-    /// from then on.
-    pub fn on_heartbeat(&self, sent: Moment) {
+    /// Records that the store accepted a heartbeat sent at that moment, at this revision. Leases may
+    /// last longer from then on.
+    pub fn on_heartbeat(&self, sent: Moment, revision: u64) {
         self.confirm(sent);
         self.heartbeat
             .fetch_max(sent.as_micros(), Ordering::Relaxed);
-        self.decide(|scheduler, _| scheduler.on_heartbeat(sent));
+        self.decide(|scheduler, _| {
+            scheduler.on_heartbeat(sent);
+            scheduler.on_owned_write(revision);
+        });
     }
 
     /// Waits until this host may give orders to the workers.
--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -158,8 +158,9 @@
         lease_end: order.lease_end,
         incarnation: order.incarnation,
     };
-    handle_fault(
+    let is_lost = handle_fault(
         owned,
+        key,
         api,
         OrderKind::Start,
         &name_run(&order),
@@ -168,7 +169,7 @@
     );
     let repeated = Order::Start { task, run };
     match fault {
-        WorkerFault::Fenced => None,
+        WorkerFault::Fenced => (!is_lost).then_some(repeated),
         WorkerFault::Replaced => {
             owned.decide(|scheduler, now| scheduler.on_start_misdirected(key, task, run, now));
             owned.wake();
@@ -198,11 +199,12 @@
     if !owned.decide(|scheduler, _| scheduler.wants_stop(key, &stop)) {
         return None;
     }
+    let stop = owned.decide(|scheduler, _| scheduler.with_fence(key, stop));
     match api.stop(&stop).await {
         Ok(()) => owned.decide(|scheduler, now| scheduler.on_stop(key, &stop, now)),
         Err(fault) => {
-            handle_fault(owned, api, OrderKind::Stop, &stop, None, &fault);
-            return (fault != WorkerFault::Fenced).then_some(Order::Stop(stop));
+            let is_lost = handle_fault(owned, key, api, OrderKind::Stop, &stop, None, &fault);
+            return (!is_lost).then_some(Order::Stop(stop));
         }
     }
     None
@@ -221,8 +223,9 @@
         return Some(Order::Throttle(run, percent));
     }
     let wanted = owned.decide(|scheduler, now| scheduler.begin_throttle(key, &run, percent, now));
+    let run = owned.decide(|scheduler, _| scheduler.with_fence(key, run));
     if wanted && let Err(fault) = api.throttle(&run, percent).await {
-        handle_fault(owned, api, OrderKind::Throttle, &run, None, &fault);
+        handle_fault(owned, key, api, OrderKind::Throttle, &run, None, &fault);
     }
     None
 }
@@ -236,18 +239,29 @@
     }
 }
 
+/// Logs the fault of an order. Returns whether it ends the ownership: the worker follows a newer
+/// owner, and not a later order of this one.
 fn handle_fault(
     owned: &OwnedShard,
+    key: WorkerKey,
     api: &WorkerApi,
     kind: OrderKind,
     order: &StopOrder,
     lease: Option<OrderLease>,
     fault: &WorkerFault,
-) {
-    if *fault == WorkerFault::Fenced {
+) -> bool {
+    log_fault(api, kind, order, lease, fault);
+    *fault == WorkerFault::Fenced && check_superseded(owned, key, order.fence)
+}
+
+/// Ends the ownership if a worker that refuses a fencing token follows a newer owner. Returns
+/// whether it does.
+fn check_superseded(owned: &OwnedShard, key: WorkerKey, fence: u64) -> bool {
+    let superseded = owned.decide(|scheduler, _| scheduler.is_superseded(key, fence));
+    if superseded {
         owned.mark_lost("a worker follows a newer owner");
     }
-    log_fault(api, kind, order, lease, fault);
+    superseded
 }
 
 fn log_fault(
@@ -305,7 +319,12 @@
                 })
                 .await;
             }
-            Err(WorkerFault::Fenced) => return owned.mark_lost("a worker follows a newer owner"),
+            Err(WorkerFault::Fenced) => {
+                if check_superseded(&owned, key, order.fence) {
+                    return;
+                }
+                sleep(BATCH_DELAY).await;
+            }
             Err(fault) => {
                 if fault == WorkerFault::Replaced {
                     owned.decide(|scheduler, now| scheduler.on_replaced(key, now));
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -174,6 +174,7 @@
         {
             Commit::Done(revision) => {
                 owned.confirm(sent);
+                owned.decide(|scheduler, _| scheduler.on_owned_write(revision));
                 *previous = revision;
                 group
                     .iter()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! `placement`.
 
 mod capacity;
+mod fences;
 mod lease;
 mod leases;
 mod messages;
@@ -15,6 +16,7 @@
 mod worker;
 
 pub use capacity::Capacity;
+pub use fences::Fences;
 pub use lease::{
     Clock, HEARTBEAT_LEASE, MAX_LATENESS, MAX_WORKER_LEASE, MIN_CLOCK_RATE, RUN_LEASE, longest_span,
 };
--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -6,8 +6,8 @@
 use slotmap::new_key_type;
 
 use super::{
-    Availability, Capacity, Clock, Leases, MAX_LATENESS, PriorityUse, Registration, Suspicion,
-    WorkerReport,
+    Availability, Capacity, Clock, Fences, Leases, MAX_LATENESS, PriorityUse, Registration,
+    Suspicion, WorkerReport,
 };
 use crate::interference::ImageKey;
 use crate::moment::Moment;
@@ -135,6 +135,8 @@
     pub responsive: bool,
     /// Whether the last poll failed, so that the worker may have restarted since.
     pub poll_failed: bool,
+    /// The fencing tokens of the orders to the worker.
+    pub fences: Fences,
     /// A sign that the worker has restarted, until it reports; absent without one.
     pub suspicion: Option<Suspicion>,
     /// Whether an incarnation of the worker has answered this owner.
@@ -217,6 +219,7 @@
             roster_version: 0,
             responsive: true,
             poll_failed: false,
+            fences: Fences::default(),
             suspicion: None,
             was_heard: false,
             ended_incarnation: 0,
@@ -268,6 +271,7 @@
             ended_incarnation: self.ended_incarnation,
             former_incarnation: self.former_incarnation,
             open_copies: std::mem::take(&mut self.open_copies),
+            fences: self.fences,
             // The registry tells about the new incarnation.
             cold_until: self.cold_until,
             ..Self::new(self.registration.clone(), now)
@@ -305,6 +309,12 @@
         self.evacuated || self.registration.availability == Availability::Draining
     }
 
+    /// Whether the present incarnation may begin, or have begun, runs by orders to a former one that
+    /// this owner does not know of.
+    pub const fn is_doubtful(&self) -> bool {
+        self.suspicion.is_some() || self.fences.is_open()
+    }
+
     /// Whether a report is one of the former incarnation that has arrived late.
     pub(crate) const fn is_outdated(&self, report: &WorkerReport) -> bool {
         report.incarnation > 0 && report.incarnation == self.ended_incarnation
--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -32,6 +32,7 @@
         }
         self.check_incarnation(key, sent, report, now);
         self.end_former_orders(key, report.incarnation, now);
+        let settled = self.settle_orders(key, now);
         self.check_lost(key, report.incarnation, now);
         let worker = &mut self.workers[key];
         worker.clock = Some(Clock::new(report.clock, now));
@@ -47,9 +48,9 @@
         let complete = report.ended.len() < MAX_REPORTED_ENDS;
         let live = live_runs(report);
         self.process_ends(key, &report.ended, now);
-        self.process_running(key, sent, report, &live, now);
+        self.process_running(key, sent, settled, report, &live, now);
         if complete {
-            self.lose_missing(key, sent, report.clock, &live, now);
+            self.lose_missing(key, sent, settled, report.clock, &live, now);
         }
         if !self.check_worker(key, report, now) {
             self.adjust_speeds(key, report, now);
@@ -366,6 +367,7 @@
         &mut self,
         key: WorkerKey,
         sent: Moment,
+        settled: bool,
         report: &WorkerReport,
         live: &LiveRuns,
         now: Moment,
@@ -376,9 +378,9 @@
                 None => self.stop_unknown(key, run, now),
             }
         }
-        self.workers[key]
-            .unknown_runs
-            .retain(|run, state| live.contains(run) || state.may_exist(sent, report.clock));
+        self.workers[key].unknown_runs.retain(|run, state| {
+            live.contains(run) || (!settled && state.may_exist(sent, report.clock))
+        });
     }
 
     fn process_run(&mut self, key: WorkerKey, task: TaskKey, run: &LiveRun, now: Moment) {
@@ -479,17 +481,20 @@
             worker,
             reason,
         });
-        let fence = self.term.fence;
-        self.order(key, Order::Stop(StopOrder { task, run, fence }));
+        let fence = self.fence;
+        let order = self.with_fence(key, StopOrder { task, run, fence });
+        self.order(key, Order::Stop(order));
     }
 
     /// Treats runs as lost which the report does not list, if the worker had begun them,
     /// or could not begin them any more, when it answered: it confirmed the last order
-    /// before the poll was sent, or the lease in the start order has ended.
+    /// before the poll was sent, the lease in the start order has ended, or the worker has restarted
+    /// and the report is `settled`.
     fn lose_missing(
         &mut self,
         key: WorkerKey,
         sent: Moment,
+        settled: bool,
         clock: u64,
         live: &LiveRuns,
         now: Moment,
@@ -499,7 +504,7 @@
             let known = &self.ledger.tasks[task];
             let confirmed = known.confirmed && known.since < sent;
             let lease_ended = known.lease_end.is_some_and(|end| end < clock);
-            if !(confirmed || lease_ended) || live.contains(&(known.name, known.run)) {
+            if !(settled || confirmed || lease_ended) || live.contains(&(known.name, known.run)) {
                 continue;
             }
             // An earlier run that a late copy has begun is being stopped, too.
--- a/src/schedule/registry.rs
+++ b/src/schedule/registry.rs
@@ -6,7 +6,7 @@
 use super::closed::{ClosedWorker, MIN_RECOVERY, PossibleRuns};
 use super::{Event, Order, RosterEntry, Scheduler};
 use crate::evacuation::{Evacuations, ZoneRuns};
-use crate::fleet::{Availability, MAX_LATENESS, Registration, Worker, WorkerKey};
+use crate::fleet::{Availability, Fences, MAX_LATENESS, Registration, Worker, WorkerKey};
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey, TaskName};
 
@@ -254,6 +254,7 @@
     pub(super) fn remove_worker(&mut self, key: WorkerKey, change: &'static str) {
         self.record_worker_change(key, change);
         if let Some(worker) = self.workers.remove(key) {
+            self.removed_fence = self.removed_fence.max(worker.fences.leased());
             self.by_id.remove(&worker.registration.id);
         }
         self.former_workers.remove(&key);
@@ -266,6 +267,8 @@
         let evacuated = self.zones.is_evacuated(&entry.zone);
         let key = self.workers.insert(Worker {
             evacuated,
+            // The worker may have been removed before, and know the highest token.
+            fences: Fences::new(self.fence, self.removed_fence),
             ..Worker::new(entry, now)
         });
         self.by_id.insert(id, key);
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -9,6 +9,18 @@
 use crate::moment::Moment;
 use crate::workflow::{Stage, TaskKey, TaskName};
 
+/// A restart of a worker under its id.
+struct Restart {
+    incarnation: u64,
+    /// What shows the restart.
+    evidence: &'static str,
+    /// The tasks whose current run the new incarnation has begun.
+    listed: Vec<TaskKey>,
+    /// The tasks of which the new incarnation may run something else; absent if that is not known,
+    /// as late copies of orders may still reach it.
+    open: Option<Vec<TaskKey>>,
+}
+
 /// The sign of a restart that a worker's clock gives.
 const CLOCK_BEHIND: &str = "its clock was reset";
 
@@ -27,8 +39,34 @@
         if known == incarnation || incarnation == 0 {
             return self.check_suspicion(key, sent, report, now);
         }
-        let listed = self.listed_tasks(key, report);
-        self.process_restart(key, incarnation, listed, "it has a new incarnation", now);
+        let restart = self.reported_restart(key, incarnation, report, "it has a new incarnation");
+        self.process_restart(key, restart, now);
+    }
+
+    /// The restart that a worker's report shows.
+    fn reported_restart(
+        &self,
+        key: WorkerKey,
+        incarnation: u64,
+        report: &WorkerReport,
+        evidence: &'static str,
+    ) -> Restart {
+        let live = live_runs(report);
+        let names: BTreeSet<TaskName> = live.iter().map(|(name, _)| *name).collect();
+        let tasks = self.workers[key].tasks.values().copied();
+        let is_live = |task: &TaskKey| names.contains(&self.ledger.tasks[*task].name);
+        let is_current = |task: &TaskKey| {
+            let task = &self.ledger.tasks[*task];
+            live.contains(&(task.name, task.run))
+        };
+        let (listed, earlier) = tasks.filter(is_live).partition(is_current);
+        Restart {
+            incarnation,
+            evidence,
+            listed,
+            // All that orders to the former incarnation have begun, or will begin, is listed.
+            open: self.workers[key].fences.is_settled().then_some(earlier),
+        }
     }
 
     /// Ends the suspicion that a worker has restarted if it has answered a poll sent after the
@@ -50,8 +88,8 @@
             .clock
             .is_some_and(|clock| clock.is_behind(report.clock, sent));
         if report.incarnation == 0 && behind {
-            let listed = self.listed_tasks(key, report);
-            return self.process_restart(key, known, listed, CLOCK_BEHIND, now);
+            let restart = self.reported_restart(key, known, report, CLOCK_BEHIND);
+            return self.process_restart(key, restart, now);
         }
         self.writes.mark_roster_changed();
         self.record(Event::RestartDisproved {
@@ -61,6 +99,21 @@
         });
     }
 
+    /// Processes an answer to a worker's newest poll. If the worker has restarted, and the poll's
+    /// fencing token is above those of all orders with a lease, then no order to a former
+    /// incarnation has an effect from now on. Returns whether this report is the first that shows
+    /// so: what it does not list was not begun.
+    pub(super) fn settle_orders(&mut self, key: WorkerKey, now: Moment) -> bool {
+        let longest = self.longest_lease;
+        let worker = &mut self.workers[key];
+        let settled = worker.fences.is_settled() && worker.fences.settle();
+        if settled {
+            worker.leases.end_former_orders(now, longest);
+            self.writes.mark_roster_changed();
+        }
+        settled
+    }
+
     /// Processes a worker's first report to this owner: it follows no former owner any more. If
     /// the former owner knew an earlier incarnation, it gave leases by that one's clock.
     pub(super) fn end_former_orders(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
@@ -85,9 +138,13 @@
         let worker = &self.workers[key];
         let begun = worker.suspicion.iter().flat_map(|known| &known.begun);
         let listed = begun.filter_map(|name| worker.tasks.get(name).copied());
-        let listed = listed.collect();
-        let evidence = "the registry shows a new incarnation";
-        self.process_unreported_restart(key, incarnation, listed, evidence, now);
+        let restart = Restart {
+            incarnation,
+            evidence: "the registry shows a new incarnation",
+            listed: listed.collect(),
+            open: None,
+        };
+        self.process_unreported_restart(key, restart, now);
     }
 
     /// Processes the worker's clock in the answer to a start order that was sent at `sent`. A
@@ -137,6 +194,7 @@
         suspicion.leases_end = suspicion.leases_end.max(leases.overlong());
         suspicion.open.extend(begun.iter().chain(&open).copied());
         suspicion.begun.extend(begun);
+        worker.in_roster = false;
         let event = Event::RestartSuspected {
             worker: worker.registration.id.clone(),
             incarnation,
@@ -146,6 +204,7 @@
         };
         // A successor must know of the leases, should the worker have restarted.
         self.writes.mark_roster_changed();
+        self.workers[key].roster_version = self.writes.roster_version();
         self.record(event);
     }
 
@@ -174,17 +233,10 @@
     }
 
     /// Processes a restart of which no report tells yet. The worker has no runs but those of the
-    /// `listed` tasks, and those that open copies of start orders begin.
-    fn process_unreported_restart(
-        &mut self,
-        key: WorkerKey,
-        incarnation: u64,
-        listed: Vec<TaskKey>,
-        evidence: &'static str,
-        now: Moment,
-    ) {
+    /// listed tasks, and those that open copies of start orders begin.
+    fn process_unreported_restart(&mut self, key: WorkerKey, restart: Restart, now: Moment) {
         let former = self.workers[key].clone();
-        self.process_restart(key, incarnation, listed, evidence, now);
+        self.process_restart(key, restart, now);
         let worker = &mut self.workers[key];
         worker.caught_up = former.caught_up;
         worker.responsive = former.responsive;
@@ -195,20 +247,23 @@
         }
     }
 
-    fn process_restart(
-        &mut self,
-        key: WorkerKey,
-        incarnation: u64,
-        listed: Vec<TaskKey>,
-        evidence: &'static str,
-        now: Moment,
-    ) {
+    fn process_restart(&mut self, key: WorkerKey, restart: Restart, now: Moment) {
+        let Restart {
+            incarnation,
+            evidence,
+            listed,
+            open,
+        } = restart;
         for task in &listed {
             self.unassign(*task);
         }
+        let is_settled = open.is_some();
         let in_progress = self.newest_order(key, &listed, now);
-        let mut open = Vec::new();
-        let settled = self.settled_open_runs(key, now);
+        let ended = match is_settled {
+            true => BTreeSet::new(),
+            false => self.ended_open_runs(key, now),
+        };
+        let mut open = open.unwrap_or_else(|| self.open_tasks(key, now));
         let worker = &self.workers[key];
         let former = worker.registration.incarnation;
         let known = worker.synced || !worker.tasks.is_empty();
@@ -217,10 +272,13 @@
             if !self.workers[key].replaced {
                 self.record_crash(key, evidence, now);
             }
-            open = self.lose_ended(key, now);
+            self.lose_ended(key, &open, now);
+        } else {
+            open.clear();
         }
         let former_leases = self.workers[key].leases;
         let leases = match &self.workers[key].suspicion {
+            _ if is_settled => former_leases.with_next_incarnation(now + self.longest_lease, now),
             // No order with a lease was sent since the first sign.
             Some(suspicion) => former_leases.with_next_incarnation(suspicion.leases_end, now),
             None => former_leases.restarted(in_progress, now, self.longest_lease),
@@ -230,6 +288,7 @@
         }
         self.workers[key].registration.incarnation = incarnation;
         self.workers[key].reset(now);
+        self.workers[key].fences.on_restart(is_settled || !known);
         self.workers[key].leases = if known { leases } else { former_leases };
         if known {
             // A successor must know of the restart before the worker gets new tasks.
@@ -237,14 +296,14 @@
             self.workers[key].in_roster = false;
             self.workers[key].roster_version = self.writes.roster_version();
         }
-        let (begun, withdrawn) = (listed.len(), open.len() + settled.len());
+        let (begun, withdrawn) = (listed.len(), open.len() + ended.len());
         for task in listed {
             self.continue_run(key, task, now);
         }
         for task in open {
             self.withdraw_open(key, task, now);
         }
-        for run in settled {
+        for run in ended {
             self.stop_unlisted(key, run, "the worker restarted", now);
         }
         self.record_worker_change(key, "restarted");
@@ -262,7 +321,7 @@
 
     /// The runs that are not current on a worker, and of whose start orders the next incarnation
     /// may carry out a copy: they ended, were taken back, or were lost with the worker's leases.
-    fn settled_open_runs(&self, key: WorkerKey, now: Moment) -> BTreeSet<(TaskName, u64)> {
+    fn ended_open_runs(&self, key: WorkerKey, now: Moment) -> BTreeSet<(TaskName, u64)> {
         let worker = &self.workers[key];
         let copies = worker.open_copies.iter();
         let open = copies.filter(|(_, sent)| now < **sent + MAX_LATENESS);
@@ -288,14 +347,13 @@
         worker.tasks.values().copied().filter(is_open).collect()
     }
 
-    /// Releases the tasks whose runs ended with the former incarnation. Returns those
-    /// whose start may still reach the new one.
-    fn lose_ended(&mut self, key: WorkerKey, now: Moment) -> Vec<TaskKey> {
+    /// Releases the tasks whose runs ended with the former incarnation. The `open` ones stay, as
+    /// the new incarnation may run them.
+    fn lose_ended(&mut self, key: WorkerKey, open: &[TaskKey], now: Moment) {
         let tasks: Vec<TaskKey> = self.workers[key].tasks.values().copied().collect();
-        let open = self.open_tasks(key, now);
         let ended = tasks.into_iter().filter(|task| !open.contains(task));
         let ended: Vec<TaskKey> = ended.collect();
-        for task in &open {
+        for task in open {
             self.unassign(*task);
             self.ledger.tasks[*task].restart_gate = now;
         }
@@ -303,7 +361,6 @@
             self.ledger.tasks[task].restart_gate = now;
             self.lose(task, "the worker restarted", now);
         }
-        open
     }
 
     /// Keeps a run that began after the restart.
@@ -331,17 +388,6 @@
         self.order(key, Order::Stop(order));
     }
 
-    /// The tasks of a worker whose current run a report lists.
-    fn listed_tasks(&self, key: WorkerKey, report: &WorkerReport) -> Vec<TaskKey> {
-        let live = live_runs(report);
-        let tasks = self.workers[key].tasks.values().copied();
-        let is_listed = |key: &TaskKey| {
-            let task = &self.ledger.tasks[*key];
-            live.contains(&(task.name, task.run))
-        };
-        tasks.filter(is_listed).collect()
-    }
-
     /// When the newest order with a lease was sent that may still be carried out by the next
     /// incarnation of a worker. The worker has answered the start orders of the `listed` tasks.
     fn newest_order(&self, key: WorkerKey, listed: &[TaskKey], now: Moment) -> Option<Moment> {
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -52,6 +52,8 @@
         let until = task.lease_end.unwrap_or_else(|| self.lease_end(clock, now));
         let target = self.workers.get_mut(worker)?;
         target.leases.on_order(clock.latest_expiry(until));
+        target.fences.on_lease();
+        let fence = target.fences.current();
         self.ledger.tasks[key].lease_end = Some(until);
         self.ledger.tasks[key].last_copy = now;
         let task = &self.ledger.tasks[key];
@@ -60,7 +62,7 @@
             run,
             payload: workflow.spec.payload.clone(),
             lease_end: until,
-            fence: self.term.fence,
+            fence,
             checkpoint: task.checkpoint.clone(),
             incarnation: self.workers[worker].registration.incarnation,
         })
@@ -271,12 +273,16 @@
         }
         let settles = self.awaits_report(key);
         let worker = self.workers.get(key)?;
+        if worker.poll_failed || worker.is_doubtful() {
+            self.raise_fence(key);
+        }
+        let worker = self.workers.get(key)?;
         // The worker may have restarted since a poll that failed. Its next incarnation would take a
         // lease by the former clock for the longest one, so a report comes first.
         let renews = renew
             && worker.synced
             && !worker.poll_failed
-            && worker.suspicion.is_none()
+            && !worker.is_doubtful()
             && now - worker.last_contact < MAX_RENEWAL_SILENCE;
         let wait = if !renews || settles {
             Duration::ZERO
@@ -294,9 +300,10 @@
             }
             _ => None,
         };
+        worker.fences.on_poll(until.is_some());
         Some(PollOrder {
             lease_end: until,
-            fence: self.term.fence,
+            fence: worker.fences.current(),
             // A restarted worker counts its ends anew, and would forget unseen ones.
             acknowledged: if worker.poll_failed || worker.suspicion.is_some() {
                 0
--- a/src/schedule/tests/mod.rs
+++ b/src/schedule/tests/mod.rs
@@ -8,6 +8,7 @@
 mod ends;
 mod evacuation;
 mod exposure;
+mod fences;
 mod fuzz;
 mod headroom;
 mod idle_jobs;
@@ -235,12 +236,31 @@
         );
     }
 
+    /// Lets a worker answer a poll. If that shows a restart, it answers the next poll as well.
     fn report_with(
         &mut self,
         worker: usize,
         incarnation: u64,
         running: Vec<LiveRun>,
         ended: &[(u64, TaskName, u64, RunOutcome)],
+    ) {
+        let key = self.workers[worker];
+        let known = self.scheduler.workers.get(key);
+        let restarted = known.is_some_and(|known| known.registration.incarnation < incarnation);
+        self.report_once(worker, incarnation, running.clone(), ended);
+        if restarted {
+            self.poll_with_new_fence(key);
+            self.report_once(worker, incarnation, running, ended);
+        }
+    }
+
+    /// Lets a worker answer a poll.
+    fn report_once(
+        &mut self,
+        worker: usize,
+        incarnation: u64,
+        running: Vec<LiveRun>,
+        ended: &[(u64, TaskName, u64, RunOutcome)],
     ) {
         let ended = ended.iter().map(|(number, task, run, outcome)| EndedRun {
             number: *number,
@@ -264,6 +284,15 @@
         }
     }
 
+    /// Lets the owner poll a worker that has restarted, with a fencing token above those of all
+    /// orders to its former incarnation.
+    fn poll_with_new_fence(&mut self, key: WorkerKey) {
+        let newest = self.scheduler.fence + 1;
+        self.scheduler.on_owned_write(newest);
+        self.scheduler.poll_order(key, false, at(self.now));
+        assert!(self.scheduler.workers[key].fences.is_settled());
+    }
+
     /// Lets the owner read the registry, which shows the workers as they have reported.
     fn read_registry(&mut self) {
         let workers = self.scheduler.workers.values();
--- a/src/schedule/tests/restarts.rs
+++ b/src/schedule/tests/restarts.rs
@@ -176,6 +176,7 @@
     assert_eq!(shard.orders(), "");
     shard.now = 100;
     shard.report(0, &runs, &[]);
+    shard.write();
     shard.plan();
     assert_ne!(shard.orders(), "");
 }
--- a/src/schedule/throttle.rs
+++ b/src/schedule/throttle.rs
@@ -257,10 +257,14 @@
     /// throttle orders.
     pub(super) fn stop_order(&self, task: TaskKey) -> StopOrder {
         let task = &self.ledger.tasks[task];
-        StopOrder {
+        let order = StopOrder {
             task: task.name,
             run: task.run,
-            fence: self.term.fence,
+            fence: self.fence,
+        };
+        match task.stage.worker() {
+            Some(worker) => self.with_fence(worker, order),
+            None => order,
         }
     }
 }
--- a/src/schedule/write.rs
+++ b/src/schedule/write.rs
@@ -254,8 +254,9 @@
             return closed.tasks().cloned();
         }
         let worker = &self.workers[key];
-        let silent = worker.caught_up && !worker.in_roster && !worker.responsive;
-        silent.then(|| worker.possible_tasks().into_iter().collect())
+        let silent = !worker.responsive || worker.is_doubtful();
+        let closed = worker.caught_up && !worker.in_roster && silent;
+        closed.then(|| worker.possible_tasks().into_iter().collect())
     }
 
     fn on_roster_written(&mut self, roster: &[RosterEntry], version: u64) {
@@ -267,7 +268,7 @@
             }
         }
         let is_recorded = |(key, worker): (WorkerKey, &Worker)| {
-            let closed = worker.caught_up && !worker.responsive;
+            let closed = worker.caught_up && (!worker.responsive || worker.is_doubtful());
             worker.in_roster || closed || self.closed_workers.contains_key(&key)
         };
         let all = self.workers.iter().all(is_recorded);
--- a/tests/common/fleet/store.rs
+++ b/tests/common/fleet/store.rs
@@ -188,6 +188,11 @@
             .count()
     }
 
+    /// Returns the revision of the last change.
+    pub fn current_revision(&self) -> u64 {
+        self.inner.lock().unwrap().revision
+    }
+
     /// Returns the revision of a key's last change, or 0 if the key does not exist.
     pub fn revision(&self, key: &str) -> u64 {
         let inner = self.inner.lock().unwrap();
--- a/tests/fleet/restarts.rs
+++ b/tests/fleet/restarts.rs
@@ -1,5 +1,7 @@
 //! Tests with workers that restart and take orders before their first report.
 
+use std::time::{Duration, Instant};
+
 use serde_json::{Value, json};
 
 use crate::deployment::{Deployment, sleep_ms};
@@ -61,3 +63,35 @@
     deployment.wait_for("the tasks run again", is_running).await;
     assert_eq!(deployment.journal.duplicate_runs(), Vec::<String>::new());
 }
+
+/// How long a task that lasts may have no run: LOST counts 3 s from 6 s after its last one.
+const MAX_GAP: Duration = Duration::from_secs(9);
+
+/// Guards against tasks without a run: the owner does not know which orders of before a restarted
+/// worker may still carry out, and waits for all that it started there since.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_of_a_worker_that_restarted_and_is_lost_for_good_run_again_in_time() {
+    let deployment = Deployment::start("restart-lost", 1, 3).await;
+    // A poll waits at the worker when it restarts.
+    sleep_ms(1_000).await;
+    deployment.restart_worker(0);
+    sleep_ms(1_000).await;
+    let lasting = json!([{"count": 6, "cpu": 500, "mem_mb": 10, "daemon": true}]);
+    let status = deployment.submit(0, &job_id(1), "endless", lasting).await;
+    assert_eq!(status, 200);
+    let all_run = || deployment.journal.active_runs().len() == 6;
+    deployment.wait_for("all tasks run", all_run).await;
+    sleep_ms(2_000).await;
+    let worker = format!("on {}", deployment.worker(0).id);
+    let runs = deployment.journal.active_runs();
+    let lost = runs.iter().filter(|run| run.ends_with(&worker)).count();
+    assert!(lost > 0, "{runs:?}");
+    deployment.worker(0).crash();
+    deployment.unregister(0);
+    let lost_at = Instant::now();
+    while deployment.journal.active_runs().len() < 6 {
+        assert!(lost_at.elapsed() < MAX_GAP, "{lost} tasks have no run");
+        sleep_ms(50).await;
+    }
+    assert_eq!(deployment.journal.duplicate_runs(), Vec::<String>::new());
+}
