--- a/src/daemon/tests/withdrawals.rs
+++ b/src/daemon/tests/withdrawals.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use crate::daemon::withdrawals::{LEASE_TTL, Withdrawals};
-use crate::kind::MARK_RETENTION;
 use crate::moment::Moment;
 
+/// Much longer than any submission that was seen to take effect late.
+const RETENTION: Duration = Duration::from_secs(60);
+
 fn at(millis: u64) -> Moment {
     Moment::from_micros(millis * 1000)
 }
@@ -28,7 +30,7 @@
     let step = Duration::from_millis(100);
     let mut now = at(0);
     while withdrawals.lease(now).is_some() {
-        assert!(at(0) + LEASE_TTL - now >= MARK_RETENTION);
+        assert!(at(0) + LEASE_TTL - now >= RETENTION);
         now = now + step;
     }
     withdrawals.set_lease(8, now);
--- a/src/daemon/withdrawals.rs
+++ b/src/daemon/withdrawals.rs
@@ -5,14 +5,14 @@
 
 use std::time::Duration;
 
-use crate::kind::MARK_RETENTION;
+use crate::kind::CANCELLED_RETRY_DELAY;
 use crate::moment::Moment;
 
-/// How long a lease is used for new marks. It lasts longer than [`MARK_RETENTION`] by as much, so
-/// that one call to the store serves many marks.
-const LEASE_REUSE: Duration = Duration::from_secs(60);
 /// The time to live of the leases of marks.
-pub(super) const LEASE_TTL: Duration = MARK_RETENTION.saturating_add(LEASE_REUSE);
+pub(super) const LEASE_TTL: Duration = CANCELLED_RETRY_DELAY;
+/// How long a lease is used for new marks, so that one call to the store serves many. Each mark
+/// stands for the rest of the lease at least: much longer than a call to the store can be late.
+const LEASE_REUSE: Duration = Duration::from_secs(60);
 /// The interval between two marks of this host in the long run: clients that cancel random ids
 /// leave most of the store's writes, and little of its memory, to others.
 const MARK_INTERVAL: Duration = Duration::from_millis(100);
--- a/src/daemon/worker.rs
+++ b/src/daemon/worker.rs
@@ -323,6 +323,7 @@
                 if check_superseded(&owned, key, order.fence) {
                     return;
                 }
+                log::warn!("worker {} got a poll after a later order", api.id());
                 sleep(BATCH_DELAY).await;
             }
             Err(fault) => {
--- a/src/fleet/fences.rs
+++ b/src/fleet/fences.rs
@@ -53,7 +53,7 @@
     /// assert_eq!(fences.current(), 8);
     /// ```
     pub fn raise(&mut self, newest: u64) -> bool {
-        let raised = self.current <= self.leased && self.current < newest;
+        let raised = !self.is_above_leases() && self.current < newest;
         if raised {
             self.current = newest;
         }
@@ -79,6 +79,11 @@
         self.polled > self.leased
     }
 
+    /// Whether the token is above those of all orders with a lease.
+    pub const fn is_above_leases(&self) -> bool {
+        self.current > self.leased
+    }
+
     /// Whether orders to a former incarnation may still reach the present one.
     pub const fn is_open(&self) -> bool {
         self.open
--- a/src/kind.rs
+++ b/src/kind.rs
@@ -106,9 +106,8 @@
 /// Retry delay for conditions that usually last longer, such as an unreachable store.
 const LONG_RETRY_DELAY: Option<Duration> = Some(Duration::from_secs(2));
 
-/// How long a job that was cancelled before it was accepted is refused at least. Much longer than a
-/// call to the store can be late.
-pub const MARK_RETENTION: Duration = Duration::from_secs(60);
+/// The longest time for which a job that was cancelled before it was accepted is refused.
+pub const CANCELLED_RETRY_DELAY: Duration = Duration::from_secs(120);
 
 const fn response(
     name: &'static str,
@@ -183,7 +182,7 @@
             Self::KeyReused => response("key_reused", 422, No, None),
             Self::FitsNoWorker => response("fits_no_worker", 422, No, None),
             Self::UnknownJob => response("unknown_job", 404, No, None),
-            Self::JobCancelled => response("job_cancelled", 503, No, Some(MARK_RETENTION)),
+            Self::JobCancelled => response("job_cancelled", 503, No, Some(CANCELLED_RETRY_DELAY)),
             Self::DeadlinePassed => response("deadline_passed", 504, No, SHORT_RETRY_DELAY),
             Self::AnswerLost => response("answer_lost", 502, Unknown, None),
             Self::AnswerNotKept => response("answer_not_kept", 410, Yes, None),
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -27,6 +27,7 @@
 mod scheduler;
 mod slow;
 mod starts;
+mod suspicion;
 #[cfg(test)]
 mod tests;
 mod throttle;
--- a/src/schedule/starts.rs
+++ b/src/schedule/starts.rs
@@ -9,7 +9,8 @@
 
 /// How long a worker may wait for a run to end before it answers a poll.
 const POLL_WAIT: Duration = Duration::from_millis(800);
-/// The same while the store accepts no heartbeats, so that leases are renewed soon once it does.
+/// The same while the store accepts no heartbeats or other writes, so that leases are renewed, and
+/// fencing tokens raised, soon once it does.
 const SHORT_POLL_WAIT: Duration = Duration::from_millis(200);
 /// The longest silence after which the leases on a worker are still renewed.
 const MAX_RENEWAL_SILENCE: Duration = Duration::from_millis(1500);
@@ -284,7 +285,11 @@
             && !worker.poll_failed
             && !worker.is_doubtful()
             && now - worker.last_contact < MAX_RENEWAL_SILENCE;
-        let wait = if !renews || settles {
+        let wait = if worker.fences.is_open() && !worker.fences.is_above_leases() {
+            // Only an answer to a higher token settles the doubt, and the store has to accept a
+            // write for that.
+            SHORT_POLL_WAIT
+        } else if !renews || settles {
             Duration::ZERO
         } else if self.has_full_leases(now) {
             POLL_WAIT
--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -304,3 +304,25 @@
     ];
     run_restarts(17..18, 4_500, &steps);
 }
+
+/// Guards against a start that counts as refused because its worker has answered a poll with a
+/// higher fencing token: the worker's next incarnation has seen none, and carries a copy out.
+#[test]
+fn a_start_that_a_worker_would_refuse_is_carried_out_by_its_next_incarnation() {
+    let mut world = World::new(990);
+    world.late_after_restart = true;
+    world.max_lateness = 6_748;
+    world.registers_after = Some(0);
+    let steps = [
+        Step::Advance(36),
+        Step::CallFaults(83, 1_771),
+        Step::Advance(1_726),
+        Step::SubmitLasting(3, 8_000),
+        Step::Advance(1_555),
+        Step::Crash(1, true, 556),
+        Step::Advance(556),
+        Step::CutLink(Side::All, Direction::Both, 1, 5_000),
+        Step::Advance(1_024),
+    ];
+    run_world(world, &steps);
+}
