A repeated cancellation of an unknown job renews its mark

Each acknowledgement writes the mark again now, at the revision that was read, under the same limit of the rate. a_submission_of_a_job_that_was_cancelled_before_is_refused asks for the newer revision, which the code before did not write.

--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -149,15 +149,15 @@
         deadline: Moment,
     ) -> Result<CancelOutcome, Refusal> {
         loop {
-            let Some((record, revision)) = self.read_record(id).await? else {
-                if self.withdraw(id, deadline).await? {
+            let found = self.read_record(id).await?;
+            let revision = found.as_ref().map_or(0, |(_, revision)| *revision);
+            let accepted = found.filter(|(record, _)| !record.is_withdrawn());
+            let Some((record, _)) = accepted else {
+                if self.withdraw(id, revision, deadline).await? {
                     return Ok(CancelOutcome::Unknown);
                 }
                 continue;
             };
-            if record.is_withdrawn() {
-                return Ok(CancelOutcome::Unknown);
-            }
             if record.state.is_final() {
                 return Ok(CancelOutcome::Done);
             }
@@ -181,15 +181,21 @@
         }
     }
 
-    /// Marks an unknown job as cancelled. Returns false if the job was accepted meanwhile.
-    async fn withdraw(&self, id: WorkflowId, deadline: Moment) -> Result<bool, Refusal> {
+    /// Marks an unknown job as cancelled. An earlier mark at this revision, 0 if there is none, is
+    /// written again, as it may soon go. Returns false if the job was accepted meanwhile.
+    async fn withdraw(
+        &self,
+        id: WorkflowId,
+        revision: u64,
+        deadline: Moment,
+    ) -> Result<bool, Refusal> {
         let admitted = self.lock_withdrawals().admit(Moment::now());
         if !admitted {
             let message = "too many cancellations of unknown jobs";
             return Err(Refusal::new(ErrorKind::Overloaded, message));
         }
         loop {
-            match self.write_withdrawn(id).await {
+            match self.write_withdrawn(id, revision).await {
                 Ok(Commit::Done(_)) => return Ok(true),
                 Ok(Commit::Conflict(_)) => return Ok(false),
                 Ok(Commit::LeaseGone) => self.lock_withdrawals().forget_lease(),
@@ -201,13 +207,12 @@
         }
     }
 
-    async fn write_withdrawn(&self, id: WorkflowId) -> Result<Commit, StoreFault> {
+    async fn write_withdrawn(&self, id: WorkflowId, revision: u64) -> Result<Commit, StoreFault> {
         let lease = self.withdrawal_lease().await?;
         let mark = encode(&JobRecord::withdrawn());
-        let transaction =
-            Transaction::default()
-                .require(&job_key(id), 0)
-                .set_leased(&job_key(id), mark, lease);
+        let transaction = Transaction::default()
+            .require(&job_key(id), revision)
+            .set_leased(&job_key(id), mark, lease);
         self.commit(&transaction).await
     }
 
--- a/tests/fleet/cancellations.rs
+++ b/tests/fleet/cancellations.rs
@@ -50,6 +50,10 @@
     let (deployment, [owner, near, other]) = start("withdrawn").await;
     let job = job_id(1);
     assert_eq!(deployment.cancel(near, &job).await, 410);
+    // Each acknowledgement holds for the same time.
+    let marked = deployment.store.revision(&format!("job/{job}"));
+    assert_eq!(deployment.cancel(other, &job).await, 410);
+    assert!(deployment.store.revision(&format!("job/{job}")) > marked);
     for entry in [owner, near, other] {
         let status = deployment.submit(entry, &job, "endless", endless()).await;
         assert_eq!(status, 503);
