Fencing tokens have a file of their own; only a complete report settles late orders

schedule/fencing.rs takes the methods on tokens from scheduler.rs and restart.rs. The tests of successors share the set-up that three of them repeated.

--- a/src/schedule/ends.rs
+++ b/src/schedule/ends.rs
@@ -32,7 +32,7 @@
         }
         self.check_incarnation(key, sent, report, now);
         self.end_former_orders(key, report.incarnation, now);
-        let settled = self.settle_orders(key, now);
+        let settled = self.settle_orders(key, report, now);
         self.check_lost(key, report.incarnation, now);
         let worker = &mut self.workers[key];
         worker.clock = Some(Clock::new(report.clock, now));
@@ -45,7 +45,7 @@
             // The next write of the roster marks the worker as open.
             self.writes.mark_roster_changed();
         }
-        let complete = report.ended.len() < MAX_REPORTED_ENDS;
+        let complete = is_complete(report);
         let live = live_runs(report);
         self.process_ends(key, &report.ended, now);
         self.process_running(key, sent, settled, report, &live, now);
@@ -515,6 +515,11 @@
     }
 }
 
+/// Whether a report lists all ends that the worker has not forgotten.
+pub(super) const fn is_complete(report: &WorkerReport) -> bool {
+    report.ended.len() < MAX_REPORTED_ENDS
+}
+
 /// The live runs in a report, by task and number.
 pub(super) type LiveRuns = FxHashSet<(TaskName, u64)>;
 
--- a/src/schedule/mod.rs
+++ b/src/schedule/mod.rs
@@ -10,6 +10,7 @@
 mod event;
 mod exposure;
 mod failures;
+mod fencing;
 mod fit;
 mod gang;
 mod idle;
--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::ends::live_runs;
+use super::ends::{is_complete, live_runs};
 use super::{Event, Order, Scheduler};
 use crate::fleet::{MAX_LATENESS, WorkerKey, WorkerReport};
 use crate::moment::Moment;
@@ -57,30 +57,16 @@
             live.contains(&(task.name, task.run))
         };
         let (listed, earlier) = tasks.filter(is_live).partition(is_current);
+        let settled = is_complete(report) && self.workers[key].fences.is_settled();
         Restart {
             incarnation,
             evidence,
             listed,
             // All that orders to the former incarnation have begun, or will begin, is listed.
-            open: self.workers[key].fences.is_settled().then_some(earlier),
+            open: settled.then_some(earlier),
         }
     }
 
-    /// Processes an answer to a worker's newest poll. If the worker has restarted, and the poll's
-    /// fencing token is above those of all orders with a lease, then no order to a former
-    /// incarnation has an effect from now on. Returns whether this report is the first that shows
-    /// so: what it does not list was not begun.
-    pub(super) fn settle_orders(&mut self, key: WorkerKey, now: Moment) -> bool {
-        let longest = self.longest_lease;
-        let worker = &mut self.workers[key];
-        let settled = worker.fences.is_settled() && worker.fences.settle();
-        if settled {
-            worker.leases.end_former_orders(now, longest);
-            self.writes.mark_roster_changed();
-        }
-        settled
-    }
-
     /// Processes a worker's first report to this owner: it follows no former owner any more. If
     /// the former owner knew an earlier incarnation, it gave leases by that one's clock.
     pub(super) fn end_former_orders(&mut self, key: WorkerKey, incarnation: u64, now: Moment) {
--- a/src/schedule/scheduler.rs
+++ b/src/schedule/scheduler.rs
@@ -152,7 +152,7 @@
     heartbeat: Moment,
     /// The newest store revision of a write that required this ownership. Any later claim has a
     /// higher one, so up to here all revisions serve as fencing tokens of this term.
-    owned_revision: u64,
+    pub(super) owned_revision: u64,
     /// The highest fencing token of an order.
     pub(super) fence: u64,
     /// The highest fencing token of an order with a lease to a worker that was removed since.
@@ -349,36 +349,6 @@
         self.heartbeat = sent.max(self.heartbeat);
     }
 
-    /// Records that the store accepted a write, at this revision, that required this ownership.
-    pub fn on_owned_write(&mut self, revision: u64) {
-        self.owned_revision = self.owned_revision.max(revision);
-    }
-
-    /// Raises the fencing token of the orders to a worker that may have restarted, so that its
-    /// answer to the next poll tells what late orders have begun.
-    pub(super) fn raise_fence(&mut self, key: WorkerKey) {
-        let newest = self.owned_revision;
-        if self.workers[key].fences.raise(newest) {
-            self.fence = self.fence.max(newest);
-        }
-    }
-
-    /// Returns an order with the present fencing token of its worker.
-    ///
-    /// An order that is sent again may have been built under a lower one.
-    pub fn with_fence(&self, key: WorkerKey, order: StopOrder) -> StopOrder {
-        let fence = self.workers.get(key);
-        let fence = fence.map_or(self.fence, |worker| worker.fences.current());
-        StopOrder { fence, ..order }
-    }
-
-    /// Whether a worker that refuses this fencing token follows a newer owner, and not a later
-    /// order of this one.
-    pub fn is_superseded(&self, key: WorkerKey, fence: u64) -> bool {
-        let worker = self.workers.get(key);
-        fence >= worker.map_or(self.fence, |worker| worker.fences.current())
-    }
-
     /// Whether the last heartbeat allows leases of full length.
     pub(super) fn has_full_leases(&self, now: Moment) -> bool {
         now + RUN_LEASE <= self.heartbeat + HEARTBEAT_LEASE
--- a/src/schedule/tests/successors.rs
+++ b/src/schedule/tests/successors.rs
@@ -47,9 +47,16 @@
     vec![restarted, registration("w1")]
 }
 
-/// Lets an owner start a task on its first worker, which restarts at that moment. Returns the
-/// owner, and the task's name and run.
-fn former_owner(learned: Learned) -> (Shard, TaskName, u64) {
+/// A start order that an owner has sent to the first of its two workers.
+struct SentStart {
+    worker: WorkerKey,
+    task: TaskKey,
+    name: TaskName,
+    run: u64,
+}
+
+/// Lets an owner send a start order to its first worker, and learn of the second.
+fn send_start() -> (Shard, SentStart) {
     let mut shard = Shard::first_owner(&["w0"]);
     shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
     shard.plan();
@@ -63,6 +70,25 @@
     shard.workers.extend(added);
     shard.report(1, &[], &[]);
     shard.write();
+    let sent = SentStart {
+        worker,
+        task,
+        name,
+        run,
+    };
+    (shard, sent)
+}
+
+/// Lets an owner start a task on its first worker, which restarts at that moment. Returns the
+/// owner, and the task's name and run.
+fn former_owner(learned: Learned) -> (Shard, TaskName, u64) {
+    let (mut shard, sent) = send_start();
+    let SentStart {
+        worker,
+        task,
+        name,
+        run,
+    } = sent;
     let scheduler = &mut shard.scheduler;
     match learned {
         Learned::ByAnswer => {
--- a/src/schedule/tests/successors/review.rs
+++ b/src/schedule/tests/successors/review.rs
@@ -109,19 +109,13 @@
 /// next poll gives a lease by the former clock and is carried out within 12 s.
 #[test]
 fn a_late_report_after_a_clock_reset_makes_leases_by_the_former_clock_unbounded() {
-    let mut shard = Shard::first_owner(&["w0"]);
-    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
-    shard.plan();
-    let [(worker, Order::Start { task, run })] = shard.orders[..] else {
-        panic!("one start");
-    };
-    let scheduler = &mut shard.scheduler;
-    let order = scheduler.start_order(worker, task, run, at(STARTED));
-    let name = order.expect("the start is wanted").task;
-    let added = scheduler.on_registry(registrations(1), at(STARTED));
-    shard.workers.extend(added);
-    shard.report(1, &[], &[]);
-    shard.write();
+    let (mut shard, sent) = send_start();
+    let SentStart {
+        worker,
+        task,
+        name,
+        run,
+    } = sent;
     let scheduler = &mut shard.scheduler;
     let answer = StartAnswer {
         reply: StartReply::Running,
@@ -156,19 +150,13 @@
 /// restarts once more: its third incarnation may carry the start out.
 #[test]
 fn a_start_that_was_withdrawn_in_progress_is_not_open_at_the_second_restart() {
-    let mut shard = Shard::first_owner(&["w0"]);
-    shard.submit(active_workflow(1, vec![step(1, 1)], 1, 0));
-    shard.plan();
-    let [(worker, Order::Start { task, run })] = shard.orders[..] else {
-        panic!("one start");
-    };
-    let scheduler = &mut shard.scheduler;
-    let order = scheduler.start_order(worker, task, run, at(STARTED));
-    let name = order.expect("the start is wanted").task;
-    let added = scheduler.on_registry(registrations(1), at(STARTED));
-    shard.workers.extend(added);
-    shard.report(1, &[], &[]);
-    shard.write();
+    let (mut shard, sent) = send_start();
+    let SentStart {
+        worker,
+        task,
+        name,
+        run,
+    } = sent;
     let scheduler = &mut shard.scheduler;
     scheduler.on_registry(registrations(2), at(500));
     assert_eq!(scheduler.ledger.tasks[task].stage, Stage::Stopping(worker));
