--- a/src/schedule/tests/fuzz/world.rs
+++ b/src/schedule/tests/fuzz/world.rs
@@ -314,7 +314,8 @@
             Action::Lapse(slot, incarnation) => self.lapse(slot, incarnation),
             Action::Return(slot, id) => {
                 self.trace(|| format!("w{slot} returns as {id}"));
-                let rate = 981 + self.rng.below(20);
+                // The slowest clock that the users allow is 2% slow.
+                let rate = 980 + self.rng.below(20);
                 self.slots[slot].process = Some(Process::new(id, rate, self.now));
                 if let Some(delay) = self.registers_after {
                     self.slots[slot].registers_at = self.now + delay;
