The answer of a second incarnation ends the doubt about the first

A settled answer now ends the overlong leases of all earlier incarnations at the longest lease from then. The new test failed before.

--- a/src/schedule/restart.rs
+++ b/src/schedule/restart.rs
@@ -115,6 +115,8 @@
         }
     }
 
+    /// Ends the runs of a worker's former incarnation and continues, or withdraws, what the new one
+    /// may run.
     pub(super) fn process_restart(&mut self, key: WorkerKey, restart: Restart, now: Moment) {
         let Restart {
             incarnation,
@@ -145,19 +147,24 @@
             open.clear();
         }
         let former_leases = self.workers[key].leases;
-        let leases = match &self.workers[key].suspicion {
+        let mut leases = match &self.workers[key].suspicion {
+            _ if !known => former_leases,
             _ if is_settled => former_leases.with_next_incarnation(now + self.longest_lease, now),
             // No order with a lease was sent since the first sign.
             Some(suspicion) => former_leases.with_next_incarnation(suspicion.leases_end, now),
             None => former_leases.restarted(in_progress, now, self.longest_lease),
         };
+        if is_settled {
+            // This ends the doubt about earlier incarnations, too.
+            leases.end_former_orders(now, self.longest_lease);
+        }
         if incarnation != former {
             self.workers[key].ended_incarnation = former;
         }
         self.workers[key].registration.incarnation = incarnation;
         self.workers[key].reset(now);
         self.workers[key].fences.on_restart(is_settled || !known);
-        self.workers[key].leases = if known { leases } else { former_leases };
+        self.workers[key].leases = leases;
         if known {
             // A successor must know of the restart before the worker gets new tasks.
             self.writes.mark_roster_changed();
--- a/src/schedule/tests/fences.rs
+++ b/src/schedule/tests/fences.rs
@@ -254,3 +254,20 @@
     shard.now = 12_600;
     assert_eq!(answer_poll(&mut shard, 1, &[]), FENCE + 1);
 }
+
+/// Guards against tasks without a run after two restarts: the answer of the second incarnation ends
+/// the doubt about the first, too, which had not answered.
+#[test]
+fn a_settled_second_restart_ends_the_wait_for_orders_to_the_first() {
+    let mut shard = owner_of_restarted();
+    let worker = shard.workers[0];
+    shard
+        .scheduler
+        .on_registry(registrations(RESTARTED), at(350));
+    let first = shard.scheduler.workers[worker].leases.overlong();
+    assert!(first > at(350 + LONGEST_LEASE));
+    shard.now = 900;
+    answer_poll(&mut shard, RESTARTED + 1, &[]);
+    let leases = shard.scheduler.workers[worker].leases;
+    assert!(leases.overlong() <= at(900 + LONGEST_LEASE + 1));
+}
