--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -23,8 +23,7 @@
     assert_eq!(clock.latest_expiry(lease_end), at(5_100));
 }
 
-/// Guards against a slow clock that is taken for one that was reset, and against leases that count
-/// as ended while a slow clock has not reached their end.
+/// Guards against a slow clock that counts as reset, and leases that count as ended too soon.
 #[test]
 fn a_clock_that_is_as_slow_as_allowed_has_not_restarted_and_reaches_its_leases_in_time() {
     let clock = Clock::new(50_000, at(100));
--- a/src/schedule/tests/fences.rs
+++ b/src/schedule/tests/fences.rs
@@ -60,8 +60,7 @@
     None
 }
 
-/// Guards against tasks without a run: the doubt about a poll that waited at the former incarnation
-/// held up all tasks that its worker got since, for the time after which a call is carried out.
+/// Guards against a doubt about an old poll that holds up tasks which the worker got since.
 #[test]
 fn tasks_of_a_restarted_worker_that_is_lost_wait_for_its_leases_only() {
     let mut shard = owner_of_restarted();
@@ -93,8 +92,7 @@
     assert!(start.is_some_and(|at| at > end && at < limit), "{start:?}");
 }
 
-/// Guards against a restarted worker that gets tasks while orders of before may still prolong their
-/// leases, and against a poll that gives a lease before the worker has answered.
+/// Guards against tasks and leases on a restarted worker while late orders may prolong them.
 #[test]
 fn a_restarted_worker_gets_no_lease_before_it_answers_a_poll_with_a_higher_token() {
     let mut shard = Shard::first_owner(&["w0"]);
@@ -116,8 +114,7 @@
     insta::assert_snapshot!(shard.orders(), @"w0: start 0000000000000001.0.0.0 run 100000001");
 }
 
-/// Guards against a run beside another one of its task: a worker that has not restarted refuses the
-/// late copy of a start, but its next incarnation would carry it out.
+/// Guards against a second run by the next incarnation, which accepts a start refused before.
 #[test]
 fn a_start_without_an_answer_is_not_lost_by_an_answer_to_a_higher_token() {
     let mut shard = Shard::first_owner(&["w0"]);
@@ -145,8 +142,7 @@
     assert_eq!(order.map(|order| order.fence), Some(FENCE + 1));
 }
 
-/// Guards against a task that starts elsewhere while a copy of an earlier run's start, which the new
-/// incarnation has begun, goes on.
+/// Guards against a start elsewhere beside an earlier run that the new incarnation has begun.
 #[test]
 fn a_task_waits_for_an_earlier_run_that_the_settled_report_of_a_restarted_worker_lists() {
     let mut shard = Shard::first_owner(&["w0", "w1"]);
@@ -170,8 +166,7 @@
     assert_eq!(shard.stage(task), Stage::Stopping(shard.workers[0]));
 }
 
-/// Guards against an owner that gives up its shard because its own later order overtook an earlier
-/// one.
+/// Guards against an owner that gives up its shard as its own orders overtook each other.
 #[test]
 fn only_the_refusal_of_the_present_token_tells_of_a_newer_owner() {
     let mut shard = owner_of_restarted();
@@ -192,9 +187,7 @@
     assert_eq!(shard.scheduler.with_fence(other, order).fence, FENCE);
 }
 
-/// Guards against tasks of the whole shard that wait for one worker: a successor must know that the
-/// restarted worker, of which the former owner got no answer, may run nothing but what the roster
-/// lists.
+/// Guards against a successor that waits with all tasks of the shard for one restarted worker.
 #[test]
 fn a_successor_waits_for_a_restarted_worker_only_with_the_tasks_that_may_run_there() {
     let mut former = Shard::first_owner(&["w0", "w1"]);
@@ -236,8 +229,7 @@
     assert_ne!(next.stage(first), Stage::Recovering);
 }
 
-/// Guards against a worker that is removed, comes back, and refuses all orders of its owner, as they
-/// have a lower token than those before.
+/// Guards against a returning worker that refuses its owner's orders for a lower token.
 #[test]
 fn a_worker_that_comes_back_after_its_removal_gets_the_highest_token() {
     let mut shard = owner_of_restarted();
@@ -255,8 +247,7 @@
     assert_eq!(answer_poll(&mut shard, 1, &[]), FENCE + 1);
 }
 
-/// Guards against tasks without a run after two restarts: the answer of the second incarnation ends
-/// the doubt about the first, too, which had not answered.
+/// Guards against a wait for the first incarnation after the second one has answered.
 #[test]
 fn a_settled_second_restart_ends_the_wait_for_orders_to_the_first() {
     let mut shard = owner_of_restarted();
--- a/src/schedule/tests/fuzz/found.rs
+++ b/src/schedule/tests/fuzz/found.rs
@@ -305,8 +305,7 @@
     run_restarts(17..18, 4_500, &steps);
 }
 
-/// Guards against a start that counts as refused because its worker has answered a poll with a
-/// higher fencing token: the worker's next incarnation has seen none, and carries a copy out.
+/// Guards against a start that counts as refused while the next incarnation may carry it out.
 #[test]
 fn a_start_that_a_worker_would_refuse_is_carried_out_by_its_next_incarnation() {
     let mut world = World::new(990);
--- a/src/schedule/tests/restarts.rs
+++ b/src/schedule/tests/restarts.rs
@@ -113,8 +113,7 @@
     (shard, worker, [(first, first_run), (second, second_run)])
 }
 
-/// Guards against tasks that are started twice because a clock was compared wrongly: the worker
-/// answers under its known incarnation, and all its runs go on.
+/// Guards against tasks that run twice because a clock was compared wrongly.
 #[test]
 fn runs_of_a_worker_whose_clock_is_behind_go_on_if_its_next_report_lists_them() {
     let (mut shard, worker, runs) = suspect_one(SLOW_CLOCK);
@@ -133,8 +132,7 @@
     assert_eq!(entry.overlong_left, None);
 }
 
-/// Guards against a wrong comparison of clocks that hides the next restart: its ends would count
-/// as those of the former incarnation, which have been processed.
+/// Guards against a wrong comparison of clocks that hides the ends after the next restart.
 #[test]
 fn a_restart_after_a_disproved_one_is_noticed_with_its_ends() {
     let (mut shard, worker, runs) = suspect_one(SLOW_CLOCK);
@@ -149,8 +147,7 @@
     assert_eq!(failed, [runs[1].1]);
 }
 
-/// Guards against starts, and renewals of leases by the former clock, on a worker that has
-/// restarted, before its report tells which runs it has.
+/// Guards against leases by the former clock on a worker that may have restarted.
 #[test]
 fn a_worker_whose_clock_is_behind_gets_no_lease_before_it_reports() {
     let (mut shard, worker, runs) = suspect_one(NEW_CLOCK);
@@ -181,8 +178,7 @@
     assert_ne!(shard.orders(), "");
 }
 
-/// Guards against tasks without a run: a doubt about a start that the next incarnation may have
-/// begun does not hold up the other tasks of a worker that is silent from then on.
+/// Guards against a doubt about one start that holds up the other tasks of a silent worker.
 #[test]
 fn only_the_task_of_the_doubtful_start_waits_for_the_longest_lease() {
     let (mut shard, _, runs) = suspect_one(NEW_CLOCK);
--- a/tests/fleet/cancellations.rs
+++ b/tests/fleet/cancellations.rs
@@ -19,8 +19,7 @@
     (deployment, [owner, (owner + 1) % 3, (owner + 2) % 3])
 }
 
-/// Guards against a job that runs for good although its cancelling was acknowledged: its submission
-/// had no answer, and took effect in the store after the cancellation.
+/// Guards against a job that runs as its submission takes effect after its cancelling.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_job_whose_submission_takes_effect_after_its_cancelling_never_runs() {
     let (deployment, [_, near, other]) = start("late-submission").await;
--- a/tests/fleet/restarts.rs
+++ b/tests/fleet/restarts.rs
@@ -67,8 +67,7 @@
 /// How long a task that lasts may have no run: LOST counts 3 s from 6 s after its last one.
 const MAX_GAP: Duration = Duration::from_secs(9);
 
-/// Guards against tasks without a run: the owner does not know which orders of before a restarted
-/// worker may still carry out, and waits for all that it started there since.
+/// Guards against tasks without a run as late orders to a former incarnation are waited for.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn tasks_of_a_worker_that_restarted_and_is_lost_for_good_run_again_in_time() {
     let deployment = Deployment::start("restart-lost", 1, 3).await;
